Serve a pipeline request through separate processes

Cause: the repository was empty. Conclusion: the whole path exists in a thin form and grows in place.

--- /dev/null
+++ b/hornbeamline/cli/__init__.py
@@ -0,0 +1,7 @@
+"""Command line of hornbeamline."""
+
+from __future__ import annotations
+
+from hornbeamline.cli._app import main
+
+__all__ = ('main',)
--- /dev/null
+++ b/hornbeamline/cli/_app.py
@@ -0,0 +1,43 @@
+"""Command tree; errors of users end in one line and exit code 2."""
+
+from __future__ import annotations
+
+import sys
+from typing import Final
+
+import typer
+
+from hornbeamline import VERSION
+from hornbeamline.cli import _daemons
+from hornbeamline.exceptions import HornbeamlineError, InventoryError
+from hornbeamline.helpers.http_server import AddressInUseError
+
+EXIT_USAGE: Final = 2
+EXIT_FAILED: Final = 1
+
+app = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help='Serves multi-stage model pipelines between callers and targets.',
+)
+app.add_typer(_daemons.entry_app, name='entry', help='The entry process.')
+app.add_typer(_daemons.target_app, name='target', help='Stand-in targets.')
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    typer.echo(VERSION)
+
+
+def main() -> None:
+    """Run the command line."""
+    try:
+        app()
+    except (InventoryError, AddressInUseError) as error:
+        sys.stderr.write(f'hornbeamline: {error}\n')
+        sys.exit(EXIT_USAGE)
+    except HornbeamlineError as error:
+        sys.stderr.write(f'hornbeamline: {error}\n')
+        sys.exit(EXIT_FAILED)
--- /dev/null
+++ b/hornbeamline/cli/_daemons.py
@@ -0,0 +1,61 @@
+"""Commands that run a process until it is stopped."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from hornbeamline.core import Kernel
+from hornbeamline.daemons import EntryDaemon
+from hornbeamline.inventory import (
+    EntrySettings,
+    load_document,
+    load_settings,
+    validate,
+)
+from hornbeamline.standins import StandinSettings, StandinTarget
+from hornbeamline.telemetry import configure_logs
+
+entry_app = typer.Typer(no_args_is_help=True)
+target_app = typer.Typer(no_args_is_help=True)
+
+SettingsOption = Annotated[
+    Path,
+    typer.Option('--settings', help='Settings file (TOML).'),
+]
+
+
+@entry_app.command('run')
+def run_entry(
+    settings: SettingsOption,
+    fleet: Annotated[
+        list[Path],
+        typer.Option('--fleet', help='Inventory and rules files (TOML).'),
+    ],
+) -> None:
+    """Run an entry process until SIGTERM."""
+    entry_settings = load_settings(settings, EntrySettings)
+    checked = validate(load_document(fleet))
+    configure_logs(host=entry_settings.host.name)
+
+    async def serve() -> int:
+        return await EntryDaemon(entry_settings, checked).run()
+
+    raise typer.Exit(asyncio.run(serve()))
+
+
+@target_app.command('run')
+def run_target(settings: SettingsOption) -> None:
+    """Run a stand-in target until SIGTERM."""
+    target_settings = load_settings(settings, StandinSettings)
+    configure_logs(target=target_settings.name)
+
+    async def serve() -> int:
+        kernel = Kernel(stop_timeout_s=10)
+        kernel.register('target', StandinTarget(target_settings))
+        return await kernel.run()
+
+    raise typer.Exit(asyncio.run(serve()))
--- /dev/null
+++ b/hornbeamline/exceptions.py
@@ -0,0 +1,43 @@
+"""Root of the exception tree; each layer derives its own branch."""
+
+from __future__ import annotations
+
+
+class HornbeamlineError(Exception):
+    """Base class of every error that hornbeamline raises."""
+
+
+class KernelError(HornbeamlineError):
+    """A service is missing, registered twice or failed to start."""
+
+
+class InventoryError(HornbeamlineError):
+    """Settings, inventory or rules are invalid or unreadable."""
+
+
+class PeeringError(HornbeamlineError):
+    """A call to another hornbeamline process failed."""
+
+
+class ReplicatedLogError(HornbeamlineError):
+    """The replicated log could not serve an operation."""
+
+
+class LedgerError(HornbeamlineError):
+    """A session or claim operation failed."""
+
+
+class ConfigurationError(HornbeamlineError):
+    """A configuration operation failed."""
+
+
+class TargetError(HornbeamlineError):
+    """A call to a target failed."""
+
+
+class PipelineError(HornbeamlineError):
+    """A pipeline could not be executed."""
+
+
+class OrderError(HornbeamlineError):
+    """An order to a model engine failed."""
--- /dev/null
+++ b/hornbeamline/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Shared code without a domain; a helper imports no component."""
--- /dev/null
+++ b/hornbeamline/helpers/http_server.py
@@ -0,0 +1,97 @@
+"""uvicorn as a service inside a process that owns its signals."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any, Final
+
+import uvicorn
+
+from hornbeamline.exceptions import HornbeamlineError
+
+_BACKLOG: Final = 2048
+
+
+class AddressInUseError(HornbeamlineError):
+    """A listener address cannot be bound."""
+
+
+class _QuietServer(uvicorn.Server):
+    """uvicorn server that leaves signals to the kernel."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no handlers: the kernel owns the signals."""
+        yield
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP number and port of `ip:port`."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+def bind_listener(address: str) -> socket.socket:
+    """Return a bound TCP socket; raises `AddressInUseError`."""
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+        listener.listen(_BACKLOG)
+    except OSError as error:
+        listener.close()
+        raise AddressInUseError(
+            f'cannot listen on {address}: {error.strerror}',
+        ) from error
+    return listener
+
+
+class HttpServer:
+    """Serves one ASGI application on one address."""
+
+    def __init__(
+        self,
+        app: Any,
+        address: str,
+        *,
+        stop_timeout_s: float = 5,
+    ) -> None:
+        """Take the application, `ip:port` and the bound of a stop."""
+        self._app = app
+        self._address = address
+        self._stop_timeout_s = stop_timeout_s
+        self._server: _QuietServer | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Bind and serve; raises `AddressInUseError`."""
+        listener = bind_listener(self._address)
+        config = uvicorn.Config(
+            self._app,
+            access_log=False,
+            log_level='critical',
+            lifespan='off',
+            backlog=_BACKLOG,
+            timeout_keep_alive=30,
+            timeout_graceful_shutdown=int(self._stop_timeout_s),
+            server_header=False,
+        )
+        self._server = _QuietServer(config)
+        self._task = asyncio.create_task(
+            self._server.serve(sockets=[listener]),
+            name=f'http {self._address}',
+        )
+
+    async def stop(self) -> None:
+        """Stop accepting and wait for open responses."""
+        if self._server is None or self._task is None:
+            return
+        self._server.should_exit = True
+        await asyncio.wait({self._task}, timeout=self._stop_timeout_s + 1)
+        if not self._task.done():
+            self._task.cancel()
--- /dev/null
+++ b/hornbeamline/inventory/_schema.py
@@ -0,0 +1,160 @@
+"""Inventory of a fleet as operators draw it from their asset register."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from hornbeamline.inventory._rules import (
+    NonNegative,
+    Positive,
+    PositiveInt,
+    Rules,
+)
+
+Name = Annotated[str, Meta(pattern='^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')]
+# IPv4 or bracketed IPv6 number with a port; names are not resolved.
+Address = Annotated[
+    str,
+    Meta(pattern=r'^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$'),
+]
+Sha256 = Annotated[str, Meta(pattern='^[0-9a-f]{64}$')]
+
+
+class ServiceKind(Enum):
+    """Kind of stage that a service executes."""
+
+    encoding = 'encoding'
+    retrieval = 'retrieval'
+    reranking = 'reranking'
+    generation = 'generation'
+    plain = 'plain'
+
+
+class TargetState(Enum):
+    """State that the operator gives a target."""
+
+    live = 'live'
+    draining = 'draining'
+
+
+class Table(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Base of an inventory table; unknown keys are refused."""
+
+
+class FleetInfo(Table, frozen=True, kw_only=True):
+    """The fleet as a whole."""
+
+    name: Name
+    description: str = ''
+
+
+class DataCentre(Table, frozen=True, kw_only=True):
+    """A failure domain inside a region."""
+
+    region: Name
+
+
+class Host(Table, frozen=True, kw_only=True):
+    """A host that runs hornbeamline processes."""
+
+    data_centre: Name
+    role: str = 'entry'
+
+
+class ServiceEntry(Table, frozen=True, kw_only=True):
+    """A pool of targets that execute the same kind of stage."""
+
+    kind: ServiceKind
+    # False for calls that may not be repeated, such as a filing.
+    idempotent: bool = True
+    # Service-time priors until measurements replace them.
+    expected_ms: Positive = 50
+    expected_p95_ms: Positive = 150
+    cost_per_s: NonNegative = 1
+    cost_per_token: NonNegative = 0
+
+
+class EngineOptions(Table, frozen=True, kw_only=True):
+    """What the system may expect of a model engine."""
+
+    # True when the engine refuses an order with an old fencing number.
+    checks_fencing: bool = True
+    models: list[Name] = []
+    role: str = 'serve'
+
+
+class Target(Table, frozen=True, kw_only=True):
+    """A server that executes stages of one service."""
+
+    service: Name
+    data_centre: Name
+    address: Address
+    state: TargetState = TargetState.live
+    concurrency: PositiveInt = 8
+    engine: EngineOptions = EngineOptions()
+
+
+class Model(Table, frozen=True, kw_only=True):
+    """A model that engines load from the weight store."""
+
+    version: str
+    size_gb: Positive
+    adapters: list[Name] = []
+    min_copies: PositiveInt = 1
+
+
+class Account(Table, frozen=True, kw_only=True):
+    """A client account; only a digest of its credential is stored."""
+
+    credential_sha256: Sha256
+    share: Positive = 1
+    priority: Annotated[int, Meta(ge=0, le=9)] = 0
+    max_requests_per_s: Positive = 10_000
+
+
+class Stage(Table, frozen=True, kw_only=True):
+    """One step of a pipeline."""
+
+    name: Name
+    service: Name
+    model: str = ''
+    max_tokens: PositiveInt = 64
+
+
+class Pipeline(Table, frozen=True, kw_only=True):
+    """Stages under one end-to-end deadline."""
+
+    stages: Annotated[list[Stage], Meta(min_length=1, max_length=8)]
+    deadline_ms: PositiveInt = 4000
+
+
+class Fleet(Table, frozen=True, kw_only=True):
+    """Inventory and rules of one fleet."""
+
+    fleet: FleetInfo
+    data_centres_by_name: dict[Name, DataCentre] = {}
+    hosts_by_name: dict[Name, Host] = {}
+    services_by_name: dict[Name, ServiceEntry] = {}
+    targets_by_name: dict[Name, Target] = {}
+    models_by_name: dict[Name, Model] = {}
+    accounts_by_name: dict[Name, Account] = {}
+    pipelines_by_name: dict[Name, Pipeline] = {}
+    rules: Rules = Rules()
+
+    def targets_of(self, service: str) -> dict[str, Target]:
+        """Return the targets of a service by name."""
+        return {
+            name: target
+            for name, target in self.targets_by_name.items()
+            if target.service == service
+        }
+
+    def may_repeat(self, pipeline: str) -> bool:
+        """Return whether every stage of a pipeline is idempotent."""
+        return all(
+            self.services_by_name[stage.service].idempotent
+            for stage in self.pipelines_by_name[pipeline].stages
+        )
--- /dev/null
+++ b/hornbeamline/inventory/errors.py
@@ -0,0 +1,31 @@
+"""Errors of settings, inventory and rules."""
+
+from __future__ import annotations
+
+from hornbeamline.exceptions import InventoryError
+
+
+class UnreadableFileError(InventoryError):
+    """A file is missing, unreadable or not TOML."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        """Take the file and the reason."""
+        super().__init__(f'{file}: {reason}')
+        self.file = file
+        self.reason = reason
+
+
+class InvalidDocumentError(InventoryError):
+    """A key holds a value that the schema or a check refuses."""
+
+    def __init__(self, key_path: str, reason: str, file: str = '') -> None:
+        """Take the key path, the reason and, where known, the file."""
+        prefix = f'{file}: ' if file else ''
+        super().__init__(f'{prefix}{key_path}: {reason}')
+        self.key_path = key_path
+        self.reason = reason
+        self.file = file
+
+    def in_file(self, file: str) -> InvalidDocumentError:
+        """Return the same error with its file."""
+        return InvalidDocumentError(self.key_path, self.reason, file)
--- /dev/null
+++ b/hornbeamline/peering/_interface.py
@@ -0,0 +1,58 @@
+"""What components see of the network between processes."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol, TypeAlias, TypeVar
+
+# A NamedTuple registered with `message`.
+Message: TypeAlias = tuple[Any, ...]
+
+_MessageT = TypeVar('_MessageT', bound=Message)
+_ReplyT = TypeVar('_ReplyT', bound=Message)
+
+
+class Peering(Protocol):
+    """Requests and one-way messages to named processes."""
+
+    @property
+    def name(self) -> str:
+        """Return the name of this process."""
+
+    def on(
+        self,
+        kind: type[_MessageT],
+        handler: Callable[[str, _MessageT], Awaitable[Message | None]],
+    ) -> None:
+        """Handle a message type.
+
+        The handler gets the sender's name and the message. Its result is
+        the reply to a call and is ignored for a one-way message. Messages
+        of one sender are handed over in order, each in a task of its own
+        when the handler awaits.
+        """
+
+    async def call(
+        self,
+        peer: str,
+        request: Message,
+        reply_kind: type[_ReplyT],
+        timeout_s: float,
+    ) -> _ReplyT:
+        """Send a request and return its reply.
+
+        Raises `UnknownPeerError`, `CallTimeoutError` (the peer may have
+        handled it) and `PeerFailedError`.
+        """
+
+    def send(self, peer: str, request: Message) -> None:
+        """Send a message without a reply; it may be lost."""
+
+    def add_peer(self, name: str, address: str) -> None:
+        """Make a process reachable, or change its address."""
+
+    def remove_peer(self, name: str) -> None:
+        """Close the link to a process."""
+
+    def is_alive(self, peer: str) -> bool:
+        """Return whether the peer was heard within the silence timeout."""
--- /dev/null
+++ b/hornbeamline/pipeline/_types.py
@@ -0,0 +1,47 @@
+"""Requests, outcomes and costs of pipelines."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any, NamedTuple
+
+from hornbeamline.decisions import RequestInfo
+
+
+class OutcomeKind(Enum):
+    """The three final outcomes of a request."""
+
+    answered = 'answered'
+    not_run = 'not_run'
+    # A non-repeatable call was sent and its answer was lost.
+    unknown = 'unknown'
+
+
+class StageCost(NamedTuple):
+    """What one stage of one request cost."""
+
+    stage: str
+    service: str
+    target: str
+    target_ms: float
+    tokens: int
+    attempts: int
+
+
+class Outcome(NamedTuple):
+    """Final outcome of a request."""
+
+    kind: OutcomeKind
+    output: dict[str, Any] | None = None
+    reason: str = ''
+    retry_after_s: float = 0
+    costs: tuple[StageCost, ...] = ()
+
+
+class PipelineRequest(NamedTuple):
+    """A request with its input."""
+
+    info: RequestInfo
+    # The caller's idempotency key; empty for repeatable pipelines.
+    request_key: str
+    input: dict[str, Any]
--- /dev/null
+++ b/hornbeamline/replog/errors.py
@@ -0,0 +1,22 @@
+"""Errors of the replicated log."""
+
+from __future__ import annotations
+
+from hornbeamline.exceptions import ReplicatedLogError
+
+
+class NotLeaderError(ReplicatedLogError):
+    """This host does not lead; nothing was proposed."""
+
+    def __init__(self, leader: str | None) -> None:
+        """Take the name of the known leader, if any."""
+        super().__init__(f'not the leader; known leader: {leader or "none"}')
+        self.leader = leader
+
+
+class ProposalUnknownError(ReplicatedLogError):
+    """Leadership was lost before the commit; the command may still apply."""
+
+
+class LogStoppedError(ReplicatedLogError):
+    """Storage failed or the log is shutting down."""
--- /dev/null
+++ b/hornbeamline/targets/errors.py
@@ -0,0 +1,30 @@
+"""Errors of calls to targets, by what they prove."""
+
+from __future__ import annotations
+
+from hornbeamline.exceptions import TargetError
+
+
+class TargetUnreachableError(TargetError):
+    """The connection was refused: the call did not run."""
+
+
+class TargetRefusedError(TargetError):
+    """The target's protocol says that the call did not run."""
+
+    def __init__(self, target: str, *, leaving: bool = False) -> None:
+        """Take the target and whether it said that it is leaving."""
+        super().__init__(f'target {target} refused the call')
+        self.leaving = leaving
+
+
+class TargetLostError(TargetError):
+    """The connection broke after the send: the call may have run."""
+
+
+class TargetTimeoutError(TargetLostError):
+    """No answer came in time: the call may have run."""
+
+
+class TargetFailedError(TargetError):
+    """The target answered with an error: the call may have run."""
--- /dev/null
+++ b/hornbeamline/telemetry/__init__.py
@@ -0,0 +1,8 @@
+"""Log lines and metrics."""
+
+from __future__ import annotations
+
+from hornbeamline.telemetry._logs import configure_logs, log_event
+from hornbeamline.telemetry._metrics import metrics_page, registry
+
+__all__ = ('configure_logs', 'log_event', 'metrics_page', 'registry')
--- /dev/null
+++ b/tests/common.py
@@ -0,0 +1,77 @@
+"""Builders that several test folders share."""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import tomli_w
+
+ROOT = Path(__file__).resolve().parent.parent
+STOP_TIMEOUT_S = 20
+
+
+def free_address() -> str:
+    """Return a loopback address that is free at the moment."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def digest_of(credential: str) -> str:
+    """Return the digest that the inventory stores of a credential."""
+    return hashlib.sha256(credential.encode()).hexdigest()
+
+
+def write_toml(path: Path, content: dict[str, Any]) -> Path:
+    """Write a settings file and return its path."""
+    path.write_text(tomli_w.dumps(content), encoding='utf-8')
+    return path
+
+
+@contextlib.contextmanager
+def running(
+    log: Path,
+    *arguments: str,
+) -> Iterator[subprocess.Popen[bytes]]:
+    """Run `hornbeamline` as a process and stop it at the end."""
+    with log.open('ab') as output:
+        process = subprocess.Popen(
+            [sys.executable, '-m', 'hornbeamline', *arguments],
+            cwd=ROOT,
+            stdout=output,
+            stderr=output,
+            env={**os.environ, 'PYTHONPATH': str(ROOT)},
+        )
+    try:
+        yield process
+    finally:
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+def wait_listening(address: str, timeout_s: float = 15) -> None:
+    """Wait until a TCP address accepts connections."""
+    host, _, port = address.rpartition(':')
+    until = time.monotonic() + timeout_s
+    while time.monotonic() < until:
+        with contextlib.suppress(OSError):
+            socket.create_connection((host, int(port)), 0.2).close()
+            return
+        time.sleep(0.02)
+    raise AssertionError(f'{address} does not accept connections')
