Add example fleets, load generator, check and demo commands

Cause: the fleets of the users existed only in prose, and nothing could send a load or compare what callers were told with what targets executed.

--- a/hornbeamline/cli/_app.py
+++ b/hornbeamline/cli/_app.py
@@ -8,7 +8,9 @@
 import typer
 
 from hornbeamline import VERSION
-from hornbeamline.cli import _daemons
+from hornbeamline.cli import _caller, _daemons
+from hornbeamline.cli._check import check
+from hornbeamline.cli._demo import demo
 from hornbeamline.exceptions import HornbeamlineError, InventoryError
 from hornbeamline.helpers.http_server import AddressInUseError
 
@@ -24,6 +26,15 @@
 app.add_typer(_daemons.entry_app, name='entry', help='The entry process.')
 app.add_typer(_daemons.target_app, name='target', help='Stand-in targets.')
 
+app.add_typer(
+    _caller.request_app,
+    name='request',
+    help='Single requests as a caller.',
+)
+app.command()(check)
+app.command()(_caller.load)
+app.command()(demo)
+
 
 @app.command()
 def version() -> None:
--- a/hornbeamline/inventory/__init__.py
+++ b/hornbeamline/inventory/__init__.py
@@ -8,7 +8,11 @@
     document_of,
     fleet_of,
 )
-from hornbeamline.inventory._loading import load_document, load_settings
+from hornbeamline.inventory._loading import (
+    load_document,
+    load_settings,
+    read_toml,
+)
 from hornbeamline.inventory._operations import (
     Operation,
     apply_operations,
@@ -33,6 +37,7 @@
     Fleet,
     FleetInfo,
     Host,
+    HostRole,
     Model,
     Pipeline,
     ServiceEntry,
@@ -72,6 +77,7 @@
     'FleetInfo',
     'HedgeRules',
     'Host',
+    'HostRole',
     'HostSettings',
     'InvalidDocumentError',
     'LimitRules',
@@ -102,5 +108,6 @@
     'fleet_of',
     'load_document',
     'load_settings',
+    'read_toml',
     'validate',
 )
--- a/hornbeamline/inventory/_schema.py
+++ b/hornbeamline/inventory/_schema.py
@@ -33,6 +33,14 @@
     plain = 'plain'
 
 
+class HostRole(Enum):
+    """Process that runs on a host."""
+
+    entry = 'entry'
+    # A voter of the replicated log; needs a disk.
+    control = 'control'
+
+
 class TargetState(Enum):
     """State that the operator gives a target."""
 
@@ -61,7 +69,7 @@
     """A host that runs hornbeamline processes."""
 
     data_centre: Name
-    role: str = 'entry'
+    roles: tuple[HostRole, ...] = (HostRole.entry,)
 
 
 class ServiceEntry(Table, frozen=True, kw_only=True):
@@ -120,6 +128,9 @@
 
     name: Name
     service: Name
+    # Set where some calls of a service may be repeated and others may not;
+    # the service's own value counts otherwise.
+    idempotent: bool | None = None
     model: str = ''
     max_tokens: PositiveInt = 64
 
@@ -154,7 +165,11 @@
 
     def may_repeat(self, pipeline: str) -> bool:
         """Return whether every stage of a pipeline is idempotent."""
-        return all(
-            self.services_by_name[stage.service].idempotent
-            for stage in self.pipelines_by_name[pipeline].stages
-        )
+        stages = self.pipelines_by_name[pipeline].stages
+        return all(map(self.stage_may_repeat, stages))
+
+    def stage_may_repeat(self, stage: Stage) -> bool:
+        """Return whether a call of a stage is idempotent."""
+        if stage.idempotent is not None:
+            return stage.idempotent
+        return self.services_by_name[stage.service].idempotent
--- /dev/null
+++ b/hornbeamline/load/_arrivals.py
@@ -0,0 +1,50 @@
+"""Poisson arrivals with bursts, drawn from one seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from hornbeamline.load._settings import LoadSettings
+
+
+class Arrival(NamedTuple):
+    """One request of the schedule."""
+
+    # Seconds since the start of the run.
+    at_s: float
+    number: int
+    pipeline: str
+    account: str
+
+
+def arrivals(settings: LoadSettings) -> Iterator[Arrival]:
+    """Yield the schedule in order of time.
+
+    The same settings and seed give the same schedule.
+    """
+    rng = random.Random(settings.seed)
+    pipelines = tuple(settings.pipelines)
+    accounts = tuple(settings.accounts)
+    at_s = float(0)
+    number = 0
+    while True:
+        at_s += rng.expovariate(_rate_at(settings, at_s))
+        if at_s >= settings.duration_s:
+            return
+        number += 1
+        yield Arrival(
+            at_s,
+            number,
+            rng.choices(pipelines, tuple(settings.pipelines.values()))[0],
+            rng.choices(accounts, tuple(settings.accounts.values()))[0],
+        )
+
+
+def _rate_at(settings: LoadSettings, at_s: float) -> float:
+    rate = settings.rate_per_s
+    for burst in settings.bursts:
+        if burst.at_s <= at_s < burst.at_s + burst.for_s:
+            rate *= burst.factor
+    return rate
--- /dev/null
+++ b/hornbeamline/load/_runner.py
@@ -0,0 +1,189 @@
+"""Sends the scheduled requests and records how each one ended."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import uuid
+from collections.abc import Callable
+from typing import Any, Final
+
+import aiohttp
+import msgspec
+
+from hornbeamline.core import TaskSet
+from hornbeamline.load._arrivals import Arrival, arrivals
+from hornbeamline.load._balancer import Balancer
+from hornbeamline.load._settings import LoadSettings
+from hornbeamline.load._types import Ending, EndingKind
+
+# Time that a caller waits beyond its deadline for the final outcome.
+GRACE_S: Final = 2.0
+_HTTP_OK: Final = 200
+_MS_PER_S: Final = 1000
+
+
+class LoadRunner:
+    """Runs one open-loop load: arrivals do not wait for answers."""
+
+    def __init__(
+        self,
+        settings: LoadSettings,
+        on_ended: Callable[[Ending], None],
+    ) -> None:
+        """Take the settings and a callback for each ended request."""
+        self._settings = settings
+        self._on_ended = on_ended
+        self._balancer = Balancer(settings.entries)
+        self._tasks = TaskSet()
+        self._in_progress = 0
+        self._began_at = float(0)
+        # Keys differ between runs, so that a repeated seed is not a resend.
+        self._run_id = uuid.uuid4().hex[:12]
+        self._rng = random.Random(settings.seed)
+
+    async def run(self) -> None:
+        """Send the whole schedule and wait until every request ended."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            await self._balancer.start(session)
+            try:
+                await self._send_all(session)
+            finally:
+                await self._tasks.cancel_all()
+                await self._balancer.stop()
+
+    async def _send_all(self, session: aiohttp.ClientSession) -> None:
+        self._began_at = time.monotonic()
+        sending: list[asyncio.Task[Any]] = []
+        for arrival in arrivals(self._settings):
+            wait_s = self._began_at + arrival.at_s - time.monotonic()
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+            if self._in_progress >= self._settings.max_in_progress:
+                continue
+            self._in_progress += 1
+            sending.append(
+                self._tasks.spawn(
+                    self._send(session, arrival),
+                    f'request {arrival.number}',
+                ),
+            )
+        await asyncio.gather(*sending)
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        arrival: Arrival,
+    ) -> None:
+        try:
+            ending = await self._send_until_ended(session, arrival)
+        finally:
+            self._in_progress -= 1
+        self._on_ended(ending)
+
+    async def _send_until_ended(
+        self,
+        session: aiohttp.ClientSession,
+        arrival: Arrival,
+    ) -> Ending:
+        key = ''
+        if arrival.pipeline in self._settings.keyed_pipelines:
+            key = f'{self._run_id}-{arrival.number}'
+        began_at = time.monotonic()
+        deadline_at = began_at + self._settings.deadline_ms / _MS_PER_S
+        entry = ''
+        sends = 0
+        while True:
+            sends += 1
+            entry = self._balancer.pick(avoid=entry)
+            attempt = await self._send_once(session, arrival, key, entry)
+            pause_s = self._pause_s(attempt, sends)
+            if pause_s is None or time.monotonic() + pause_s >= deadline_at:
+                break
+            await asyncio.sleep(pause_s)
+        ended_at = time.monotonic()
+        return Ending(
+            arrival.pipeline,
+            arrival.account,
+            key,
+            attempt.kind,
+            attempt.reason,
+            began_at - self._began_at,
+            ended_at - began_at,
+            ended_at <= deadline_at,
+            sends,
+            attempt.costs,
+        )
+
+    def _pause_s(self, attempt: _Attempt, sends: int) -> float | None:
+        """Return seconds until the caller sends again, None for never."""
+        if attempt.kind is EndingKind.connection_lost:
+            again = sends <= self._settings.resends
+            return self._rng.uniform(0, 0.1) if again else None
+        if attempt.kind is EndingKind.not_run:
+            return attempt.retry_after_s if self._obeys else None
+        return None
+
+    @property
+    def _obeys(self) -> bool:
+        return self._settings.obey_retry_after
+
+    async def _send_once(
+        self,
+        session: aiohttp.ClientSession,
+        arrival: Arrival,
+        key: str,
+        entry: str,
+    ) -> _Attempt:
+        credential = self._settings.credentials[arrival.account]
+        headers = {'Authorization': f'Bearer {credential}'}
+        if key:
+            headers['Idempotency-Key'] = key
+        nonce = f'{self._run_id}.{arrival.number}'
+        deadline_ms = self._settings.deadline_ms
+        try:
+            async with session.post(
+                f'http://{entry}/v1/pipelines/{arrival.pipeline}/requests',
+                json={'input': {'nonce': nonce}, 'deadline_ms': deadline_ms},
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(
+                    total=deadline_ms / _MS_PER_S + GRACE_S,
+                ),
+            ) as response:
+                return _read(response.status, await response.read(), nonce)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return _Attempt(
+                kind=EndingKind.connection_lost,
+                reason=type(error).__name__,
+            )
+
+
+class _Attempt(msgspec.Struct, frozen=True, kw_only=True):
+    kind: EndingKind
+    reason: str = ''
+    retry_after_s: float = 0
+    costs: tuple[dict[str, Any], ...] = ()
+
+
+def _read(status: int, body: bytes, nonce: str) -> _Attempt:
+    try:
+        answer = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return _Attempt(kind=EndingKind.rejected, reason=f'status {status}')
+    if status == _HTTP_OK:
+        # The stand-ins repeat the input, so a swapped answer shows.
+        own = nonce in msgspec.json.encode(answer.get('output')).decode()
+        return _Attempt(
+            kind=EndingKind.answered if own else EndingKind.wrong_answer,
+            costs=tuple(answer.get('costs', ())),
+        )
+    outcome = answer.get('outcome', '')
+    if outcome not in {EndingKind.not_run.value, EndingKind.unknown.value}:
+        return _Attempt(kind=EndingKind.rejected, reason=f'status {status}')
+    return _Attempt(
+        kind=EndingKind(outcome),
+        reason=answer.get('reason', ''),
+        retry_after_s=float(answer.get('retry_after_s', 0)),
+    )
--- /dev/null
+++ b/tests/inventory/test_inventory.py
@@ -0,0 +1,144 @@
+"""Loading, checks and changes of inventory and rules."""
+
+from __future__ import annotations
+
+import copy
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hornbeamline.inventory import (
+    EntrySettings,
+    InvalidDocumentError,
+    UnreadableFileError,
+    apply_operations,
+    difference,
+    document_digest,
+    load_document,
+    load_settings,
+    validate,
+)
+from tests.common import ROOT, write_toml
+
+EXAMPLES = {'tunja': (12, 22, 5, 4), 'nasrallah': (12, 17, 5, 3)}
+
+
+def example(name: str):
+    """Return the document of an example fleet."""
+    return load_document(sorted((ROOT / 'examples' / name).glob('*.toml')))
+
+
+@pytest.mark.parametrize('name', EXAMPLES)
+def test_examples_have_the_stated_sizes(name: str) -> None:
+    """Guards against an example that no longer matches its fleet."""
+    fleet = validate(example(name))
+    assert EXAMPLES[name] == (
+        len(fleet.hosts_by_name),
+        len(fleet.targets_by_name),
+        len(fleet.accounts_by_name),
+        len(fleet.data_centres_by_name),
+    )
+
+
+def break_unknown_key(document):
+    document['targets_by_name']['drafting-1']['adress'] = '127.0.0.1:1'
+
+
+def break_unknown_section(document):
+    document['tagets_by_name'] = {}
+
+
+def break_data_centre(document):
+    document['targets_by_name']['drafting-1']['data_centre'] = 'nowhere'
+
+
+def break_stage_without_target(document):
+    document['services_by_name']['new'] = {'kind': 'plain'}
+    document['pipelines_by_name']['filing']['stages'][0]['service'] = 'new'
+
+
+def break_negative_limit(document):
+    document['targets_by_name']['drafting-1']['concurrency'] = -1
+
+
+def break_type(document):
+    document['pipelines_by_name']['filing']['deadline_ms'] = 'soon'
+
+
+def break_host_name_address(document):
+    document['targets_by_name']['drafting-1']['address'] = 'localhost:80'
+
+
+def break_shared_address(document):
+    targets = document['targets_by_name']
+    targets['drafting-1']['address'] = targets['drafting-2']['address']
+
+
+def break_shared_credential(document):
+    accounts = document['accounts_by_name']
+    accounts['auditoria'] = accounts['cementos-boyaca']
+
+
+@pytest.mark.parametrize(
+    ('breakage', 'key_path'),
+    [
+        (break_unknown_key, 'targets_by_name'),
+        (break_unknown_section, '(root)'),
+        (break_data_centre, 'targets_by_name.drafting-1.data_centre'),
+        (break_stage_without_target, 'pipelines_by_name.filing.stages[0]'),
+        (break_negative_limit, 'concurrency'),
+        (break_type, 'deadline_ms'),
+        (break_host_name_address, 'address'),
+        (break_shared_address, 'targets_by_name.drafting-2.address'),
+        (break_shared_credential, 'accounts_by_name.auditoria'),
+    ],
+)
+def test_invalid_document_is_refused(breakage, key_path: str) -> None:
+    """Guards against a wrong inventory that goes into force."""
+    document = copy.deepcopy(example('tunja'))
+    breakage(document)
+    with pytest.raises(InvalidDocumentError) as caught:
+        validate(document)
+    assert key_path in caught.value.key_path
+
+
+def test_name_in_two_files_is_refused(tmp_path: Path) -> None:
+    """Guards against two files that silently override each other."""
+    for name in ('a.toml', 'b.toml'):
+        write_toml(tmp_path / name, {'fleet': {'name': 'x'}})
+    with pytest.raises(InvalidDocumentError, match='defined twice'):
+        load_document(sorted(tmp_path.glob('*.toml')))
+
+
+def test_broken_toml_names_the_file(tmp_path: Path) -> None:
+    """Guards against an error that does not say where it comes from."""
+    path = tmp_path / 'entry.toml'
+    path.write_text('host = [')
+    with pytest.raises(UnreadableFileError, match='entry.toml'):
+        load_settings(path, EntrySettings)
+
+
+tables = st.dictionaries(
+    st.sampled_from(['a', 'b', 'c']),
+    st.dictionaries(st.sampled_from(['x', 'y']), st.integers(0, 3)),
+)
+documents = st.dictionaries(st.sampled_from(['s', 't']), tables)
+
+
+@settings(derandomize=True)
+@given(old=documents, new=documents)
+def test_difference_turns_old_into_new(old, new) -> None:
+    """Guards against a change that leaves or loses a table."""
+    changed = apply_operations(old, difference(old, new))
+    assert {key: part for key, part in changed.items() if part} == {
+        key: part for key, part in new.items() if part
+    }
+
+
+def test_digest_does_not_depend_on_key_order() -> None:
+    """Guards against a full fetch after each delta."""
+    document = example('tunja')
+    turned = dict(reversed(document.items()))
+    assert document_digest(document) == document_digest(turned)
