--- /dev/null
+++ b/hornbeamline/history/_linearizability.py
@@ -0,0 +1,104 @@
+"""Search for an order of operations that a sequential model allows.
+
+Algorithm: depth-first search over linearization points with a memory of
+visited pairs of linearized set and state (J. M. Wing and C. Gong, 1993;
+G. Lowe, 2017).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Iterable, Iterator, Sequence
+from typing import Final, NamedTuple, Protocol
+
+from hornbeamline.exceptions import HornbeamlineError
+from hornbeamline.history._operation import NEVER_ENDED, Operation
+
+MAX_VISITED: Final = 2_000_000
+
+
+class HistoryTooLargeError(HornbeamlineError):
+    """The search space is larger than the bound; nothing is proved."""
+
+
+class Model(Protocol):
+    """Sequential meaning of operations."""
+
+    def initial(self) -> Hashable:
+        """Return the state before all operations."""
+
+    def step(self, state: Hashable, operation: Operation) -> Hashable | None:
+        """Return the state after an operation.
+
+        Returns None when the model does not allow its result here. An
+        unknown result is always allowed.
+        """
+
+
+class _Point(NamedTuple):
+    linearized: int
+    state: Hashable
+
+
+def is_linearizable(
+    history: Iterable[Operation],
+    model: Model,
+    max_visited: int = MAX_VISITED,
+) -> bool:
+    """Return whether some legal order respects all intervals.
+
+    Raises `HistoryTooLargeError` after `max_visited` search points.
+    """
+    operations = sorted(history, key=lambda operation: operation.began_s)
+    required = sum(
+        1 << index
+        for index, operation in enumerate(operations)
+        if operation.is_known
+    )
+    start = _Point(0, model.initial())
+    visited = {start}
+    stack = [start]
+    while stack:
+        point = stack.pop()
+        if point.linearized & required == required:
+            return True
+        for successor in _successors(point, operations, model):
+            if successor not in visited:
+                visited.add(successor)
+                stack.append(successor)
+        if len(visited) > max_visited:
+            raise HistoryTooLargeError(f'more than {max_visited} points')
+    return False
+
+
+def _successors(
+    point: _Point,
+    operations: Sequence[Operation],
+    model: Model,
+) -> Iterator[_Point]:
+    for index in _candidates(point.linearized, operations):
+        state = model.step(point.state, operations[index])
+        if state is not None:
+            yield _Point(point.linearized | (1 << index), state)
+
+
+def _candidates(
+    linearized: int,
+    operations: Sequence[Operation],
+) -> list[int]:
+    """Return operations that may be linearized next.
+
+    Such an operation began before every other open one ended.
+    """
+    open_operations: list[tuple[int, Operation]] = []
+    first_end = NEVER_ENDED
+    for index, operation in enumerate(operations):
+        if operation.began_s > first_end:
+            break
+        if not linearized >> index & 1:
+            open_operations.append((index, operation))
+            first_end = min(first_end, operation.ended_s)
+    return [
+        position
+        for position, candidate in open_operations
+        if candidate.began_s <= first_end
+    ]
--- /dev/null
+++ b/hornbeamline/history/_operation.py
@@ -0,0 +1,60 @@
+"""Operations as clients saw them."""
+
+from __future__ import annotations
+
+import math
+from typing import Any, Final, NamedTuple
+
+from hornbeamline.helpers.clock import Clock
+
+# End of an operation whose result the client never learned.
+NEVER_ENDED: Final = math.inf
+
+
+class Operation(NamedTuple):
+    """One call with its interval and, where known, its result."""
+
+    client: str
+    argument: Any
+    # None when the result is unknown; the call may still have taken effect.
+    result: Any
+    # Seconds on the recorder's monotonic clock.
+    began_s: float
+    ended_s: float
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether the client learned the result."""
+        return self.ended_s != NEVER_ENDED
+
+
+class Recorder:
+    """Collects operations of concurrent clients of one process."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Take the clock that orders the operations."""
+        self._clock = clock
+        self.operations: list[Operation] = []
+
+    def began(self) -> float:
+        """Return the reading to pass to `ended` or `lost`."""
+        return self._clock.monotonic()
+
+    def ended(
+        self,
+        client: str,
+        argument: Any,
+        result: Any,
+        began_s: float,
+    ) -> None:
+        """Record an operation whose result is known."""
+        ended_s = self._clock.monotonic()
+        self.operations.append(
+            Operation(client, argument, result, began_s, ended_s),
+        )
+
+    def lost(self, client: str, argument: Any, began_s: float) -> None:
+        """Record an operation whose result is unknown."""
+        self.operations.append(
+            Operation(client, argument, None, began_s, NEVER_ENDED),
+        )
