Decide admission, queueing, routing, limits, retries and hedges

Cause: the engine picked a target at random and bounded nothing. Change: latency estimates by faded histograms, deadline plan per stage, admission by predicted finish with fair shares, bounded queue by share, priority and deadline, adaptive limits, four routing algorithms behind a registry, breakers and ejection, retry and hedge budgets, cost weight by service hours, counters by reason. Three rules with defaults turn parts off for comparisons. `benchmarks/decisions.py` drives 12 engines in virtual time.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that run from the repository root."""
--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,659 @@
+"""Virtual-time comparison of routing and admission decisions.
+
+Drives 12 real `DecisionEngine` instances against fake targets. One run
+gives all figures of docs/measurements-decisions.md:
+
+    python -m benchmarks.decisions --seeds 3 --json results.json
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import itertools
+import json
+import math
+import random
+import statistics
+import time
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from hornbeamline.decisions import (
+    CallReport,
+    CallResult,
+    DecisionEngine,
+    DecisionSettings,
+    Dispatch,
+    LoadReport,
+    Refusal,
+    RequestInfo,
+    StageCall,
+)
+from hornbeamline.helpers.clock import ManualClock
+from hornbeamline.inventory import (
+    Account,
+    AdmissionRules,
+    DataCentre,
+    Fleet,
+    FleetInfo,
+    HedgeRules,
+    Host,
+    LimitRules,
+    Pipeline,
+    RoutingRules,
+    Rules,
+    ServiceEntry,
+    ServiceKind,
+    Stage,
+    Target,
+)
+
+DATA_CENTRES = ('dc-a', 'dc-b', 'dc-c', 'dc-d')
+HOST_COUNT = 12
+WARM_UP_S = 5.0
+MEASURED_S = 30.0
+DEADLINE_S = 4.0
+REPORT_INTERVAL_S = 0.5
+CACHE_EVENT_DELAY_S = 1.0
+CACHE_EVENT_LOSS = 0.2
+CACHED_PREFIXES = 12
+# Part of a generation that a cached prefix saves.
+PREFIX_SAVING = 0.4
+CANCEL_DELAY_S = 0.002
+SIGMA = 0.5
+FILING_PART = 0.1
+SHARES = {'ash': 1, 'beech': 1, 'cedar': 1, 'elm': 2, 'fir': 3}
+
+
+class Service(NamedTuple):
+    """A pool of fake targets."""
+
+    kind: ServiceKind
+    targets: int
+    concurrency: int
+    mean_s: float
+    idempotent: bool = True
+
+
+SERVICES = {
+    'register': Service(ServiceKind.retrieval, 4, 4, 0.04),
+    'ranker': Service(ServiceKind.reranking, 4, 4, 0.06),
+    'drafting': Service(ServiceKind.generation, 6, 8, 0.3),
+    'desk': Service(ServiceKind.plain, 4, 4, 0.1, idempotent=False),
+}
+PIPELINES = {
+    'draft': ('register', 'ranker', 'drafting'),
+    'file': ('register', 'desk'),
+}
+# Requests per second that fill the generation targets.
+CAPACITY_PER_S = 6 * 8 / 0.3 / (1 - FILING_PART)
+
+
+class Scenario(NamedTuple):
+    """Load and faults of one run."""
+
+    load: float
+    burst: float = 1.0
+    # Faults by target from the start of the measured time.
+    modes: dict[str, str] = {}
+    slow: dict[str, float] = {}
+    cut: str = ''
+    report_delay_s: float = 2.0
+    flood: float = 1.0
+    prefixes: int = 0
+
+
+SCENARIOS = {
+    'steady_70': Scenario(0.7),
+    'steady_95': Scenario(0.95),
+    'steady_100': Scenario(1.0),
+    'overload_2x': Scenario(2.0),
+    'burst_3x_2s': Scenario(0.7, burst=3.0),
+    'straggler_10x': Scenario(0.7, slow={'drafting-1': 10.0}),
+    'one_dead': Scenario(0.7, modes={'drafting-1': 'dead'}),
+    'one_silent': Scenario(0.7, modes={'drafting-1': 'silent'}),
+    'half_fail': Scenario(
+        0.4,
+        modes={f'ranker-{index}': 'failing' for index in (1, 2)},
+    ),
+    'data_centre_cut': Scenario(0.5, cut='dc-a'),
+    'reports_fresh': Scenario(0.9, report_delay_s=0.05),
+    'reports_2s_late': Scenario(0.9),
+    'flood_10x': Scenario(0.5, flood=10.0),
+    'prefix_heavy': Scenario(0.95, prefixes=60),
+}
+VARIANTS = ('two_choices', 'round_robin', 'random', 'least_in_flight', 'plain')
+
+
+def rules_of(variant: str) -> Rules:
+    """Return the rules of a variant."""
+    if variant != 'plain':
+        return Rules(routing=RoutingRules(algorithm=variant))
+    return Rules(
+        routing=RoutingRules(algorithm='round_robin', ejection=False),
+        admission=AdmissionRules(by_prediction=False, queue_length=100_000),
+        limits=LimitRules(adaptive=False),
+        hedge=HedgeRules(enabled=False),
+    )
+
+
+def fleet_of(rules: Rules) -> Fleet:
+    """Return the fleet that all runs use."""
+    targets = {}
+    for service, shape in SERVICES.items():
+        for index in range(shape.targets):
+            targets[f'{service}-{index + 1}'] = Target(
+                service=service,
+                data_centre=DATA_CENTRES[index % len(DATA_CENTRES)],
+                address=f'10.0.0.1:{1000 + len(targets)}',
+                concurrency=shape.concurrency,
+            )
+    return Fleet(
+        fleet=FleetInfo(name='bench'),
+        data_centres_by_name={
+            name: DataCentre(region='r') for name in DATA_CENTRES
+        },
+        hosts_by_name={
+            f'entry-{index}': Host(data_centre=DATA_CENTRES[index % 4])
+            for index in range(HOST_COUNT)
+        },
+        services_by_name={
+            name: ServiceEntry(
+                kind=shape.kind,
+                idempotent=shape.idempotent,
+                expected_ms=shape.mean_s * 1000,
+                expected_p95_ms=shape.mean_s * 2500,
+            )
+            for name, shape in SERVICES.items()
+        },
+        targets_by_name=targets,
+        accounts_by_name={
+            name: Account(credential_sha256='0' * 64, share=share)
+            for name, share in SHARES.items()
+        },
+        pipelines_by_name={
+            name: Pipeline(
+                stages=[Stage(name=each, service=each) for each in services],
+                deadline_ms=int(DEADLINE_S * 1000),
+            )
+            for name, services in PIPELINES.items()
+        },
+        rules=rules,
+    )
+
+
+class Loop:
+    """Virtual time."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self._events: list[tuple[float, int, Callable[..., None], Any]] = []
+        self._serial = itertools.count()
+
+    def later(self, delay_s: float, act: Callable[..., None], *args: Any):
+        at = self.clock.now_s + delay_s
+        heapq.heappush(self._events, (at, next(self._serial), act, args))
+
+    def run(self, until_s: float) -> None:
+        while self._events and self._events[0][0] <= until_s:
+            at, _, act, args = heapq.heappop(self._events)
+            self.clock.now_s = at
+            act(*args)
+
+
+class Job:
+    """One attempt of a request at a target."""
+
+    def __init__(self, flow: Flow, dispatch: Dispatch) -> None:
+        self.flow = flow
+        self.dispatch = dispatch
+        self.sent_at = flow.bench.loop.clock.now_s
+        self.started_at = math.inf
+        self.work_s = 0.0
+        self.is_over = False
+
+
+class FakeTarget:
+    """Queue with limited concurrency and log-normal service times."""
+
+    def __init__(self, name: str, service: str, bench: Bench) -> None:
+        self.name = name
+        self.service = service
+        self.bench = bench
+        self.shape = SERVICES[service]
+        self.data_centre = bench.fleet.targets_by_name[name].data_centre
+        self.mode = ''
+        self.slow = 1.0
+        self.running: set[Job] = set()
+        self.waiting: deque[Job] = deque()
+        self.cache: OrderedDict[str, None] = OrderedDict()
+
+    def take(self, job: Job) -> None:
+        if self.mode == 'dead':
+            job.flow.ended(job, CallResult.unreachable)
+        elif self.mode == 'failing':
+            job.flow.ended(job, CallResult.failed)
+        elif self.mode == 'silent' or self._is_cut(job.flow.host_dc):
+            return
+        elif len(self.running) < self.shape.concurrency:
+            self._start(job)
+        elif len(self.waiting) < 8 * self.shape.concurrency:
+            self.waiting.append(job)
+        else:
+            job.flow.ended(job, CallResult.refused)
+
+    def drop(self, job: Job) -> None:
+        if job in self.running:
+            self._stop(job)
+        elif job in self.waiting:
+            self.waiting.remove(job)
+
+    def report(self) -> None:
+        load = (len(self.running), len(self.waiting))
+        self.bench.loop.later(
+            self.bench.scenario.report_delay_s, self._deliver, load
+        )
+        self.bench.loop.later(REPORT_INTERVAL_S, self.report)
+
+    def _deliver(self, load: tuple[int, int]) -> None:
+        if self.mode in ('dead', 'silent'):
+            return
+        late = LoadReport(*load, self.bench.scenario.report_delay_s)
+        for index, engine in enumerate(self.bench.engines):
+            if not self._is_cut(DATA_CENTRES[index % 4]):
+                engine.load_reported(self.name, late)
+
+    def _is_cut(self, host_dc: str) -> bool:
+        cut = self.bench.cut
+        return bool(cut) and (host_dc == cut) != (self.data_centre == cut)
+
+    def _start(self, job: Job) -> None:
+        rng = self.bench.rng
+        mu = math.log(self.shape.mean_s) - SIGMA**2 / 2
+        duration_s = rng.lognormvariate(mu, SIGMA) * self.slow
+        prefix = job.dispatch.call.prefix
+        if prefix:
+            if prefix in self.cache:
+                duration_s *= 1 - PREFIX_SAVING
+            else:
+                self._cached(prefix, held=True)
+            self.cache[prefix] = None
+            self.cache.move_to_end(prefix)
+            if len(self.cache) > CACHED_PREFIXES:
+                self._cached(self.cache.popitem(last=False)[0], held=False)
+        job.started_at = self.bench.loop.clock.now_s
+        self.running.add(job)
+        self.bench.loop.later(duration_s, self._finish, job)
+
+    def _cached(self, prefix: str, *, held: bool) -> None:
+        for engine in self.bench.engines:
+            if self.bench.rng.random() >= CACHE_EVENT_LOSS:
+                self.bench.loop.later(
+                    CACHE_EVENT_DELAY_S,
+                    lambda engine=engine: engine.prefix_cached(
+                        self.name, prefix, held=held
+                    ),
+                )
+
+    def _finish(self, job: Job) -> None:
+        if job in self.running:
+            self._stop(job)
+            job.flow.ended(job, CallResult.succeeded)
+
+    def _stop(self, job: Job) -> None:
+        self.running.remove(job)
+        job.work_s = self.bench.loop.clock.now_s - job.started_at
+        self.bench.count_work(job, self.service)
+        while self.waiting and len(self.running) < self.shape.concurrency:
+            self._start(self.waiting.popleft())
+
+
+class Flow:
+    """Runs one request as the pipeline executor does."""
+
+    def __init__(self, bench: Bench, host: int, info: RequestInfo) -> None:
+        self.bench = bench
+        self.engine = bench.engines[host]
+        self.host_dc = DATA_CENTRES[host % 4]
+        self.info = info
+        self.started_at = bench.loop.clock.now_s
+        self.stage = 0
+        self.jobs: list[Job] = []
+        self.tried: frozenset[str] = frozenset()
+        self.call: StageCall | None = None
+        self.outcome = ''
+        self.useful_s: Counter[str] = Counter()
+        self.work_s: Counter[str] = Counter()
+
+    def start(self) -> None:
+        refusal = self.engine.admit(self.info)
+        if refusal is not None:
+            self._end(refusal.reason)
+            return
+        remaining_s = self.info.deadline_at - self.bench.loop.clock.now_s
+        self.bench.loop.later(remaining_s, self._expire)
+        self._submit(1)
+
+    def ended(self, job: Job, result: CallResult) -> None:
+        if job.is_over:
+            return
+        self._report(job, result)
+        if result is CallResult.succeeded:
+            self._next_stage(job)
+            return
+        if self.jobs or self.outcome:
+            return
+        report = CallReport(result, self.bench.loop.clock.now_s - job.sent_at)
+        answer = self.engine.retry_delay_s(job.dispatch, report)
+        if isinstance(answer, Refusal):
+            self._end(answer.reason)
+            return
+        self.bench.retries += 1
+        attempt = job.dispatch.call.attempt + 1
+        self.bench.loop.later(answer, self._submit, attempt)
+
+    def _submit(self, attempt: int) -> None:
+        if self.outcome:
+            return
+        call = StageCall(
+            self.info,
+            self.stage,
+            attempt,
+            prefix=self._prefix(),
+            excluded=self.tried,
+        )
+        self.call = call
+        self.engine.submit(call, self._decided)
+
+    def _decided(self, decision: Dispatch | Refusal) -> None:
+        if isinstance(decision, Refusal):
+            is_lost_hedge = bool(self.jobs)
+            if not is_lost_hedge and not self.outcome:
+                self._end(decision.reason)
+            return
+        loop = self.bench.loop
+        job = Job(self, decision)
+        self.jobs.append(job)
+        self.tried |= {decision.target}
+        loop.later(0, self.bench.targets[decision.target].take, job)
+        loop.later(decision.timeout_s, self._time_out, job)
+        delay_s = self.engine.hedge_delay_s(decision)
+        if delay_s is not None:
+            loop.later(delay_s, self._hedge, job)
+
+    def _hedge(self, job: Job) -> None:
+        if job.is_over or self.outcome or len(self.jobs) > 1:
+            return
+        if self.engine.take_hedge(job.dispatch):
+            self.bench.hedges += 1
+            call = job.dispatch.call._replace(
+                is_hedge=True, excluded=self.tried
+            )
+            self.engine.submit(call, self._decided)
+
+    def _time_out(self, job: Job) -> None:
+        if not job.is_over:
+            self.bench.targets[job.dispatch.target].drop(job)
+            self.ended(job, CallResult.timed_out)
+
+    def _next_stage(self, job: Job) -> None:
+        service = PIPELINES[self.info.pipeline][self.stage]
+        self.useful_s[service] += job.work_s
+        for loser in list(self.jobs):
+            self._cancel(loser)
+        self.stage += 1
+        self.tried = frozenset()
+        if self.stage == len(PIPELINES[self.info.pipeline]):
+            self._end('answered')
+        else:
+            self._submit(1)
+
+    def _cancel(self, job: Job) -> None:
+        self._report(job, CallResult.cancelled)
+        target = self.bench.targets[job.dispatch.target]
+        self.bench.loop.later(CANCEL_DELAY_S, target.drop, job)
+
+    def _report(self, job: Job, result: CallResult) -> None:
+        job.is_over = True
+        self.jobs.remove(job)
+        duration_s = self.bench.loop.clock.now_s - job.sent_at
+        generates = job.dispatch.target.startswith('drafting')
+        tokens = 64 if generates and result is CallResult.succeeded else 0
+        self.engine.finished(
+            job.dispatch, CallReport(result, duration_s, tokens)
+        )
+
+    def _expire(self) -> None:
+        if not self.outcome:
+            if not self.jobs and self.call is not None:
+                self.engine.withdraw(self.call)
+            self._end('late')
+            for job in list(self.jobs):
+                self._cancel(job)
+
+    def _end(self, outcome: str) -> None:
+        self.outcome = outcome
+        self.engine.finish_request(self.info)
+        self.bench.flow_ended(self)
+
+    def _prefix(self) -> str:
+        count = self.bench.scenario.prefixes
+        if not count or PIPELINES[self.info.pipeline][self.stage] != 'drafting':
+            return ''
+        # Popularity falls with the rank, as with shared system prompts.
+        rank = int(count ** random.Random(self.info.request_id).random())
+        return f'prefix-{rank}'
+
+
+class Bench:
+    """One run of a scenario with a variant and a seed."""
+
+    def __init__(self, scenario: Scenario, variant: str, seed: int) -> None:
+        self.scenario = scenario
+        self.loop = Loop()
+        self.rng = random.Random(seed)
+        # All variants of a seed get the same arrivals.
+        self.arrivals = random.Random(seed + 1000)
+        self.fleet = fleet_of(rules_of(variant))
+        self.cut = ''
+        self.retries = 0
+        self.hedges = 0
+        self.ended: list[Flow] = []
+        self.work: Counter[str] = Counter()
+        self.engines = []
+        for index in range(HOST_COUNT):
+            settings = DecisionSettings(
+                f'entry-{index}', DATA_CENTRES[index % 4]
+            )
+            engine = DecisionEngine(
+                settings, self.loop.clock, random.Random(seed * 100 + index)
+            )
+            engine.update_fleet(self.fleet)
+            self.engines.append(engine)
+        self.targets = {
+            name: FakeTarget(name, target.service, self)
+            for name, target in self.fleet.targets_by_name.items()
+        }
+
+    def run(self) -> dict[str, Any]:
+        started_at = time.process_time()
+        self.loop.later(0, self._tick)
+        for target in self.targets.values():
+            self.loop.later(self.rng.random() * 0.5, target.report)
+        for account in SHARES:
+            self.loop.later(0, self._arrive, account)
+        self.loop.later(WARM_UP_S, self._break)
+        end_s = WARM_UP_S + MEASURED_S
+        self.loop.run(end_s + DEADLINE_S)
+        return {**self._figures(), 'cpu_s': time.process_time() - started_at}
+
+    def count_work(self, job: Job, service: str) -> None:
+        self.work[service] += job.work_s
+        job.flow.work_s[service] += job.work_s
+
+    def flow_ended(self, flow: Flow) -> None:
+        if flow.started_at >= WARM_UP_S:
+            self.ended.append(flow)
+            flow.ended_at = self.loop.clock.now_s
+
+    def _tick(self) -> None:
+        for engine in self.engines:
+            engine.tick()
+        self.loop.later(0.05, self._tick)
+
+    def _break(self) -> None:
+        self.cut = self.scenario.cut
+        for name, mode in self.scenario.modes.items():
+            self.targets[name].mode = mode
+        for name, slow in self.scenario.slow.items():
+            self.targets[name].slow = slow
+
+    def _arrive(self, account: str) -> None:
+        now = self.loop.clock.now_s
+        if now > WARM_UP_S + MEASURED_S:
+            return
+        rate = CAPACITY_PER_S * self.scenario.load
+        rate *= SHARES[account] / sum(SHARES.values())
+        if 15 <= now < 17:
+            rate *= self.scenario.burst
+        if account == 'elm' and now >= WARM_UP_S:
+            rate *= self.scenario.flood
+        self.loop.later(self.arrivals.expovariate(rate), self._arrive, account)
+        is_filing = self.arrivals.random() < FILING_PART
+        info = RequestInfo(
+            f'{account}-{self.arrivals.getrandbits(64):x}',
+            account,
+            'file' if is_filing else 'draft',
+            now + DEADLINE_S,
+        )
+        Flow(self, self.arrivals.randrange(HOST_COUNT), info).start()
+
+    def _figures(self) -> dict[str, Any]:
+        answered = [flow for flow in self.ended if flow.outcome == 'answered']
+        delays = sorted(flow.ended_at - flow.started_at for flow in answered)
+        reasons = Counter(flow.outcome for flow in self.ended)
+        offered = Counter(flow.info.account for flow in self.ended)
+        reached = Counter(flow.info.account for flow in answered)
+        useful: Counter[str] = Counter()
+        spent: Counter[str] = Counter()
+        for flow in self.ended:
+            spent += flow.work_s
+        for flow in answered:
+            useful += flow.useful_s
+        calls = sum(flow.stage + 1 for flow in self.ended)
+        return {
+            'attainment': len(answered) / len(self.ended),
+            'goodput_per_s': len(answered) / MEASURED_S,
+            'p50_s': _quantile(delays, 0.5),
+            'p99_s': _quantile(delays, 0.99),
+            'p999_s': _quantile(delays, 0.999),
+            'target_s': dict(spent),
+            'wasted': {
+                name: 1 - useful[name] / work for name, work in spent.items()
+            },
+            'outcomes': dict(reasons),
+            'attainment_by_account': {
+                name: reached[name] / count for name, count in offered.items()
+            },
+            'retries': self.retries / calls,
+            'hedges': self.hedges / calls,
+        }
+
+
+def _quantile(ordered: list[float], quantile: float) -> float:
+    if not ordered:
+        return math.nan
+    return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
+
+
+def run_one(job: tuple[str, str, int]) -> dict[str, Any]:
+    """Return the figures of one run."""
+    scenario, variant, seed = job
+    return Bench(SCENARIOS[scenario], variant, seed).run()
+
+
+def median_of(runs: list[Any]) -> Any:
+    """Return the medians of all figures; missing ones count as 0."""
+    if not isinstance(runs[0], dict):
+        return statistics.median(runs)
+    names = dict.fromkeys(name for run in runs for name in run)
+    return {
+        name: median_of([run.get(name, 0) for run in runs]) for name in names
+    }
+
+
+def row_of(variant: str, figures: dict[str, Any]) -> str:
+    """Return one line of the text report."""
+    spent_s = sum(figures['target_s'].values())
+    wasted_s = sum(
+        figures['target_s'][name] * part
+        for name, part in figures['wasted'].items()
+    )
+    refusals = ', '.join(
+        f'{name} {count:g}'
+        for name, count in sorted(figures['outcomes'].items())
+        if name != 'answered' and count
+    )
+    worst = min(
+        part
+        for name, part in figures['attainment_by_account'].items()
+        if name != 'elm'
+    )
+    stages = ' '.join(
+        f'{name}:{figures["target_s"][name]:.0f}s'
+        f'/{figures["wasted"][name] * 100:.1f}%'
+        for name in SERVICES
+        if name in figures['target_s']
+    )
+    return (
+        f'{variant:16} {figures["attainment"] * 100:7.2f} '
+        f'{worst * 100:7.2f} {figures["goodput_per_s"]:7.1f} '
+        f'{figures["p50_s"]:6.3f} {figures["p99_s"]:6.3f} '
+        f'{figures["p999_s"]:6.3f} {wasted_s / spent_s * 100:6.2f} '
+        f'{figures["hedges"] * 100:5.2f} {figures["retries"] * 100:5.2f}  '
+        f'{stages}  {refusals}'
+    )
+
+
+HEADER = (
+    f'{"variant":16} {"attain%":>7} {"worst%":>7} {"good/s":>7} {"p50":>6} '
+    f'{"p99":>6} {"p99.9":>6} {"waste%":>6} {"hedg%":>5} {"retr%":>5}  '
+    'target time/wasted by stage  refusals by reason'
+)
+
+
+def main() -> None:
+    """Run the chosen scenarios and variants and print the medians."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=3)
+    parser.add_argument('--processes', type=int, default=6)
+    parser.add_argument('--scenarios', nargs='*', default=list(SCENARIOS))
+    parser.add_argument('--variants', nargs='*', default=list(VARIANTS))
+    parser.add_argument('--json', type=Path)
+    arguments = parser.parse_args()
+    pairs = list(itertools.product(arguments.scenarios, arguments.variants))
+    jobs = [(*pair, seed) for pair in pairs for seed in range(arguments.seeds)]
+    with ProcessPoolExecutor(arguments.processes) as pool:
+        runs = list(pool.map(run_one, jobs))
+    report: dict[str, dict[str, Any]] = {}
+    for index, (scenario, variant) in enumerate(pairs):
+        start = index * arguments.seeds
+        figures = median_of(runs[start : start + arguments.seeds])
+        report.setdefault(scenario, {})[variant] = figures
+    for scenario, by_variant in report.items():
+        print(f'\n{scenario}\n{HEADER}')
+        for variant, figures in by_variant.items():
+            print(row_of(variant, figures))
+    if arguments.json is not None:
+        encoded = msgspec.json.encode(report)
+        arguments.json.write_text(json.dumps(json.loads(encoded), indent=1))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/hornbeamline/decisions/_quantiles.py
@@ -0,0 +1,92 @@
+"""Quantiles of positive measurements that fade with age."""
+
+from __future__ import annotations
+
+import math
+from statistics import NormalDist
+from typing import Final
+
+# Buckets grow by 8%, so a quantile is at most 4% off; 220 buckets span 50 us
+# to about 1,000 s.
+_SMALLEST: Final = 5e-5
+_LOG_GROWTH: Final = math.log(1.08)
+_BUCKETS: Final = 220
+_LOG_SMALLEST: Final = math.log(_SMALLEST)
+# Weights grow instead of old ones shrinking; past this they are rescaled.
+_RESCALE_WEIGHT: Final = 1e9
+_REFRESH_S: Final = 0.1
+_P95_Z: Final = 1.645
+_PRIOR_POINTS: Final = 20
+_NORMAL: Final = NormalDist()
+
+
+class DecayedQuantiles:
+    """Histogram with logarithmic buckets and exponentially faded weights."""
+
+    def __init__(self, half_life_s: float) -> None:
+        """Take the age at which a measurement counts half."""
+        self._half_life_s = half_life_s
+        self._weights: list[float] = [0 for _ in range(_BUCKETS)]
+        self._total: float = 0
+        self._landmark_s: float = 0
+        self._cache: dict[float, tuple[float, float]] = {}
+
+    def seed(self, median: float, p95: float, weight: float) -> None:
+        """Add a log-normal prior that counts like `weight` measurements."""
+        spread = max(0, math.log(p95 / median)) / _P95_Z
+        for point in range(1, _PRIOR_POINTS):
+            z_score = _NORMAL.inv_cdf(point / _PRIOR_POINTS)
+            self._add(
+                median * math.exp(spread * z_score),
+                weight / (_PRIOR_POINTS - 1),
+            )
+        self._cache.clear()
+
+    def record(self, measurement: float, now: float) -> None:
+        """Add one measurement."""
+        weight = math.exp2((now - self._landmark_s) / self._half_life_s)
+        if weight > _RESCALE_WEIGHT:
+            self._rescale(weight, now)
+            weight = 1
+        self._add(measurement, weight)
+
+    def quantile(self, quantile: float, now: float) -> float:
+        """Return a quantile, at most 0.1 s old; 0 without measurements."""
+        cached = self._cache.get(quantile)
+        if cached is not None and now < cached[1]:
+            return cached[0]
+        found = self._find(quantile)
+        self._cache[quantile] = (found, now + _REFRESH_S)
+        return found
+
+    def effective_count(self, now: float) -> float:
+        """Return how many fresh measurements the weights are worth."""
+        age_s = now - self._landmark_s
+        # Past 500 half-lives the power would overflow; nothing is left.
+        exponent = min(500, age_s / self._half_life_s)
+        return self._total / math.exp2(exponent)
+
+    def _add(self, measurement: float, weight: float) -> None:
+        if measurement <= _SMALLEST:
+            bucket = 0
+        else:
+            position = (math.log(measurement) - _LOG_SMALLEST) / _LOG_GROWTH
+            bucket = min(_BUCKETS - 1, int(position))
+        self._weights[bucket] += weight
+        self._total += weight
+
+    def _rescale(self, weight: float, now: float) -> None:
+        self._weights = [old / weight for old in self._weights]
+        self._total = sum(self._weights)
+        self._landmark_s = now
+
+    def _find(self, quantile: float) -> float:
+        if self._total <= 0:
+            return 0
+        wanted = quantile * self._total
+        seen: float = 0
+        for bucket, weight in enumerate(self._weights):
+            seen += weight
+            if weight and seen >= wanted:
+                return _SMALLEST * math.exp((bucket + 0.5) * _LOG_GROWTH)
+        return _SMALLEST * math.exp(_BUCKETS * _LOG_GROWTH)
--- a/hornbeamline/decisions/_types.py
+++ b/hornbeamline/decisions/_types.py
@@ -36,6 +36,8 @@
     prefix: str = ''
     # Targets that this stage already tried.
     excluded: frozenset[str] = frozenset()
+    # Tokens that a generation may produce; 0 means the stage's own bound.
+    max_tokens: int = 0
 
 
 class Dispatch(NamedTuple):
--- /dev/null
+++ b/hornbeamline/decisions/const.py
@@ -0,0 +1,26 @@
+"""Reasons of refusals, retries and hedges."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# Refusals; each value is a label of the refusal counter and is shown to
+# callers.
+REASON_DEADLINE_EXCEEDED: Final = 'deadline_exceeded'
+REASON_DEADLINE_UNREACHABLE: Final = 'deadline_unreachable'
+REASON_OVERLOADED: Final = 'overloaded'
+REASON_QUEUE_FULL: Final = 'queue_full'
+REASON_RATE_LIMITED: Final = 'rate_limited'
+REASON_NO_TARGET: Final = 'no_target'
+REASON_NO_HEDGE_TARGET: Final = 'no_hedge_target'
+REASON_RETRY_BUDGET: Final = 'retry_budget_exhausted'
+REASON_RETRY_ATTEMPTS: Final = 'retry_attempts_exhausted'
+REASON_RETRY_NOT_IDEMPOTENT: Final = 'retry_not_idempotent'
+REASON_RETRY_NO_TIME: Final = 'retry_no_time'
+
+# Hedges that a caller of `take_hedge` asked for.
+HEDGE_TAKEN: Final = 'taken'
+HEDGE_BUDGET: Final = 'budget_exhausted'
+HEDGE_NO_CAPACITY: Final = 'no_spare_capacity'
+HEDGE_COST: Final = 'cost_weight'
+HEDGE_NOT_ALLOWED: Final = 'not_allowed'
--- a/hornbeamline/inventory/_rules.py
+++ b/hornbeamline/inventory/_rules.py
@@ -28,6 +28,8 @@
     # more than this share of their limit.
     spill_threshold: Fraction = 0.8
     load_half_life_s: Positive = 1.0
+    # False leaves failing and slow targets in routing; for comparisons.
+    ejection: bool = True
     ejection_failures: PositiveInt = 5
     ejection_s: Positive = 5.0
     slow_return_s: Positive = 10.0
@@ -36,6 +38,8 @@
 class AdmissionRules(RuleGroup, frozen=True, kw_only=True):
     """When a request is refused at once."""
 
+    # False admits requests that can't finish in time; for comparisons.
+    by_prediction: bool = True
     queue_length: PositiveInt = 512
     # Share of the end-to-end deadline that predictions keep in reserve.
     deadline_reserve: Fraction = 0.05
@@ -46,6 +50,8 @@
 class LimitRules(RuleGroup, frozen=True, kw_only=True):
     """Adaptive concurrency per target."""
 
+    # False holds every limit at `max_concurrency`; for comparisons.
+    adaptive: bool = True
     initial_concurrency: PositiveInt = 8
     min_concurrency: PositiveInt = 1
     max_concurrency: PositiveInt = 256
