Order accounts in the queue by smaller share groups

Cause: the queue ordered calls of one account up to 8 average shares ahead of another by deadline alone, which at one host is several seconds of work; and the drain rate counted fractions of a limit that admits whole calls, so admission refused accounts within their share. Change: groups of 1 average share; the drain rate counts whole slots.

--- a/hornbeamline/decisions/_pool.py
+++ b/hornbeamline/decisions/_pool.py
@@ -47,7 +47,7 @@
         self.usable_count = 0
         self.in_flight = 0
         self.demand: float = 0
-        self.limit_sum: float = 0
+        self.limit_sum = 0
         self.average_load: float = 0
         self.decisions = 0
         self.next_review_at: float = 0
@@ -95,7 +95,7 @@
         # When all live targets are ejected, their probes are all there is.
         usable = [record for record in live if record.is_usable] or live
         self.usable_count = len(usable)
-        self.limit_sum = sum(record.limit_at(now) for record in usable)
+        self.limit_sum = sum(record.slots_at(now) for record in usable)
         loads = [relative_load(record, now) for record in usable]
         self.average_load = sum(loads) / len(loads) if loads else 0
         needed = self.in_flight + len(self.queue)
@@ -146,7 +146,7 @@
         """Return whether the load fits on the other usable targets."""
         rest = self.limit_sum
         if record.is_usable:
-            rest -= record.limit_at(now)
+            rest -= record.slots_at(now)
         return rest > 0 and rest >= self.demand
 
     def has_others(self, record: TargetRecord) -> bool:
--- a/hornbeamline/decisions/_queue.py
+++ b/hornbeamline/decisions/_queue.py
@@ -11,7 +11,7 @@
 
 # Calls of accounts within this lead (in calls per average share) of each
 # other are ordered by priority and deadline alone.
-_LEAD: Final = 8
+_LEAD: Final = 1
 _PRUNE_ACCOUNTS: Final = 4096
 
 
--- a/hornbeamline/decisions/_targets.py
+++ b/hornbeamline/decisions/_targets.py
@@ -87,6 +87,10 @@
             return 1
         return max(1, self.limit.value * self.breaker.ramp(now))
 
+    def slots_at(self, now: float) -> int:
+        """Return the limit in whole calls."""
+        return math.ceil(self.limit_at(now))
+
     def has_room(self, now: float) -> bool:
         """Return whether one more call may be sent."""
         return self.in_flight < self.limit_at(now)
