Grow stand-in targets and the target client

Cause: the stand-in only knew plain calls, and the target client had no streams, no cancel, no reports, and used pooled connections for calls that may not be repeated.

Change: stand-ins of engines (continuous batching, prefix cache with late and lossy events, orders with or without fencing check), pools and plain services, with faults set at run time by `POST /v1/faults`. The client streams tokens with two index checks per batch, cancels, reads load and cache events by one task per target, opens a fresh connection for each non-repeatable call, follows no redirect, calls `before_send` between connect and write, and bounds answers to 8 MiB. A call whose connection was never made proves not run, also when the connect timed out.

The stand-ins use aiohttp's server, because resets and silent connections need the transport.

--- /dev/null
+++ b/hornbeamline/standins/_batch.py
@@ -0,0 +1,183 @@
+"""Continuous batching of a stand-in model engine."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import random
+import zlib
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from typing import Any, Final
+
+from hornbeamline.helpers.clock import MS_PER_S
+from hornbeamline.standins._settings import EngineSettings
+from hornbeamline.targets import prefix_digest
+
+_EVENTS_KEPT: Final = 1024
+_CHARACTERS_PER_TOKEN: Final = 4
+
+
+def prompt_seed(prompt: str) -> int:
+    """Return the seed of the token text of a prompt."""
+    return zlib.crc32(prompt.encode())
+
+
+def token_text(seed: int, index: int) -> str:
+    """Return the token at an index; depends on prompt and index only."""
+    return f'{zlib.crc32(index.to_bytes(4), seed):08x} '
+
+
+class PrefixCache:
+    """Prefixes in limited memory, with late and lossy events."""
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        rng: random.Random,
+        now: Callable[[], float],
+    ) -> None:
+        """Take settings, random source and clock reading in seconds."""
+        self._settings = settings
+        self._rng = rng
+        self._now = now
+        self._tokens_by_prefix: OrderedDict[str, int] = OrderedDict()
+        self._events: deque[tuple[float, dict[str, Any]]] = deque(
+            maxlen=_EVENTS_KEPT,
+        )
+        self._numbers = itertools.count(1)
+        self.last_number = 0
+
+    def use(self, prompt: str) -> int:
+        """Return the uncached tokens of a prompt and cache its prefix."""
+        prefix, characters = prefix_digest(prompt)
+        total = -(-len(prompt) // _CHARACTERS_PER_TOKEN)
+        cached = self._tokens_by_prefix.get(prefix)
+        if cached is None:
+            cached = 0
+            self._publish(prefix, held=True)
+        self._tokens_by_prefix[prefix] = characters // _CHARACTERS_PER_TOKEN
+        self._tokens_by_prefix.move_to_end(prefix)
+        if len(self._tokens_by_prefix) > self._settings.cached_prefixes:
+            evicted, _ = self._tokens_by_prefix.popitem(last=False)
+            self._publish(evicted, held=False)
+        return max(0, total - cached)
+
+    def events_after(self, number: int) -> list[dict[str, Any]]:
+        """Return the published events with a greater number."""
+        visible_until = self._now() - self._settings.event_delay_s
+        return [
+            event
+            for created_at, event in self._events
+            if created_at <= visible_until and event['number'] > number
+        ]
+
+    def _publish(self, prefix: str, *, held: bool) -> None:
+        number = next(self._numbers)
+        self.last_number = number
+        if self._rng.random() >= self._settings.event_loss:
+            event = {'number': number, 'prefix': prefix, 'held': held}
+            self._events.append((self._now(), event))
+
+
+class Sequence:
+    """One prompt whose tokens are generated."""
+
+    def __init__(self, prompt: str, max_tokens: int, resume_from: int) -> None:
+        """Take the prompt, the length and the first token to generate."""
+        self.seed = prompt_seed(prompt)
+        self.prompt = prompt
+        self.max_tokens = max_tokens
+        self.generated = resume_from
+        self.ready_at: float = 0
+        self.cancelled = False
+        self._changed = asyncio.Event()
+
+    @property
+    def ended(self) -> bool:
+        """Return whether no further token comes."""
+        return self.cancelled or self.generated >= self.max_tokens
+
+    def advance(self) -> None:
+        """Generate one token."""
+        self.generated += 1
+        self._changed.set()
+
+    def cancel(self) -> None:
+        """Generate no further token."""
+        self.cancelled = True
+        self._changed.set()
+
+    async def wait_beyond(self, index: int) -> None:
+        """Wait until more than `index` tokens exist or none will come."""
+        while self.generated <= index and not self.ended:
+            self._changed.clear()
+            await self._changed.wait()
+
+
+class Batch:
+    """Generates tokens for a limited number of sequences at a time."""
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        rng: random.Random,
+        slow: Callable[[], float],
+    ) -> None:
+        """Take settings, random source and the current slowness."""
+        self._settings = settings
+        self._slow = slow
+        self._now = asyncio.get_running_loop().time
+        self.cache = PrefixCache(settings, rng, self._now)
+        self.running: list[Sequence] = []
+        self._waiting: list[tuple[int, int, Sequence]] = []
+        self._arrivals = itertools.count()
+        self._work = asyncio.Event()
+
+    @property
+    def queued(self) -> int:
+        """Return the sequences that wait for a place in the batch."""
+        return len(self._waiting)
+
+    def add(self, sequence: Sequence, priority: int) -> None:
+        """Queue a sequence; a greater priority goes first."""
+        place = (-priority, next(self._arrivals), sequence)
+        heapq.heappush(self._waiting, place)
+        self._work.set()
+
+    async def run(self) -> None:
+        """Generate tokens until cancelled."""
+        while True:
+            self._admit()
+            if not self.running:
+                self._work.clear()
+                await self._work.wait()
+                continue
+            await asyncio.sleep(self._step_s())
+            now = self._now()
+            for sequence in self.running:
+                if now >= sequence.ready_at and not sequence.ended:
+                    sequence.advance()
+            self.running = [each for each in self.running if not each.ended]
+
+    def _admit(self) -> None:
+        while self._waiting and len(self.running) < self._settings.max_batch:
+            _, _, sequence = heapq.heappop(self._waiting)
+            if sequence.ended:
+                continue
+            uncached = self.cache.use(sequence.prompt)
+            prefill_ms = (
+                self._settings.first_token_ms
+                + self._settings.prefill_ms_per_token * uncached
+            )
+            prefill_s = prefill_ms * self._slow() / MS_PER_S
+            sequence.ready_at = self._now() + prefill_s
+            self.running.append(sequence)
+
+    def _step_s(self) -> float:
+        step_ms = (
+            self._settings.token_ms
+            + self._settings.token_ms_per_sequence * len(self.running)
+        )
+        return step_ms * self._slow() / MS_PER_S
--- /dev/null
+++ b/hornbeamline/standins/_faults.py
@@ -0,0 +1,101 @@
+"""Faults of a stand-in target at the level of its connections."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from aiohttp import web
+
+from hornbeamline.standins._settings import Faults
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+# Requests with these paths are executed; the faults concern only them,
+# except that silent connections carry nothing at all.
+_WORK_PATHS: Final = frozenset(('/v1/run', '/v1/completions'))
+# Faults that a request met, for its handler.
+FAULTS_KEY: Final = web.RequestKey('faults', Faults)
+
+
+class FaultLayer:
+    """Decides which fault a request meets."""
+
+    def __init__(self, faults: Faults, rng: random.Random) -> None:
+        """Take the first faults and the random source."""
+        self.faults = faults
+        self._rng = rng
+        self._open: set[Any] = set()
+        self._silent: set[Any] = set()
+
+    def replace(self, faults: Faults, keep: Any) -> None:
+        """Put other faults in force; `keep` is the ordering connection."""
+        self.faults = faults
+        if faults.silence_connections:
+            self._silent |= self._open - {keep}
+
+    def affects(self) -> bool:
+        """Return whether the faults affect the next request."""
+        share = self.faults.share
+        return share >= 1 or self._rng.random() < share
+
+    def abort_connections(self) -> None:
+        """Reset all open connections."""
+        for transport in self._open:
+            transport.abort()
+
+    def is_silent(self, request: web.Request) -> bool:
+        """Return whether the request's connection carries nothing more."""
+        return request.transport in self._silent
+
+    @web.middleware
+    async def middleware(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        """Apply the faults before and after the handler."""
+        self._note_connection(request.transport)
+        if self.is_silent(request):
+            await asyncio.Event().wait()
+        if request.path not in _WORK_PATHS or not self.affects():
+            return await handler(request)
+        request[FAULTS_KEY] = self.faults
+        if self.faults.refuse or self.faults.leaving:
+            return _refusal(leaving=self.faults.leaving)
+        if self.faults.stuck:
+            await asyncio.Event().wait()
+        response = await handler(request)
+        return self._after(request, response)
+
+    def _after(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+    ) -> web.StreamResponse:
+        if self.faults.reset_after_execution:
+            abort(request)
+        if self.faults.error:
+            return web.Response(status=500, text='fault: error')
+        return response
+
+    def _note_connection(self, transport: Any) -> None:
+        closed = {each for each in self._open if each.is_closing()}
+        self._open -= closed
+        self._silent -= closed
+        self._open.add(transport)
+
+
+def abort(request: web.Request) -> None:
+    """Reset the connection of a request."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def _refusal(*, leaving: bool) -> web.Response:
+    headers = {'X-Not-Run': 'true'}
+    if leaving:
+        headers['X-Leaving'] = 'true'
+    return web.Response(status=503, headers=headers)
--- a/hornbeamline/standins/_target.py
+++ b/hornbeamline/standins/_target.py
@@ -1,18 +1,32 @@
-"""Stand-in of encoders, retrievers, rerankers and plain services."""
+"""Stand-in of a target: engine, encoder, retriever, reranker, service.
+
+aiohttp serves here instead of falcon, because the faults need the transport
+of a connection, to reset it or to leave it silent.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import time
-from typing import Any
+from collections import deque
+from typing import Any, Final
 
-import falcon
-from falcon.asgi import App, Request, Response
+from aiohttp import web
 
+from hornbeamline.core import TaskSet
+from hornbeamline.helpers.clock import MS_PER_S
 from hornbeamline.helpers.codec import decode_json, encode_json
-from hornbeamline.helpers.http_server import HttpServer
-from hornbeamline.standins._settings import StandinSettings
+from hornbeamline.helpers.http_server import bind_listener
+from hornbeamline.inventory import ServiceKind
+from hornbeamline.standins._batch import Batch, Sequence, token_text
+from hornbeamline.standins._faults import FAULTS_KEY, FaultLayer, abort
+from hornbeamline.standins._orders import EngineState, OrderBody
+from hornbeamline.standins._settings import Faults, StandinSettings
+
+_LOAD_SAMPLE_S: Final = 0.05
+_LOAD_SAMPLES_KEPT: Final = 200
+_BACKLOG: Final = 2048
+_MAX_BODY_BYTES: Final = 16_777_216
 
 
 class StandinTarget:
@@ -22,66 +36,315 @@
         """Take the behaviour of the target."""
         self.settings = settings
         self.rng = random.Random(settings.seed)
+        self.layer = FaultLayer(settings.faults, self.rng)
+        self.tasks = TaskSet()
         self.slots = asyncio.Semaphore(settings.concurrency)
         self.executions_by_key: dict[str, int] = {}
-        app: App[Request, Response] = App()
-        app.add_route('/v1/run', _Run(self))
-        app.add_route('/v1/executions', _Executions(self))
-        self._server = HttpServer(app, settings.address)
+        self.cancelled: list[str] = []
+        # Work that `POST /v1/cancel` can stop, by request id.
+        self.work_by_id: dict[str, asyncio.Task[Any] | Sequence] = {}
+        self._answers_by_key: dict[str, dict[str, Any]] = {}
+        self._load_samples: deque[tuple[float, int, int]] = deque(
+            maxlen=_LOAD_SAMPLES_KEPT,
+        )
+        self._runner: web.AppRunner | None = None
+        self.batch: Batch | None = None
+        self.state = EngineState(settings.engine, self.tasks)
 
     async def start(self) -> None:
         """Listen on the settings' address."""
-        await self._server.start()
+        if self.settings.kind is ServiceKind.generation:
+            self.batch = Batch(
+                self.settings.engine,
+                self.rng,
+                lambda: self.layer.faults.slow,
+            )
+            self.tasks.spawn(self.batch.run(), 'batch')
+        self.tasks.spawn(self._sample_load(), 'load samples')
+        await self.listen()
 
     async def stop(self) -> None:
-        """Stop listening."""
-        await self._server.stop()
+        """Stop listening and end all work."""
+        await self.tasks.cancel_all()
+        await self.close_listener()
+
+    async def listen(self) -> None:
+        """Accept connections; raises `AddressInUseError`."""
+        app = web.Application(
+            middlewares=[self.layer.middleware],
+            client_max_size=_MAX_BODY_BYTES,
+        )
+        app.add_routes(Routes(self).table())
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        listener = bind_listener(self.settings.address)
+        await web.SockSite(self._runner, listener, backlog=_BACKLOG).start()
 
-    async def execute(self, request_key: str) -> float:
-        """Work for the drawn service time and return it in ms."""
+    async def close_listener(self) -> None:
+        """Refuse connections and close the open ones."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def set_faults(self, faults: Faults, keep: Any = None) -> None:
+        """Put other faults in force."""
+        self.layer.replace(faults, keep)
+        if faults.dead_s:
+            self.tasks.spawn(self._be_dead(faults.dead_s), 'dead')
+
+    async def execute(self, request_key: str, output: Any) -> dict[str, Any]:
+        """Work for the drawn service time and return output and usage."""
+        known = self._answers_by_key.get(request_key)
+        if known is not None and self.settings.deduplicates:
+            return known
         async with self.slots:
-            started_at = time.monotonic()
             if request_key:
                 count = self.executions_by_key.get(request_key, 0)
                 self.executions_by_key[request_key] = count + 1
-            service_ms = self.settings.service_ms + self.rng.uniform(
-                0,
-                self.settings.service_jitter_ms,
-            )
-            await asyncio.sleep(service_ms / 1000)
-            return (time.monotonic() - started_at) * 1000
+            jitter_ms = self.rng.uniform(0, self.settings.service_jitter_ms)
+            service_ms = self.settings.service_ms + jitter_ms
+            service_ms *= self.layer.faults.slow
+            await asyncio.sleep(service_ms / MS_PER_S)
+        usage = {'target_ms': service_ms, 'tokens': 0}
+        answer = {'output': output, 'usage': usage}
+        if request_key:
+            self._answers_by_key[request_key] = answer
+        return answer
+
+    def cancel(self, request_id: str) -> bool:
+        """Stop the work of a request; return whether there was any."""
+        work = self.work_by_id.get(request_id)
+        if work is None:
+            return False
+        self.cancelled.append(request_id)
+        work.cancel()
+        return True
+
+    def load(self) -> dict[str, Any]:
+        """Return the figures of `GET /v1/load`, as old as the settings say."""
+        now = asyncio.get_running_loop().time()
+        shown_until = now - self.settings.load_delay_s
+        shown = (now, 0, 0)
+        for sample in self._load_samples:
+            if sample[0] <= shown_until:
+                shown = sample
+        return {
+            'in_progress': shown[1],
+            'queued': shown[2],
+            'age_s': now - shown[0],
+        }
 
+    async def _sample_load(self) -> None:
+        while True:
+            now = asyncio.get_running_loop().time()
+            if self.batch is None:
+                running = min(len(self.work_by_id), self.settings.concurrency)
+                queued = len(self.work_by_id) - running
+            else:
+                running, queued = len(self.batch.running), self.batch.queued
+            self._load_samples.append((now, running, queued))
+            await asyncio.sleep(_LOAD_SAMPLE_S)
+
+    async def _be_dead(self, dead_s: float) -> None:
+        self.layer.abort_connections()
+        await self.close_listener()
+        await asyncio.sleep(dead_s)
+        await self.listen()
+
+
+class Routes:
+    """Handlers of the target interface."""
 
-class _Run:
     def __init__(self, target: StandinTarget) -> None:
+        """Take the target that executes."""
         self._target = target
 
-    async def on_post(
-        self,
-        req: Request,
-        resp: Response,
-    ) -> None:
-        payload = decode_json(await req.stream.read(), dict[str, Any])
-        request_key = req.get_header('Idempotency-Key') or ''
-        target_ms = await self._target.execute(request_key)
-        resp.content_type = falcon.MEDIA_JSON
-        resp.data = encode_json(
+    def table(self) -> list[web.RouteDef]:
+        """Return the routes."""
+        return [
+            web.post('/v1/run', self.run),
+            web.post('/v1/completions', self.complete),
+            web.post('/v1/cancel/{request_id}', self.cancel),
+            web.get('/v1/load', self.load),
+            web.get('/v1/cache_events', self.cache_events),
+            web.get('/v1/engine', self.engine),
+            web.post('/v1/orders', self.order),
+            web.get('/v1/executions', self.executions),
+            web.post('/v1/faults', self.faults),
+        ]
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        """Execute a stage that is no generation."""
+        payload = decode_json(await request.read(), dict[str, Any])
+        output = {
+            'target': self._target.settings.name,
+            'stage': payload['stage'],
+            'echo': payload['input'],
+        }
+        key = request.headers.get('Idempotency-Key', '')
+        request_id = request.headers.get('X-Request-Id', '')
+        work = asyncio.ensure_future(self._target.execute(key, output))
+        self._target.work_by_id[request_id] = work
+        try:
+            answer = await work
+        except asyncio.CancelledError:
+            return web.Response(status=499)
+        finally:
+            self._target.work_by_id.pop(request_id, None)
+        return _json({'request_id': _shown_id(request), **answer})
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Generate tokens, streamed as server-sent events or whole."""
+        batch = self._target.batch
+        if batch is None:
+            return web.Response(status=404)
+        payload = decode_json(await request.read(), dict[str, Any])
+        sequence = Sequence(
+            payload['prompt'],
+            payload['max_tokens'],
+            payload.get('resume_from', 0),
+        )
+        request_id = request.headers.get('X-Request-Id', '')
+        self._target.work_by_id[request_id] = sequence
+        batch.add(sequence, int(request.headers.get('X-Priority', '0')))
+        try:
+            if payload.get('stream'):
+                return await self._stream(request, sequence)
+            return await self._whole(request, sequence)
+        finally:
+            sequence.cancel()
+            self._target.work_by_id.pop(request_id, None)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Stop a request in progress."""
+        found = self._target.cancel(request.match_info['request_id'])
+        return _json({'cancelled': found})
+
+    async def load(self, _request: web.Request) -> web.Response:
+        """Report the delayed load."""
+        return _json(self._target.load())
+
+    async def cache_events(self, request: web.Request) -> web.Response:
+        """Report the cache events after a number."""
+        after = int(request.query.get('after', '0'))
+        batch = self._target.batch
+        if batch is None:
+            return _json({'events': [], 'last': 0})
+        return _json(
             {
-                'request_id': req.get_header('X-Request-Id') or '',
-                'output': {
-                    'target': self._target.settings.name,
-                    'stage': payload['stage'],
-                    'echo': payload['input'],
-                },
-                'usage': {'target_ms': target_ms, 'tokens': 0},
-            }
+                'events': batch.cache.events_after(after),
+                'last': batch.cache.last_number,
+            },
         )
 
+    async def engine(self, _request: web.Request) -> web.Response:
+        """Report models, adapters and role."""
+        return _json(self._target.state.view())
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Take an order."""
+        order = decode_json(await request.read(), OrderBody)
+        status, answer = self._target.state.take(order)
+        return _json(answer, status)
+
+    async def executions(self, _request: web.Request) -> web.Response:
+        """Report the executions by request key."""
+        return _json(self._target.executions_by_key)
+
+    async def faults(self, request: web.Request) -> web.Response:
+        """Put other faults in force."""
+        faults = decode_json(await request.read(), Faults)
+        self._target.set_faults(faults, request.transport)
+        return _json({})
+
+    async def _whole(
+        self,
+        request: web.Request,
+        sequence: Sequence,
+    ) -> web.Response:
+        first = sequence.generated
+        await sequence.wait_beyond(sequence.max_tokens - 1)
+        text = ''.join(
+            token_text(sequence.seed, index)
+            for index in range(first, sequence.generated)
+        )
+        usage = _usage(sequence, first, 0)
+        answer = {'output': {'text': text}, 'usage': usage}
+        return _json({'request_id': _shown_id(request), **answer})
+
+    async def _stream(
+        self,
+        request: web.Request,
+        sequence: Sequence,
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'X-Request-Id': _shown_id(request),
+            },
+        )
+        started_at = asyncio.get_running_loop().time()
+        first = sequence.generated
+        await response.prepare(request)
+        await self._write_tokens(request, response, sequence)
+        if sequence.cancelled:
+            return response
+        elapsed_s = asyncio.get_running_loop().time() - started_at
+        usage = encode_json(_usage(sequence, first, elapsed_s)).decode()
+        await response.write(f'event: done\ndata: {usage}\n\n'.encode())
+        return response
+
+    async def _write_tokens(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        sequence: Sequence,
+    ) -> None:
+        faults = request.get(FAULTS_KEY, Faults())
+        written = sequence.generated
+        while not (sequence.ended and written == sequence.generated):
+            await sequence.wait_beyond(written)
+            if self._target.layer.is_silent(request):
+                await asyncio.Event().wait()
+            tokens = b''.join(
+                token_event(sequence.seed, index)
+                for index in range(written, sequence.generated)
+            )
+            await response.write(tokens)
+            written = sequence.generated
+            if 0 < faults.break_stream_after <= written:
+                abort(request)
+                return
+            if 0 < faults.stall_stream_after <= written:
+                await asyncio.Event().wait()
+
+
+def token_event(seed: int, index: int) -> bytes:
+    """Return the server-sent event of one token."""
+    text = token_text(seed, index)
+    return f'event: token\nid: {index}\ndata: {{"text":"{text}"}}\n\n'.encode()
+
+
+def _usage(
+    sequence: Sequence,
+    first: int,
+    elapsed_s: float,
+) -> dict[str, Any]:
+    return {
+        'target_ms': elapsed_s * MS_PER_S,
+        'tokens': sequence.generated - first,
+    }
+
+
+def _shown_id(request: web.Request) -> str:
+    faults = request.get(FAULTS_KEY, Faults())
+    if faults.wrong_request_id:
+        return 'another-request'
+    return request.headers.get('X-Request-Id', '')
 
-class _Executions:
-    def __init__(self, target: StandinTarget) -> None:
-        self._target = target
 
-    async def on_get(self, _req: Any, resp: Response) -> None:
-        resp.content_type = falcon.MEDIA_JSON
-        resp.data = encode_json(self._target.executions_by_key)
+def _json(content: Any, status: int = 200) -> web.Response:
+    return web.Response(
+        body=encode_json(content),
+        status=status,
+        content_type='application/json',
+    )
--- a/hornbeamline/targets/__init__.py
+++ b/hornbeamline/targets/__init__.py
@@ -4,28 +4,38 @@
 
 from hornbeamline.targets._client import TargetClient
 from hornbeamline.targets._messages import (
+    CompletionPayload,
     StageAnswer,
     StagePayload,
     TargetCall,
+    TokenBatch,
     Usage,
+    prefix_digest,
 )
+from hornbeamline.targets._pollers import TargetPoller
 from hornbeamline.targets.errors import (
     TargetFailedError,
     TargetLostError,
+    TargetNotSentError,
     TargetRefusedError,
     TargetTimeoutError,
     TargetUnreachableError,
 )
 
 __all__ = (
+    'CompletionPayload',
     'StageAnswer',
     'StagePayload',
     'TargetCall',
     'TargetClient',
     'TargetFailedError',
     'TargetLostError',
+    'TargetNotSentError',
+    'TargetPoller',
     'TargetRefusedError',
     'TargetTimeoutError',
     'TargetUnreachableError',
+    'TokenBatch',
     'Usage',
+    'prefix_digest',
 )
--- a/hornbeamline/targets/errors.py
+++ b/hornbeamline/targets/errors.py
@@ -6,7 +6,11 @@
 
 
 class TargetUnreachableError(TargetError):
-    """The connection was refused: the call did not run."""
+    """No connection, so no byte was written: the call did not run."""
+
+
+class TargetNotSentError(TargetError):
+    """The caller aborted before the first byte: the call did not run."""
 
 
 class TargetRefusedError(TargetError):
--- /dev/null
+++ b/tests/targets/test_client.py
@@ -0,0 +1,310 @@
+"""Calls to targets: what each failure proves, and whose answer it is."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from hornbeamline.inventory import ServiceKind, Target
+from hornbeamline.standins import Faults, StandinTarget
+from hornbeamline.targets import (
+    TargetCall,
+    TargetClient,
+    TargetFailedError,
+    TargetLostError,
+    TargetNotSentError,
+    TargetRefusedError,
+    TargetTimeoutError,
+    TargetUnreachableError,
+)
+from tests.common import free_address
+from tests.serving import expected_tokens, inventory_target, serving
+
+
+@pytest.fixture
+async def client():
+    """Return a started client."""
+    client = TargetClient()
+    await client.start()
+    yield client
+    await client.stop()
+
+
+def stage_call(request_id: str = 'r-1', **fields: Any) -> TargetCall:
+    """Return a call of a plain stage."""
+    payload = {
+        'stage': 'file',
+        'input': {'n': request_id},
+        'outputs_by_stage': {},
+    }
+    return TargetCall(request_id, payload, fields.pop('timeout_s', 2), **fields)
+
+
+def token_call(resume_from: int = 0, **fields: Any) -> TargetCall:
+    """Return a call for 20 tokens."""
+    payload = {
+        'stage': 'draft',
+        'model': '',
+        'prompt': 'levy report',
+        'max_tokens': 20,
+        'stream': True,
+        'resume_from': resume_from,
+    }
+    return TargetCall('r-1', payload, fields.pop('timeout_s', 2), **fields)
+
+
+async def tokens_of(
+    client: TargetClient,
+    standin: StandinTarget,
+    call: TargetCall,
+    first: int = 0,
+) -> bytes:
+    """Return all token events of a stream."""
+    events = []
+    async for part in client.stream(
+        't',
+        inventory_target(standin),
+        call,
+        first,
+    ):
+        if isinstance(part, tuple):
+            events.append(part.events)
+    return b''.join(events)
+
+
+async def test_reset_after_execution_may_have_run(client) -> None:
+    """Guards against a second execution by a hidden retry after a reset."""
+    faults = Faults(reset_after_execution=True)
+    async with serving(faults=faults) as standin:
+        with pytest.raises(TargetLostError):
+            await client.call(
+                't',
+                inventory_target(standin),
+                stage_call(idempotent=False, request_key='k'),
+            )
+        assert standin.executions_by_key == {'k': 1}
+
+
+async def test_redirect_is_not_followed(client) -> None:
+    """Guards against a repeated call by a followed redirect."""
+    calls = []
+
+    async def answer(reader, writer):
+        calls.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(
+            b'HTTP/1.1 307 Temporary Redirect\r\nLocation: /v1/run\r\n'
+            b'Content-Length: 0\r\nConnection: close\r\n\r\n',
+        )
+        writer.close()
+
+    async with raw_server(answer) as target:
+        with pytest.raises(TargetFailedError):
+            await client.call('t', target, stage_call(idempotent=False))
+    assert len(calls) == 1
+
+
+async def test_refused_connection_proves_not_run(client) -> None:
+    """Guards against `unknown` for a call that no target received."""
+    target = Target(service='s', data_centre='d', address=free_address())
+    with pytest.raises(TargetUnreachableError):
+        await client.call('t', target, stage_call(idempotent=False))
+
+
+@pytest.mark.parametrize('leaving', [False, True])
+async def test_refusal_proves_not_run(client, leaving: bool) -> None:
+    """Guards against a lost `X-Not-Run` or `X-Leaving`."""
+    faults = Faults(refuse=True, leaving=leaving)
+    async with serving(faults=faults) as standin:
+        with pytest.raises(TargetRefusedError) as refusal:
+            await client.call(
+                't',
+                inventory_target(standin),
+                stage_call(request_key='k'),
+            )
+        assert refusal.value.leaving is leaving
+        assert standin.executions_by_key == {}
+
+
+@pytest.mark.parametrize('idempotent', [False, True])
+async def test_hook_aborts_before_the_first_byte(client, idempotent) -> None:
+    """Guards against a call that is sent after its send-by moment."""
+
+    def too_late() -> None:
+        raise TargetNotSentError('send-by passed')
+
+    async with serving() as standin:
+        target = inventory_target(standin)
+        await client.call('t', target, stage_call('r-0'))
+        call = stage_call(
+            request_key='k',
+            before_send=too_late,
+            idempotent=idempotent,
+        )
+        with pytest.raises(TargetNotSentError):
+            await client.call('t', target, call)
+        # The hook of an aborted call must not stop the calls after it.
+        assert await client.cancel('t', target, 'r-1')
+        await client.call('t', target, stage_call('r-2'))
+        assert standin.executions_by_key == {}
+
+
+async def test_stuck_target_times_out(client) -> None:
+    """Guards against a call without an end at a target that is stuck."""
+    async with serving(faults=Faults(stuck=True)) as standin:
+        with pytest.raises(TargetTimeoutError):
+            await client.call(
+                't',
+                inventory_target(standin),
+                stage_call(timeout_s=0.2),
+            )
+
+
+async def test_silent_connection_is_replaced(client) -> None:
+    """Guards against reuse of a connection that went silent for good."""
+    async with serving() as standin:
+        target = inventory_target(standin)
+        await client.call('t', target, stage_call('r-0'))
+        standin.set_faults(Faults(silence_connections=True))
+        with pytest.raises(TargetTimeoutError):
+            await client.call('t', target, stage_call('r-1', timeout_s=0.2))
+        answer = await client.call('t', target, stage_call('r-2'))
+    assert answer['request_id'] == 'r-2'
+
+
+async def test_answer_of_another_request_is_refused(client) -> None:
+    """Guards against delivery of a late answer on a reused connection."""
+    requests = 0
+
+    async def answer(reader, writer):
+        nonlocal requests
+        while True:
+            await reader.readuntil(b'\r\n\r\n')
+            requests += 1
+            body = (
+                b'{"request_id":"r-1","output":{},'
+                b'"usage":{"target_ms":1,"tokens":0}}'
+            )
+            head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+            writer.write(head.encode() + body)
+
+    async with raw_server(answer) as target:
+        await client.call('t', target, stage_call('r-1'))
+        with pytest.raises(TargetFailedError, match='another request'):
+            await client.call('t', target, stage_call('r-2'))
+    assert requests == 2
+
+
+async def test_oversized_answer_is_refused(client, monkeypatch) -> None:
+    """Guards against memory taken by an answer without an end."""
+    monkeypatch.setattr('hornbeamline.targets._client.MAX_ANSWER_BYTES', 100)
+    async with serving() as standin:
+        with pytest.raises(TargetFailedError, match='too large'):
+            await client.call(
+                't',
+                inventory_target(standin),
+                stage_call('r' * 200),
+            )
+
+
+async def test_out_of_order_answers_reach_their_requests(client) -> None:
+    """Guards against mixed answers under many concurrent calls."""
+    async with serving(
+        service_ms=1,
+        service_jitter_ms=40,
+        concurrency=200,
+    ) as standin:
+        target = inventory_target(standin)
+        answers = await asyncio.gather(
+            *(
+                client.call('t', target, stage_call(f'r-{number}'))
+                for number in range(200)
+            ),
+        )
+    for number, answer in enumerate(answers):
+        assert answer['output']['echo'] == {'n': f'r-{number}'}
+
+
+async def test_stream_carries_every_token_once(client) -> None:
+    """Guards against a dropped or repeated token in a whole stream."""
+    async with serving(ServiceKind.generation) as standin:
+        events = await tokens_of(client, standin, token_call())
+    texts = [line for line in events.split(b'\n') if line[:5] == b'data:']
+    whole = b''.join(line[15:-2] for line in texts).decode()
+    assert whole == expected_tokens('levy report', 20)
+
+
+async def test_stream_resumes_at_an_offset(client) -> None:
+    """Guards against an engine or parser that starts over on resume."""
+    async with serving(ServiceKind.generation) as standin:
+        events = await tokens_of(client, standin, token_call(13), 13)
+        # An engine that ignores the offset sends tokens that are dropped.
+        again = await tokens_of(client, standin, token_call(0), 13)
+    assert events.startswith(b'event: token\nid: 13\n')
+    assert events.count(b'\n\n') == 7
+    assert again == events
+
+
+async def test_missing_token_is_an_error(client) -> None:
+    """Guards against a gap that would reach the caller."""
+    async with serving(ServiceKind.generation) as standin:
+        with pytest.raises(TargetFailedError, match='expected from 0'):
+            await tokens_of(client, standin, token_call(5), 0)
+
+
+@pytest.mark.parametrize(
+    ('faults', 'error'),
+    [
+        (Faults(break_stream_after=5), TargetLostError),
+        (Faults(stall_stream_after=5), TargetTimeoutError),
+        (Faults(wrong_request_id=True), TargetFailedError),
+    ],
+)
+async def test_broken_stream_is_an_error(client, faults, error) -> None:
+    """Guards against a short stream that passes for a whole one."""
+    async with serving(ServiceKind.generation, faults=faults) as standin:
+        with pytest.raises(error):
+            await tokens_of(client, standin, token_call(silence_s=0.2))
+
+
+async def test_cancel_frees_the_engine(client) -> None:
+    """Guards against a cancelled stream that keeps its place in the batch."""
+    async with serving(ServiceKind.generation) as standin:
+        target = inventory_target(standin)
+        stream = client.stream('t', target, token_call())
+        await anext(stream)
+        assert await client.cancel('t', target, 'r-1')
+        with pytest.raises(TargetLostError):
+            async for _ in stream:
+                pass
+        assert standin.cancelled == ['r-1']
+
+
+def raw_server(handler):
+    """Return a context with a target that answers by a handler."""
+    return _RawServer(handler)
+
+
+class _RawServer:
+    def __init__(self, handler) -> None:
+        self._handler = handler
+
+    async def __aenter__(self) -> Target:
+        address = free_address()
+        host, _, port = address.rpartition(':')
+        self._server = await asyncio.start_server(
+            self._serve,
+            host,
+            int(port),
+        )
+        return Target(service='s', data_centre='d', address=address)
+
+    async def __aexit__(self, *_: object) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            await self._handler(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
