Execute pipelines with retries, hedges, resumed streams and claims

Cause: the executor sent each stage once and knew no streams, no claims and no costs of failed attempts.

Change: attempts with one report each; retries, hedges and resumes as the decision engine allows; losers are cancelled here and at the target and their time counts as wasted; token events go to the caller through a bounded queue. Non-repeatable pipelines claim the key, mark SENDING before the first non-repeatable stage, check the permit between connect and write, and end in `unknown` unless every dispatch is proven not run. The outcome is sent at once and recorded in the ledger beside it. A refusal of a key that was used before returns the known outcome, because "not run" would be false. A request keeps the fleet it began with; when a newer revision replaced its stage, it ends as `configuration_changed`.

--- /dev/null
+++ b/hornbeamline/pipeline/_costs.py
@@ -0,0 +1,87 @@
+"""Cost of one request by stage."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from hornbeamline.decisions import CallReport, CallResult, RequestInfo
+from hornbeamline.helpers.clock import MS_PER_S
+from hornbeamline.inventory import Stage
+from hornbeamline.pipeline import _metrics
+from hornbeamline.pipeline._types import StageCost
+
+_USE_COUNTED: Final = 'counted'
+_USE_WASTED: Final = 'wasted'
+# Ends that prove that the target spent nothing.
+_NOT_RUN: Final = frozenset((CallResult.refused, CallResult.unreachable))
+
+
+class CostMeter:
+    """Adds up the attempts of one request."""
+
+    def __init__(self, info: RequestInfo) -> None:
+        """Take the request whose cost is counted."""
+        self._info = info
+        self._costs_by_stage: dict[str, StageCost] = {}
+
+    @property
+    def costs(self) -> tuple[StageCost, ...]:
+        """Return the costs so far, in the order of the stages."""
+        return tuple(self._costs_by_stage.values())
+
+    def add(
+        self,
+        stage: Stage,
+        target: str,
+        report: CallReport,
+        target_ms: float | None = None,
+    ) -> None:
+        """Add an ended attempt.
+
+        `target_ms` is the target's own figure of an attempt that succeeded.
+        A broken stream that delivered tokens counts as useful, because the
+        next attempt resumes behind them.
+        """
+        spent_ms = report.duration_s * MS_PER_S
+        if target_ms is not None:
+            spent_ms = target_ms
+        if report.result in _NOT_RUN:
+            spent_ms = 0
+        useful = report.result is CallResult.succeeded or report.tokens > 0
+        known = self._costs_by_stage.get(
+            stage.name,
+            StageCost(stage.name, stage.service, target, 0, 0, 0),
+        )
+        self._costs_by_stage[stage.name] = known._replace(
+            target=target if useful or not known.target_ms else known.target,
+            target_ms=known.target_ms + (spent_ms if useful else 0),
+            wasted_ms=known.wasted_ms + (0 if useful else spent_ms),
+            tokens=known.tokens + report.tokens,
+            attempts=known.attempts + 1,
+        )
+        self._count(stage, report, spent_ms, useful=useful)
+
+    def _count(
+        self,
+        stage: Stage,
+        report: CallReport,
+        spent_ms: float,
+        *,
+        useful: bool,
+    ) -> None:
+        use = _USE_COUNTED if useful else _USE_WASTED
+        spent_s = spent_ms / MS_PER_S
+        pipeline = self._info.pipeline
+        account = _metrics.account_label(self._info.account)
+        _metrics.ATTEMPTS.labels(
+            pipeline,
+            stage.name,
+            report.result.value,
+        ).inc()
+        _metrics.STAGE_SECONDS.labels(pipeline, stage.name, use).inc(spent_s)
+        _metrics.ACCOUNT_SECONDS.labels(account, use).inc(spent_s)
+        if report.tokens:
+            _metrics.STAGE_TOKENS.labels(pipeline, stage.name).inc(
+                report.tokens,
+            )
+            _metrics.ACCOUNT_TOKENS.labels(account).inc(report.tokens)
--- a/hornbeamline/pipeline/_executor.py
+++ b/hornbeamline/pipeline/_executor.py
@@ -1,36 +1,46 @@
-"""Runs the stages of a request one after the other."""
+"""Runs requests under the configuration, the decisions and the ledger."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import Any, Protocol
-
-from hornbeamline.decisions import (
-    CallReport,
-    CallResult,
-    DecisionEngine,
-    Dispatch,
-    Refusal,
-    StageCall,
-)
-from hornbeamline.exceptions import TargetError
+from typing import Any, Final, Protocol
+
+from hornbeamline.core import TaskSet
+from hornbeamline.decisions import DecisionEngine, Refusal
+from hornbeamline.exceptions import LedgerError
 from hornbeamline.helpers.clock import Clock
-from hornbeamline.inventory import Fleet, ServiceEntry, Stage
+from hornbeamline.inventory import Fleet
+from hornbeamline.pipeline._attempt import Tools
+from hornbeamline.pipeline._claims import (
+    Claim,
+    ClaimExisting,
+    ClaimRefused,
+    Claims,
+)
+from hornbeamline.pipeline._events import CallerStalledError, TokenEvents
+from hornbeamline.pipeline._metrics import OUTCOMES
+from hornbeamline.pipeline._records import (
+    REASON_IN_PROGRESS,
+    REASON_KEY_EXPIRED,
+    outcome_of,
+    record_of,
+    request_digest,
+)
+from hornbeamline.pipeline._run import RequestRun, Sending
 from hornbeamline.pipeline._types import (
     Outcome,
     OutcomeKind,
     PipelineRequest,
-    StageCost,
-)
-from hornbeamline.targets import (
-    StageAnswer,
-    StagePayload,
-    TargetCall,
-    TargetClient,
-    TargetRefusedError,
-    TargetTimeoutError,
-    TargetUnreachableError,
 )
+from hornbeamline.targets import TargetClient
+from hornbeamline.telemetry import log_event
+
+REASON_CALLER_STALLED: Final = 'caller_stalled'
+REASON_KEY_REQUIRED: Final = 'key_required'
+REASON_NO_LEASE: Final = 'no_lease'
+REASON_NO_LEDGER: Final = 'ledger_unavailable'
+REASON_UNKNOWN_PIPELINE: Final = 'unknown_pipeline'
+_RETRY_AFTER_S: Final = 1.0
 
 
 class FleetSource(Protocol):
@@ -53,142 +63,204 @@
         decisions: DecisionEngine,
         client: TargetClient,
         clock: Clock,
+        claims: Claims | None = None,
     ) -> None:
-        """Take configuration, decisions, target client and clock."""
+        """Take configuration, decisions, target client, clock, ledger.
+
+        Without a ledger every non-repeatable request is refused.
+        """
         self._source = fleet_source
         self._decisions = decisions
-        self._client = client
         self._clock = clock
+        self._claims = claims
+        self._tasks = TaskSet()
+        # Requests and ledger writes that outlive their callers.
+        self._lasting: set[asyncio.Task[Any]] = set()
+        self._tools = Tools(
+            decisions,
+            client,
+            clock,
+            self._tasks,
+            lambda: fleet_source.fleet,
+        )
 
-    async def run(self, request: PipelineRequest) -> Outcome:
-        """Run a request and return its final outcome."""
-        if not self._source.holds_lease():
-            return Outcome(OutcomeKind.not_run, None, 'no_lease', 1)
-        refusal = self._decisions.admit(request.info)
-        if refusal is not None:
-            return _not_run(refusal)
+    async def run(
+        self,
+        request: PipelineRequest,
+        events: TokenEvents | None = None,
+    ) -> Outcome:
+        """Run a request and return its final outcome.
+
+        Tokens of a last stage that generates go to `events`. Cancelling
+        the call ends a repeatable request; a non-repeatable one goes on
+        and its outcome is found by key.
+        """
+        if self._repeatable(request):
+            return await self._run_counted(request, events)
+        running = self._spawn_lasting(self._run_counted(request, events))
+        outcome: Outcome = await asyncio.shield(running)
+        return outcome
+
+    async def refuse(
+        self,
+        request: PipelineRequest,
+        refusal: Refusal,
+    ) -> Outcome:
+        """Return the outcome of a request that is not started.
+
+        A key that was used before keeps its outcome: "not run" would be
+        false when the first request of this key ran.
+        """
+        if request.request_key:
+            known = await self._known(request)
+            if known is not None and known.kind is not OutcomeKind.not_run:
+                return known
+        return Outcome(OutcomeKind.not_run, None, *refusal)
+
+    async def lookup(self, account: str, key: str) -> Outcome | None:
+        """Return the outcome of an earlier request, None when unknown.
+
+        A request in progress is `unknown` with reason `in_progress`.
+        Raises `LedgerError`.
+        """
+        if self._claims is None:
+            return None
+        view = await self._claims.lookup(account, key)
+        return None if view is None else outcome_of(view)
+
+    async def wait_idle(self, timeout_s: float) -> bool:
+        """Wait for requests and ledger writes that outlive callers."""
+        if self._lasting:
+            await asyncio.wait(self._lasting, timeout=timeout_s)
+        return not self._lasting
+
+    async def _known(self, request: PipelineRequest) -> Outcome | None:
         try:
-            return await self._run_stages(request)
-        finally:
-            self._decisions.finish_request(request.info)
+            return await self.lookup(request.info.account, request.request_key)
+        except LedgerError:
+            # The ledger is out of reach; this attempt was not run.
+            return None
 
-    async def _run_stages(self, request: PipelineRequest) -> Outcome:
+    def _repeatable(self, request: PipelineRequest) -> bool:
         fleet = self._source.fleet
-        outputs: dict[str, Any] = {}
-        costs: list[StageCost] = []
-        stages = fleet.pipelines_by_name[request.info.pipeline].stages
-        for index, stage in enumerate(stages):
-            service = fleet.services_by_name[stage.service]
-            payload = StagePayload(
-                stage=stage.name,
-                input=request.input,
-                outputs_by_stage=outputs,
-            )
-            decided = await self._decide(StageCall(request.info, index))
-            if isinstance(decided, Refusal):
-                return _not_run(decided)
-            ended = await self._dispatch(request, decided, payload, service)
-            if isinstance(ended, Outcome):
-                return ended
-            outputs[stage.name] = ended['output']
-            costs.append(_cost(stage, decided.target, ended))
-        return Outcome(
-            OutcomeKind.answered,
-            outputs[stages[-1].name],
-            costs=tuple(costs),
+        pipeline = request.info.pipeline
+        return pipeline not in fleet.pipelines_by_name or fleet.may_repeat(
+            pipeline,
         )
 
-    async def _decide(self, call: StageCall) -> Dispatch | Refusal:
-        decision: asyncio.Future[Dispatch | Refusal]
-        decision = asyncio.get_running_loop().create_future()
-        self._decisions.submit(call, decision.set_result)
+    async def _run_counted(
+        self,
+        request: PipelineRequest,
+        events: TokenEvents | None,
+    ) -> Outcome:
+        refusal = self._refusal(request)
+        if refusal is None:
+            try:
+                outcome = await self._run_admitted(request, events)
+            finally:
+                self._decisions.finish_request(request.info)
+        else:
+            outcome = await self.refuse(request, refusal)
+        OUTCOMES.labels(
+            request.info.pipeline,
+            outcome.kind.value,
+            outcome.reason,
+        ).inc()
+        return outcome
+
+    def _refusal(self, request: PipelineRequest) -> Refusal | None:
+        if not self._source.holds_lease():
+            return Refusal(REASON_NO_LEASE, _RETRY_AFTER_S)
+        if request.info.pipeline not in self._source.fleet.pipelines_by_name:
+            return Refusal(REASON_UNKNOWN_PIPELINE, _RETRY_AFTER_S)
+        return self._decisions.admit(request.info)
+
+    async def _run_admitted(
+        self,
+        request: PipelineRequest,
+        events: TokenEvents | None,
+    ) -> Outcome:
+        fleet = self._source.fleet
+        if fleet.may_repeat(request.info.pipeline):
+            run = RequestRun(self._tools, request, fleet, events)
+            return await self._guarded(run)
+        if not request.request_key:
+            # The pipeline became non-repeatable after the request came in.
+            return _refused_claim(REASON_KEY_REQUIRED)
+        if self._claims is None:
+            return _refused_claim(REASON_NO_LEDGER)
+        decision = await self._claims.claim(
+            request.info.account,
+            request.request_key,
+            request_digest(request),
+            self._remaining_s(request),
+        )
+        if isinstance(decision, ClaimRefused):
+            return _refused_claim(decision.reason)
+        if isinstance(decision, ClaimExisting):
+            return await self._existing(request, decision)
+        sending = Sending(self._claims, decision.claim)
+        outcome = await self._guarded(
+            RequestRun(self._tools, request, fleet, events, sending),
+        )
+        # Recorded beside the answer, not before it: a final outcome is
+        # never held back.
+        self._spawn_lasting(self._finish(decision.claim, outcome))
+        return outcome
+
+    async def _guarded(self, run: RequestRun) -> Outcome:
         try:
-            return await decision
-        except asyncio.CancelledError:
-            self._decisions.withdraw(call)
-            raise
+            return await run.run()
+        except CallerStalledError:
+            return run.failed(Refusal(REASON_CALLER_STALLED, _RETRY_AFTER_S))
+        except Exception as error:
+            # The outcome must be truthful also after a fault of our own.
+            log_event('pipeline.failed', error=repr(error))
+            return run.crashed()
 
-    async def _dispatch(
+    async def _existing(
         self,
         request: PipelineRequest,
-        dispatch: Dispatch,
-        payload: StagePayload,
-        service: ServiceEntry,
-    ) -> StageAnswer | Outcome:
-        started_at = self._clock.monotonic()
-        target = self._source.fleet.targets_by_name[dispatch.target]
-        attempt_id = f'{request.info.request_id}.{dispatch.dispatch_id}'
-        ended = CallResult.cancelled
-        tokens = 0
+        existing: ClaimExisting,
+    ) -> Outcome:
+        assert self._claims is not None
+        found = outcome_of(existing.view)
+        if found.reason != REASON_IN_PROGRESS:
+            return found
         try:
-            answer = await self._client.call(
-                dispatch.target,
-                target,
-                TargetCall(
-                    attempt_id,
-                    payload,
-                    dispatch.timeout_s,
-                    service.idempotent,
-                    request.request_key,
-                    request.info.priority,
-                ),
+            view = await self._claims.wait_outcome(
+                request.info.account,
+                request.request_key,
+                self._remaining_s(request),
             )
-        except TargetError as error:
-            ended = result_of(error)
-            return _outcome_of(ended, service)
-        else:
-            ended = CallResult.succeeded
-            tokens = answer['usage']['tokens']
-            return answer
-        finally:
-            self._report(dispatch, started_at, ended, tokens)
+        except LedgerError:
+            return found
+        return found if view is None else outcome_of(view)
 
-    def _report(
-        self,
-        dispatch: Dispatch,
-        started_at: float,
-        ended: CallResult,
-        tokens: int,
-    ) -> None:
-        duration_s = self._clock.monotonic() - started_at
-        report = CallReport(ended, duration_s, tokens)
-        self._decisions.finished(dispatch, report)
-
-
-def result_of(error: TargetError) -> CallResult:
-    """Return what an error of the target client proves."""
-    if isinstance(error, TargetUnreachableError):
-        return CallResult.unreachable
-    if isinstance(error, TargetRefusedError):
-        return CallResult.refused
-    if isinstance(error, TargetTimeoutError):
-        return CallResult.timed_out
-    return CallResult.failed
-
-
-def _outcome_of(result: CallResult, service: ServiceEntry) -> Outcome:
-    proves_not_run = result in {CallResult.unreachable, CallResult.refused}
-    if service.idempotent or proves_not_run:
-        return Outcome(OutcomeKind.not_run, None, f'target_{result.value}', 1)
-    return Outcome(OutcomeKind.unknown, None, f'target_{result.value}')
-
-
-def _not_run(refusal: Refusal) -> Outcome:
-    return Outcome(
-        OutcomeKind.not_run,
-        None,
-        refusal.reason,
-        refusal.retry_after_s,
-    )
-
-
-def _cost(stage: Stage, target: str, answer: StageAnswer) -> StageCost:
-    usage = answer['usage']
-    return StageCost(
-        stage.name,
-        stage.service,
-        target,
-        usage['target_ms'],
-        usage['tokens'],
-        1,
-    )
+    async def _finish(self, claim: Claim, outcome: Outcome) -> None:
+        assert self._claims is not None
+        try:
+            await self._claims.finish(claim, record_of(outcome))
+        except LedgerError as error:
+            # The ledger ends the claim as unknown by itself, later.
+            log_event(
+                'pipeline.outcome_not_recorded',
+                account=claim.account,
+                outcome=outcome.kind.value,
+                error=str(error),
+            )
+
+    def _spawn_lasting(self, coroutine: Any) -> asyncio.Task[Any]:
+        task = self._tasks.spawn(coroutine, 'lasting request')
+        self._lasting.add(task)
+        task.add_done_callback(self._lasting.discard)
+        return task
+
+    def _remaining_s(self, request: PipelineRequest) -> float:
+        return max(0, request.info.deadline_at - self._clock.monotonic())
+
+
+def _refused_claim(reason: str) -> Outcome:
+    if reason == REASON_KEY_EXPIRED:
+        return Outcome(OutcomeKind.unknown, None, reason)
+    return Outcome(OutcomeKind.not_run, None, reason, _RETRY_AFTER_S)
--- /dev/null
+++ b/hornbeamline/pipeline/_metrics.py
@@ -0,0 +1,69 @@
+"""Counters of outcomes, attempts and costs."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from prometheus_client import Counter
+
+from hornbeamline.telemetry import registry
+
+# A page with one line per account of a large fleet would cost more than the
+# requests it counts; accounts beyond the bound share one label.
+_MAX_ACCOUNT_LABELS: Final = 500
+_OTHER_ACCOUNTS: Final = 'other'
+
+OUTCOMES: Final = Counter(
+    'hornbeamline_pipeline_outcomes',
+    'Final outcomes of requests.',
+    ('pipeline', 'outcome', 'reason'),
+    registry=registry,
+)
+ATTEMPTS: Final = Counter(
+    'hornbeamline_pipeline_attempts',
+    'Ended attempts at stages, by what their end proves.',
+    ('pipeline', 'stage', 'result'),
+    registry=registry,
+)
+RETRIED: Final = Counter(
+    'hornbeamline_pipeline_retries',
+    'Attempts made again, by the end of the attempt before.',
+    ('pipeline', 'stage', 'reason'),
+    registry=registry,
+)
+STAGE_SECONDS: Final = Counter(
+    'hornbeamline_pipeline_target_seconds',
+    'Target time by stage; wasted time contributed to no answer.',
+    ('pipeline', 'stage', 'use'),
+    registry=registry,
+)
+STAGE_TOKENS: Final = Counter(
+    'hornbeamline_pipeline_tokens',
+    'Generated tokens by stage.',
+    ('pipeline', 'stage'),
+    registry=registry,
+)
+ACCOUNT_SECONDS: Final = Counter(
+    'hornbeamline_account_target_seconds',
+    'Target time by client account.',
+    ('account', 'use'),
+    registry=registry,
+)
+ACCOUNT_TOKENS: Final = Counter(
+    'hornbeamline_account_tokens',
+    'Generated tokens by client account.',
+    ('account',),
+    registry=registry,
+)
+
+_labelled_accounts: set[str] = set()
+
+
+def account_label(account: str) -> str:
+    """Return the label of an account, bounded in number."""
+    if account in _labelled_accounts:
+        return account
+    if len(_labelled_accounts) >= _MAX_ACCOUNT_LABELS:
+        return _OTHER_ACCOUNTS
+    _labelled_accounts.add(account)
+    return account
--- /dev/null
+++ b/hornbeamline/pipeline/_stage.py
@@ -0,0 +1,293 @@
+"""Attempts at one stage: retries, hedges and resumed streams."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import Any, Final, NamedTuple, TypedDict
+
+from hornbeamline.decisions import (
+    CallReport,
+    CallResult,
+    Dispatch,
+    Refusal,
+    StageCall,
+)
+from hornbeamline.exceptions import TargetError
+from hornbeamline.helpers.codec import CodecError, decode_json
+from hornbeamline.pipeline import _metrics
+from hornbeamline.pipeline._attempt import Attempt, StagePlan, Tools
+from hornbeamline.targets import (
+    TargetFailedError,
+    TargetNotSentError,
+    TargetRefusedError,
+    TargetUnreachableError,
+)
+
+REASON_CONFIGURATION_CHANGED: Final = 'configuration_changed'
+REASON_NOT_SENT: Final = 'send_by_passed'
+_TOKEN_DATA: Final = re.compile(rb'\ndata: (.*)\n\n')
+_FAILED_RETRY_AFTER_S: Final = 1.0
+
+
+class _TokenBody(TypedDict):
+    text: str
+
+
+class StageEnd(NamedTuple):
+    """How a stage ended."""
+
+    # None when the stage failed.
+    output: dict[str, Any] | None
+    refusal: Refusal | None = None
+    # True when a call that may not be repeated may have run.
+    may_have_run: bool = False
+
+
+class StageRunner:
+    """Runs one stage of one request."""
+
+    def __init__(self, tools: Tools, plan: StagePlan) -> None:
+        """Take the stage with its payload."""
+        self._tools = tools
+        self._plan = plan
+        self._excluded: frozenset[str] = frozenset()
+        self._attempts = 0
+        self._next_token = 0
+        # Attempts that are opened at the same time.
+        self._racing: list[Attempt] = []
+        self._parts: list[bytes] = []
+
+    async def run(self) -> StageEnd:
+        """Attempt the stage until it ends."""
+        while True:
+            decided = await self._decide()
+            if isinstance(decided, Refusal):
+                return StageEnd(None, decided)
+            attempt = await self._opened(decided)
+            if attempt.error is None:
+                await self._consume(attempt)
+            if attempt.error is None:
+                return StageEnd(attempt.output)
+            delay = self._retry_delay(attempt, attempt.error)
+            if isinstance(delay, StageEnd):
+                return delay
+            await asyncio.sleep(delay)
+
+    def _retry_delay(
+        self,
+        attempt: Attempt,
+        error: TargetError,
+    ) -> float | StageEnd:
+        if isinstance(error, TargetNotSentError):
+            return StageEnd(None, Refusal(REASON_NOT_SENT, 1))
+        assert attempt.report is not None
+        result = attempt.report.result
+        failure = Refusal(f'target_{result.value}', _FAILED_RETRY_AFTER_S)
+        if not (self._plan.service.idempotent or proves_not_run(error)):
+            return StageEnd(None, failure, may_have_run=True)
+        delay = self._tools.decisions.retry_delay_s(
+            attempt.dispatch,
+            attempt.report,
+        )
+        if isinstance(delay, Refusal):
+            wait_s = max(delay.retry_after_s, failure.retry_after_s)
+            return StageEnd(None, failure._replace(retry_after_s=wait_s))
+        _metrics.RETRIED.labels(
+            self._plan.request.info.pipeline,
+            self._plan.stage.name,
+            result.value,
+        ).inc()
+        return delay
+
+    async def _decide(
+        self,
+        *,
+        is_hedge: bool = False,
+    ) -> Dispatch | Refusal:
+        self._attempts += 1
+        call = StageCall(
+            self._plan.request.info,
+            self._plan.stage_index,
+            attempt=self._attempts,
+            is_hedge=is_hedge,
+            prefix=self._plan.prefix,
+            excluded=self._usefully_excluded(is_hedge=is_hedge),
+        )
+        decision: asyncio.Future[Dispatch | Refusal]
+        decision = asyncio.get_running_loop().create_future()
+
+        def decided(answer: Dispatch | Refusal) -> None:
+            if not decision.done():
+                decision.set_result(answer)
+            elif isinstance(answer, Dispatch):
+                self._give_back(answer)
+
+        try:
+            self._tools.decisions.submit(call, decided)
+        except LookupError:
+            # A newer revision no longer has this pipeline or stage.
+            return Refusal(REASON_CONFIGURATION_CHANGED, 1)
+        try:
+            return self._checked(await decision)
+        except asyncio.CancelledError:
+            self._abandon(call, decision)
+            raise
+
+    def _usefully_excluded(self, *, is_hedge: bool) -> frozenset[str]:
+        # When every target was tried, a retry may try all of them again.
+        names = self._plan.fleet.targets_of(self._plan.stage.service)
+        if not is_hedge and self._excluded >= names.keys():
+            return frozenset()
+        return self._excluded
+
+    def _checked(self, answer: Dispatch | Refusal) -> Dispatch | Refusal:
+        if isinstance(answer, Refusal):
+            return answer
+        # Decisions follow the newest revision; the request does not.
+        target = self._target_of(answer)
+        if target is None or target.service != self._plan.stage.service:
+            self._give_back(answer)
+            return Refusal(REASON_CONFIGURATION_CHANGED, 1)
+        return answer
+
+    def _target_of(self, dispatch: Dispatch) -> Any:
+        known = self._plan.fleet.targets_by_name.get(dispatch.target)
+        if known is not None:
+            return known
+        return self._tools.fleet_of().targets_by_name.get(dispatch.target)
+
+    def _abandon(
+        self,
+        call: StageCall,
+        decision: asyncio.Future[Dispatch | Refusal],
+    ) -> None:
+        if decision.cancelled() or not decision.done():
+            self._tools.decisions.withdraw(call)
+            return
+        answer = decision.result()
+        if isinstance(answer, Dispatch):
+            self._give_back(answer)
+
+    def _give_back(self, dispatch: Dispatch) -> None:
+        unused = CallReport(CallResult.cancelled, 0)
+        self._tools.decisions.finished(dispatch, unused)
+
+    async def _opened(self, dispatch: Dispatch) -> Attempt:
+        attempt = self._attempt(dispatch)
+        delay_s = None
+        if self._plan.service.idempotent:
+            delay_s = self._tools.decisions.hedge_delay_s(dispatch)
+        if delay_s is None:
+            await attempt.open()
+            self._racing.clear()
+            return attempt
+        return await self._hedged(attempt, delay_s)
+
+    def _attempt(self, dispatch: Dispatch) -> Attempt:
+        self._excluded |= {dispatch.target}
+        attempt = Attempt(
+            self._tools,
+            self._plan,
+            dispatch,
+            self._target_of(dispatch),
+            self._next_token,
+        )
+        self._racing.append(attempt)
+        return attempt
+
+    async def _hedged(self, first: Attempt, delay_s: float) -> Attempt:
+        primary = asyncio.create_task(self._open(first))
+        running: set[asyncio.Task[Any]] = {primary}
+        winner: Attempt | None = None
+        try:
+            await asyncio.wait(running, timeout=delay_s)
+            if not primary.done() and self._tools.decisions.take_hedge(
+                first.dispatch,
+            ):
+                running.add(asyncio.create_task(self._open_hedge()))
+            winner = await _first_success(running) or first
+        finally:
+            self._end_race(running, winner)
+        return winner
+
+    def _end_race(
+        self,
+        running: set[asyncio.Task[Any]],
+        winner: Attempt | None,
+    ) -> None:
+        for task in running:
+            task.cancel()
+        # At once, so that the outcome's costs include the losers.
+        for attempt in self._racing:
+            if attempt is not winner:
+                attempt.lose()
+        self._racing.clear()
+
+    async def _open(self, attempt: Attempt) -> Attempt:
+        await attempt.open()
+        return attempt
+
+    async def _open_hedge(self) -> Attempt | None:
+        decided = await self._decide(is_hedge=True)
+        if isinstance(decided, Refusal):
+            return None
+        return await self._open(self._attempt(decided))
+
+    async def _consume(self, attempt: Attempt) -> None:
+        if not self._plan.generates:
+            return
+        try:
+            async for part in attempt.parts():
+                self._next_token = part.first + part.tokens
+                self._parts.append(part.events)
+                events = self._plan.events
+                if events is not None and not events.offer(part.events):
+                    await events.wait_space()
+            attempt.output = {'text': self._text(), 'tokens': self._next_token}
+            attempt.succeed()
+        except TargetError as error:
+            attempt.fail(error)
+        except BaseException:
+            attempt.lose()
+            raise
+
+    def _text(self) -> str:
+        bodies = _TOKEN_DATA.findall(b''.join(self._parts))
+        try:
+            tokens = decode_json(
+                b'[%b]' % b','.join(bodies),
+                list[_TokenBody],
+            )
+        except CodecError as error:
+            raise TargetFailedError(f'token events: {error}') from error
+        return ''.join(token['text'] for token in tokens)
+
+
+def proves_not_run(error: TargetError) -> bool:
+    """Return whether an error proves that the call did not run."""
+    return isinstance(
+        error,
+        (TargetUnreachableError, TargetRefusedError, TargetNotSentError),
+    )
+
+
+async def _first_success(
+    running: set[asyncio.Task[Any]],
+) -> Attempt | None:
+    """Return the first attempt without an error, else the last failed."""
+    pending = set(running)
+    failed: Attempt | None = None
+    while pending:
+        done, pending = await asyncio.wait(
+            pending,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in done:
+            attempt: Attempt | None = task.result()
+            if attempt is None:
+                continue
+            if attempt.error is None:
+                return attempt
+            failed = attempt
+    return failed
--- a/hornbeamline/pipeline/_types.py
+++ b/hornbeamline/pipeline/_types.py
@@ -22,20 +22,26 @@
 
     stage: str
     service: str
+    # Target whose answer counts, or the last one tried.
     target: str
     target_ms: float
     tokens: int
     attempts: int
+    # Time of attempts that contributed nothing, such as hedge losers.
+    wasted_ms: float = 0
 
 
 class Outcome(NamedTuple):
     """Final outcome of a request."""
 
     kind: OutcomeKind
+    # For `partially_run`: the output of the last non-repeatable stage.
     output: dict[str, Any] | None = None
     reason: str = ''
     retry_after_s: float = 0
     costs: tuple[StageCost, ...] = ()
+    # Digest of an answer whose body the ledger no longer holds.
+    output_digest: str = ''
 
 
 class PipelineRequest(NamedTuple):
--- a/hornbeamline/standins/_faults.py
+++ b/hornbeamline/standins/_faults.py
@@ -15,7 +15,8 @@
 
 # Requests with these paths are executed; the faults concern only them,
 # except that silent connections carry nothing at all.
-_WORK_PATHS: Final = frozenset(('/v1/run', '/v1/completions'))
+_STREAM_PATH: Final = '/v1/completions'
+_WORK_PATHS: Final = frozenset(('/v1/run', _STREAM_PATH))
 # Faults that a request met, for its handler.
 FAULTS_KEY: Final = web.RequestKey('faults', Faults)
 
@@ -67,6 +68,9 @@
             return _refusal(leaving=self.faults.leaving)
         if self.faults.stuck:
             await asyncio.Event().wait()
+        if self.faults.error and request.path == _STREAM_PATH:
+            # A stream that has begun can't change its status any more.
+            return _error()
         response = await handler(request)
         return self._after(request, response)
 
@@ -78,7 +82,7 @@
         if self.faults.reset_after_execution:
             abort(request)
         if self.faults.error:
-            return web.Response(status=500, text='fault: error')
+            return _error()
         return response
 
     def _note_connection(self, transport: Any) -> None:
@@ -94,6 +98,10 @@
         request.transport.abort()
 
 
+def _error() -> web.Response:
+    return web.Response(status=500, text='fault: error')
+
+
 def _refusal(*, leaving: bool) -> web.Response:
     headers = {'X-Not-Run': 'true'}
     if leaving:
--- a/hornbeamline/standins/_target.py
+++ b/hornbeamline/standins/_target.py
@@ -25,6 +25,7 @@
 
 _LOAD_SAMPLE_S: Final = 0.05
 _LOAD_SAMPLES_KEPT: Final = 200
+_CLIENT_CLOSED: Final = 499
 _BACKLOG: Final = 2048
 _MAX_BODY_BYTES: Final = 16_777_216
 
@@ -187,7 +188,7 @@
         try:
             answer = await work
         except asyncio.CancelledError:
-            return web.Response(status=499)
+            return web.Response(status=_CLIENT_CLOSED)
         finally:
             self._target.work_by_id.pop(request_id, None)
         return _json({'request_id': _shown_id(request), **answer})
@@ -210,6 +211,8 @@
             if payload.get('stream'):
                 return await self._stream(request, sequence)
             return await self._whole(request, sequence)
+        except ConnectionResetError:
+            return web.Response(status=_CLIENT_CLOSED)
         finally:
             sequence.cancel()
             self._target.work_by_id.pop(request_id, None)
--- a/hornbeamline/targets/_client.py
+++ b/hornbeamline/targets/_client.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Any, Final
 
 import aiohttp
@@ -42,6 +43,7 @@
 _REFUSAL_STATUSES: Final = frozenset((429, 503))
 _FLAG_SET: Final = 'true'
 _REPORT_TIMEOUT_S: Final = 1.0
+_BODY_END_S: Final = 0.02
 
 
 class TargetClient:
@@ -92,7 +94,7 @@
         target: Target,
         call: TargetCall,
         first: int = 0,
-    ) -> AsyncIterator[TokenBatch | Usage]:
+    ) -> AsyncGenerator[TokenBatch | Usage, None]:
         """Yield the tokens from index `first` on, lastly the usage.
 
         Raises as `call` does. A gap, a repeated token and an end without
@@ -108,6 +110,9 @@
                 batch = parser.feed(chunk)
                 if batch is not None:
                     yield batch
+                if parser.usage is not None:
+                    break
+            await _read_end(response)
         if parser.usage is None:
             raise TargetLostError(f'{name}: stream ended early')
         yield parser.usage
@@ -251,6 +256,14 @@
         raise TargetFailedError(f'{name}: answer of another request')
 
 
+async def _read_end(response: aiohttp.ClientResponse) -> None:
+    # The answer is whole; its connection is reused only if the end of the
+    # body comes at once, and never delays the answer.
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_BODY_END_S):
+            await response.content.readany()
+
+
 async def _read_bounded(
     name: str,
     response: aiohttp.ClientResponse,
--- /dev/null
+++ b/tests/pipeline/test_non_repeatable.py
@@ -0,0 +1,203 @@
+"""Pipelines with a stage that may run at most once."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+
+import pytest
+
+from hornbeamline.pipeline import ClaimState, OutcomeKind
+from hornbeamline.standins import Faults
+from tests.pipeline.support import bench_for, request
+from tests.serving import fleet_with, serving
+
+
+@contextlib.asynccontextmanager
+async def filing_desk(
+    faults: Faults | None = None,
+    later_faults: Faults | None = None,
+    **options: Any,
+):
+    """Yield a bench with stages before, at and after a filing; the desk."""
+    async with (
+        serving(name='lookup') as lookup,
+        serving(name='desk', faults=faults, **options) as desk,
+        serving(name='notice', faults=later_faults) as notice,
+    ):
+        fleet = fleet_with(
+            {'lookup': [lookup], 'desk': [desk], 'notice': [notice]},
+            {'file': ['lookup', 'desk', 'notice']},
+            non_repeatable=frozenset(('desk',)),
+        )
+        async with bench_for(fleet) as bench:
+            # A grant of retries must not matter for the filing.
+            bench.decisions.retries = 2
+            yield bench, desk
+
+
+async def test_answered_filing_runs_once() -> None:
+    """Guards against a second execution for a resent request."""
+    async with filing_desk() as (bench, desk):
+        first = await bench.executor.run(request('file', key='k'))
+        await bench.executor.wait_idle(1)
+        again = await bench.executor.run(request('file', key='k'))
+        assert desk.executions_by_key == {'k': 1}
+    assert first.kind is again.kind is OutcomeKind.answered
+    assert again.output == first.output
+    assert bench.claims.states == [
+        ClaimState.claimed,
+        ClaimState.sending,
+        ClaimState.answered,
+    ]
+    assert bench.claims.send_by_s[0] <= 3
+
+
+@pytest.mark.parametrize(
+    ('faults', 'reason'),
+    [
+        (Faults(reset_after_execution=True), 'target_failed'),
+        (Faults(error=True), 'target_failed'),
+        (Faults(wrong_request_id=True), 'target_failed'),
+        (Faults(slow=2000), 'target_timed_out'),
+    ],
+)
+async def test_lost_answer_is_unknown(faults: Faults, reason: str) -> None:
+    """Guards against a retry or a "not run" after the filing executed."""
+    async with filing_desk(faults) as (bench, desk):
+        outcome = await bench.executor.run(
+            request('file', key='k', deadline_s=0.5),
+        )
+        await bench.executor.wait_idle(1)
+        desk.set_faults(Faults())
+        again = await bench.executor.run(request('file', key='k'))
+        assert desk.executions_by_key == {'k': 1}
+    assert outcome.kind is again.kind is OutcomeKind.unknown
+    assert outcome.reason == reason
+    assert bench.claims.states[-1] is ClaimState.unknown
+
+
+async def test_refused_filing_is_not_run_and_may_be_claimed_again() -> None:
+    """Guards against "unknown" for a filing that provably did not run."""
+    async with filing_desk(Faults(refuse=True)) as (bench, desk):
+        outcome = await bench.executor.run(request('file', key='k'))
+        await bench.executor.wait_idle(1)
+        assert outcome.kind is OutcomeKind.not_run
+        assert outcome.reason == 'target_refused'
+        assert desk.executions_by_key == {}
+        desk.set_faults(Faults())
+        again = await bench.executor.run(request('file', key='k'))
+        assert again.kind is OutcomeKind.answered
+        assert desk.executions_by_key == {'k': 1}
+
+
+async def test_later_failure_is_partially_run() -> None:
+    """Guards against "not run" after the filing, and a lost output."""
+    async with filing_desk(later_faults=Faults(refuse=True)) as (bench, desk):
+        outcome = await bench.executor.run(request('file', key='k'))
+        await bench.executor.wait_idle(1)
+        found = await bench.executor.lookup('cement', 'k')
+        assert desk.executions_by_key == {'k': 1}
+    for each in (outcome, found):
+        assert each.kind is OutcomeKind.unknown
+        assert each.reason == 'partially_run'
+        assert each.output['target'] == 'desk'
+
+
+@pytest.mark.parametrize(
+    ('attribute', 'value', 'reason'),
+    [
+        ('marking_fails', True, 'sending_not_recorded'),
+        ('sending_allowed', False, 'send_by_passed'),
+        ('refusal', 'ledger_unavailable', 'ledger_unavailable'),
+        ('refusal', 'key_reused', 'key_reused'),
+    ],
+)
+async def test_nothing_is_sent_without_the_ledger(
+    attribute: str,
+    value: Any,
+    reason: str,
+) -> None:
+    """Guards against a filing sent without its mark in the ledger."""
+    async with filing_desk() as (bench, desk):
+        setattr(bench.claims, attribute, value)
+        outcome = await bench.executor.run(request('file', key='k'))
+        assert desk.executions_by_key == {}
+    assert outcome.kind is OutcomeKind.not_run
+    assert outcome.reason == reason
+
+
+async def test_reused_key_with_another_body_is_refused() -> None:
+    """Guards against the answer of another request under the same key."""
+    async with filing_desk() as (bench, desk):
+        await bench.executor.run(request('file', key='k', levy=1))
+        other = await bench.executor.run(request('file', key='k', levy=2))
+        assert desk.executions_by_key == {'k': 1}
+    assert other.reason == 'key_reused'
+
+
+async def test_caller_that_leaves_does_not_stop_a_filing() -> None:
+    """Guards against a filing that is cut off by its caller's connection."""
+    async with filing_desk(service_ms=200) as (bench, desk):
+        running = asyncio.create_task(
+            bench.executor.run(request('file', key='k')),
+        )
+        await asyncio.sleep(0.1)
+        running.cancel()
+        assert await bench.executor.wait_idle(2)
+        found = await bench.executor.lookup('cement', 'k')
+        assert desk.executions_by_key == {'k': 1}
+        assert desk.cancelled == []
+    assert found.kind is OutcomeKind.answered
+
+
+async def test_concurrent_resends_share_one_execution() -> None:
+    """Guards against two executions when a caller resends too early."""
+    async with filing_desk(service_ms=100) as (bench, desk):
+        outcomes = await asyncio.gather(
+            *(bench.executor.run(request('file', key='k')) for _ in range(5)),
+        )
+        late = asyncio.create_task(
+            bench.executor.run(request('file', key='other')),
+        )
+        await asyncio.sleep(0.05)
+        impatient = await bench.executor.run(
+            request('file', key='other', deadline_s=0.01),
+        )
+        await late
+        assert desk.executions_by_key == {'k': 1, 'other': 1}
+    assert {each.kind for each in outcomes} == {OutcomeKind.answered}
+    assert impatient.kind is OutcomeKind.unknown
+    assert impatient.reason == 'in_progress'
+
+
+async def test_refusal_of_a_used_key_tells_its_outcome() -> None:
+    """Guards against "not run" for a resend of a filing that ran."""
+    async with filing_desk() as (bench, _):
+        await bench.executor.run(request('file', key='k'))
+        await bench.executor.wait_idle(1)
+        bench.source.holds_lease = lambda: False
+        known = await bench.executor.run(request('file', key='k'))
+        new = await bench.executor.run(request('file', key='new'))
+    assert known.kind is OutcomeKind.answered
+    assert new.kind is OutcomeKind.not_run
+    assert new.reason == 'no_lease'
+
+
+async def test_own_fault_after_the_dispatch_is_unknown(monkeypatch) -> None:
+    """Guards against "not run" when this process fails after the send."""
+    async with filing_desk() as (bench, desk):
+        calls = bench.client.call
+
+        async def failing(name, target, call):
+            answer = await calls(name, target, call)
+            if name == 'desk':
+                raise RuntimeError('fault')
+            return answer
+
+        monkeypatch.setattr(bench.client, 'call', failing)
+        outcome = await bench.executor.run(request('file', key='k'))
+        assert desk.executions_by_key == {'k': 1}
+    assert outcome.kind is OutcomeKind.unknown
+    assert outcome.reason == 'internal_error'
--- /dev/null
+++ b/tests/pipeline/test_repeatable.py
@@ -0,0 +1,254 @@
+"""Pipelines of repeatable stages: retries, hedges, resumed streams."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from hornbeamline.decisions import CallResult
+from hornbeamline.inventory import ServiceKind
+from hornbeamline.pipeline import OutcomeKind, TokenEvents
+from hornbeamline.standins import Faults
+from tests.pipeline.support import bench_for, request
+from tests.serving import expected_tokens, fleet_with, serving
+
+GENERATION = ServiceKind.generation
+
+
+@contextlib.asynccontextmanager
+async def two_targets(
+    kind: ServiceKind,
+    first_faults: Faults,
+    stages: tuple[str, ...] = ('work',),
+):
+    """Yield a bench over a faulty and a sound target, and both targets."""
+    async with (
+        serving(kind, name='a-faulty', faults=first_faults) as faulty,
+        serving(kind, name='b-sound') as sound,
+    ):
+        fleet = fleet_with(
+            {'work': [faulty, sound]},
+            {'report': list(stages)},
+            max_tokens=40,
+        )
+        async with bench_for(fleet) as bench:
+            yield bench, faulty, sound
+
+
+def token_ids(events: TokenEvents) -> list[int]:
+    """Return the indexes of the pending token events."""
+    lines = events.take().split(b'\n')
+    return [int(line[4:]) for line in lines if line.startswith(b'id: ')]
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [
+        Faults(break_stream_after=7),
+        Faults(stall_stream_after=7),
+        Faults(wrong_request_id=True),
+        Faults(refuse=True),
+        Faults(error=True),
+    ],
+)
+async def test_broken_stream_resumes_without_a_gap(faults: Faults) -> None:
+    """Guards against repeated or dropped tokens after a broken stream."""
+    async with two_targets(GENERATION, faults) as (bench, _, _):
+        bench.decisions.retries = 1
+        events = TokenEvents()
+        outcome = await bench.executor.run(
+            request('report', deadline_s=5),
+            events,
+        )
+    assert outcome.kind is OutcomeKind.answered, outcome
+    assert outcome.output['text'] == expected_tokens('levy report', 40)
+    assert token_ids(events) == list(range(40))
+    assert outcome.costs[0].tokens == 40
+    assert outcome.costs[0].attempts == 2
+
+
+async def test_stream_without_a_retry_is_not_answered() -> None:
+    """Guards against half an answer that is reported as whole."""
+    faults = Faults(break_stream_after=7)
+    async with two_targets(GENERATION, faults) as (bench, _, _):
+        outcome = await bench.executor.run(request('report'))
+    assert outcome.kind is OutcomeKind.not_run
+    assert outcome.reason == 'target_failed'
+
+
+@pytest.mark.parametrize('kind', [ServiceKind.plain, GENERATION])
+async def test_hedge_wins_and_the_loser_is_cancelled(kind) -> None:
+    """Guards against a loser that keeps its target busy, or is not counted."""
+    async with two_targets(kind, Faults(slow=500)) as (bench, slow, sound):
+        bench.decisions.hedge_after_s = 0.05
+        events = TokenEvents()
+        outcome = await bench.executor.run(request('report'), events)
+        await asyncio.sleep(0.1)
+        assert outcome.kind is OutcomeKind.answered
+        assert slow.cancelled == ['r-1.1']
+        assert sound.cancelled == []
+        assert slow.work_by_id == {}
+    assert outcome.costs[0].target == 'b-sound'
+    assert outcome.costs[0].wasted_ms >= 40
+    assert sorted(bench.decisions.results(), key=str) == [
+        CallResult.cancelled,
+        CallResult.succeeded,
+    ]
+    if kind is GENERATION:
+        assert token_ids(events) == list(range(40))
+
+
+async def test_failed_hedge_does_not_fail_the_request() -> None:
+    """Guards against a race that ends with the first error."""
+    async with (
+        serving(name='a-slow', service_ms=200) as slow,
+        serving(name='b-bad', faults=Faults(error=True)) as bad,
+    ):
+        fleet = fleet_with({'work': [slow, bad]}, {'report': ['work']})
+        async with bench_for(fleet) as bench:
+            bench.decisions.hedge_after_s = 0.02
+            outcome = await bench.executor.run(request('report'))
+    assert outcome.kind is OutcomeKind.answered
+    assert outcome.costs[0].target == 'a-slow'
+    assert outcome.costs[0].attempts == 2
+
+
+async def test_retry_takes_another_target() -> None:
+    """Guards against a retry at the target that just failed."""
+    async with two_targets(ServiceKind.plain, Faults(error=True)) as (
+        bench,
+        *_,
+    ):
+        bench.decisions.retries = 1
+        outcome = await bench.executor.run(request('report'))
+    assert outcome.kind is OutcomeKind.answered
+    assert [target for target, _ in bench.decisions.reports] == [
+        'a-faulty',
+        'b-sound',
+    ]
+
+
+async def test_only_target_is_tried_again() -> None:
+    """Guards against a retry refused because all targets were tried."""
+    async with serving(faults=Faults(refuse=True)) as target:
+        fleet = fleet_with({'work': [target]}, {'report': ['work']})
+        async with bench_for(fleet) as bench:
+            bench.decisions.retries = 3
+            outcome = await bench.executor.run(request('report'))
+    assert outcome.reason == 'target_refused'
+    assert len(bench.decisions.reports) == 4
+
+
+async def test_cancelled_request_frees_its_target() -> None:
+    """Guards against work for a caller that is gone."""
+    async with two_targets(GENERATION, Faults(slow=50)) as (bench, slow, _):
+        running = asyncio.create_task(bench.executor.run(request('report')))
+        await asyncio.sleep(0.3)
+        running.cancel()
+        await asyncio.sleep(0.1)
+        assert slow.cancelled == ['r-1.1']
+        assert slow.work_by_id == {}
+    assert bench.decisions.results() == [CallResult.cancelled]
+
+
+async def test_stalled_caller_ends_the_request() -> None:
+    """Guards against an engine that is held by a caller that reads nothing."""
+    async with two_targets(GENERATION, Faults(slow=20)) as (
+        bench,
+        engine,
+        _,
+    ):
+        events = TokenEvents(max_pending_bytes=200, stall_timeout_s=0.1)
+        outcome = await bench.executor.run(request('report'), events)
+        assert outcome.reason == 'caller_stalled'
+        assert events.closed
+        await asyncio.sleep(0.1)
+        assert engine.cancelled == ['r-1.1']
+
+
+async def test_each_request_gets_its_own_answer() -> None:
+    """Guards against mixed outputs when answers come out of order."""
+    async with (
+        serving(
+            name='one', service_jitter_ms=60, concurrency=99, seed=1
+        ) as one,
+        serving(
+            name='two', service_jitter_ms=60, concurrency=99, seed=2
+        ) as two,
+        serving(GENERATION, name='engine') as engine,
+    ):
+        fleet = fleet_with(
+            {'first': [one], 'second': [two], 'draft': [engine]},
+            {'report': ['first', 'second'], 'text': ['first', 'draft']},
+        )
+        async with bench_for(fleet) as bench:
+            outcomes = await asyncio.gather(
+                *(
+                    bench.executor.run(
+                        request(
+                            'report',
+                            request_id=f'r-{number}',
+                            number=number,
+                        ),
+                    )
+                    for number in range(150)
+                ),
+            )
+    assert [outcome.output['echo'] for outcome in outcomes] == [
+        {'number': number} for number in range(150)
+    ]
+
+
+async def test_request_keeps_the_revision_it_began_with() -> None:
+    """Guards against a stage that a newer revision swaps under a request."""
+    async with (
+        serving(name='one', service_ms=150) as one,
+        serving(name='two') as two,
+        serving(name='three') as three,
+    ):
+        targets = {'first': [one], 'second': [two], 'other': [three]}
+        old = fleet_with(targets, {'report': ['first', 'second']})
+        new = fleet_with(targets, {'report': ['first', 'other']})
+        gone = fleet_with(targets, {'text': ['first']})
+        for newer in (new, gone):
+            async with bench_for(old) as bench:
+                running = asyncio.create_task(
+                    bench.executor.run(request('report')),
+                )
+                await asyncio.sleep(0.05)
+                bench.source.fleet = newer
+                bench.decisions.update_fleet(newer)
+                outcome = await running
+            assert outcome.kind is OutcomeKind.not_run
+            assert outcome.reason == 'configuration_changed'
+
+
+async def test_prefix_follows_the_first_part_of_the_prompt() -> None:
+    """Guards against prefix affinity that looks at the whole prompt."""
+    async with two_targets(GENERATION, Faults()) as (bench, *_):
+        for number, tail in enumerate(('x', 'y')):
+            await bench.executor.run(
+                request(
+                    'report',
+                    request_id=f'r-{number}',
+                    prompt='system ' * 200 + tail,
+                ),
+            )
+    assert bench.decisions.prefixes[0]
+    assert bench.decisions.prefixes[0] == bench.decisions.prefixes[1]
+
+
+async def test_deadline_bounds_every_attempt() -> None:
+    """Guards against an attempt that outlives its request."""
+    async with two_targets(ServiceKind.plain, Faults(stuck=True)) as (
+        bench,
+        *_,
+    ):
+        bench.decisions.attempt_timeout_s = 30
+        async with asyncio.timeout(2):
+            outcome = await bench.executor.run(
+                request('report', deadline_s=0.2),
+            )
+    assert outcome.reason == 'target_timed_out'
--- a/tests/process/test_whole_path.py
+++ b/tests/process/test_whole_path.py
@@ -10,6 +10,7 @@
 import aiohttp
 import pytest
 
+from hornbeamline.helpers.codec import encode_json
 from tests.common import (
     digest_of,
     free_address,
@@ -17,6 +18,7 @@
     wait_listening,
     write_toml,
 )
+from tests.serving import expected_tokens
 
 SERVICES = {
     'encoder': 'encoding',
@@ -80,6 +82,7 @@
                     'name': f'{name}-1',
                     'address': address,
                     'service': name,
+                    'kind': SERVICES[name],
                 },
             )
             stack.enter_context(
@@ -115,7 +118,7 @@
         response = await session.post(
             f'http://{caller_address}/v1/pipelines/report/requests',
             headers={'Authorization': 'Bearer cement-credential'},
-            json={'input': {'text': 'levy report'}},
+            json={'input': {'prompt': 'levy report'}},
         )
         answer = await response.json()
     assert response.status == 200, answer
@@ -123,7 +126,18 @@
     assert [cost['stage'] for cost in answer['costs']] == list(
         SERVICES.values(),
     )
-    assert answer['output']['echo'] == {'text': 'levy report'}
+    # The text of the stand-in engine depends on the whole prompt, so it
+    # shows that each stage's output came to the last one.
+    outputs = {
+        kind: {
+            'target': f'{name}-1',
+            'stage': kind,
+            'echo': {'prompt': 'levy report'},
+        }
+        for name, kind in tuple(SERVICES.items())[:-1]
+    }
+    prompt = f'levy report\n{encode_json(outputs).decode()}'
+    assert answer['output']['text'] == expected_tokens(prompt, 64)
 
 
 async def test_wrong_credential_is_refused(caller_address: str) -> None:
