Add the ledger of sessions and claims

Cause: nothing recorded that a non-repeatable request was about to run, so two entry hosts could run the same request key. Broken variants made the tests fail: no repeat check for a claim, no session check, time that goes back, SENDING ended as not run, SENDING accepted in any state, due records lost at restore, UNKNOWN claimed again, permit without time or session check, sessions expired at a change of leader, delayed copy of an ended attempt granted, repeated end prolonging the outcome.

--- /dev/null
+++ b/hornbeamline/control_link/_server.py
@@ -0,0 +1,86 @@
+"""Control host's side: serves as leader, forwards as follower."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from hornbeamline.control_link._messages import ControlReply
+from hornbeamline.control_link.const import (
+    FORWARD_TIMEOUT_S,
+    STATUS_NOT_LEADER,
+    STATUS_OK,
+    STATUS_UNKNOWN,
+)
+from hornbeamline.exceptions import PeeringError
+from hornbeamline.helpers.codec import encode
+from hornbeamline.peering import Peering
+from hornbeamline.replog import (
+    LogStoppedError,
+    NotLeaderError,
+    ProposalUnknownError,
+    ReplicatedLog,
+)
+
+_RequestT = TypeVar('_RequestT', bound=tuple[Any, ...])
+
+
+class LeaderServer:
+    """Hands requests to the components of the leader.
+
+    A request type is a `NamedTuple` with a field `forwarded: bool`. A
+    follower forwards a request once, so that a caller that reaches only
+    some control hosts is still served.
+    """
+
+    def __init__(self, peering: Peering, log: ReplicatedLog) -> None:
+        """Take the network and the log that knows the leader."""
+        self._peering = peering
+        self._log = log
+
+    def serve(
+        self,
+        kind: type[_RequestT],
+        handler: Callable[[_RequestT], Awaitable[tuple[Any, ...]]],
+    ) -> None:
+        """Handle a request type on the leader.
+
+        The handler returns the reply; it may raise errors of the
+        replicated log, which become a status for the caller.
+        """
+
+        async def on_request(_sender: str, request: _RequestT) -> ControlReply:
+            if self._log.is_leader:
+                return await self._handle(request, handler)
+            return await self._forward(request)
+
+        self._peering.on(kind, on_request)
+
+    async def _handle(
+        self,
+        request: _RequestT,
+        handler: Callable[[_RequestT], Awaitable[tuple[Any, ...]]],
+    ) -> ControlReply:
+        try:
+            reply = await handler(request)
+        except NotLeaderError as error:
+            return ControlReply(STATUS_NOT_LEADER, error.leader or '', b'')
+        except LogStoppedError:
+            return ControlReply(STATUS_UNKNOWN, '', b'')
+        except ProposalUnknownError:
+            return ControlReply(STATUS_UNKNOWN, self._log.leader or '', b'')
+        return ControlReply(STATUS_OK, self._peering.name, encode(reply))
+
+    async def _forward(self, request: Any) -> ControlReply:
+        leader = self._log.leader
+        if leader is None or leader == self._peering.name or request.forwarded:
+            return ControlReply(STATUS_NOT_LEADER, leader or '', b'')
+        try:
+            return await self._peering.call(
+                leader,
+                request._replace(forwarded=True),
+                ControlReply,
+                FORWARD_TIMEOUT_S,
+            )
+        except PeeringError:
+            return ControlReply(STATUS_UNKNOWN, '', b'')
--- /dev/null
+++ b/hornbeamline/helpers/batching.py
@@ -0,0 +1,65 @@
+"""Gathering of concurrent calls into shared runs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Generic, TypeVar
+
+_EntryT = TypeVar('_EntryT')
+_AnswerT = TypeVar('_AnswerT')
+
+
+class Batcher(Generic[_EntryT, _AnswerT]):
+    """Runs one batch at a time and gathers entries meanwhile.
+
+    The batch of an entry always begins after the entry was submitted, so
+    a shared read barrier covers every caller that waits for it.
+    """
+
+    def __init__(
+        self,
+        run: Callable[[list[_EntryT]], Awaitable[Sequence[_AnswerT]]],
+        max_entries: int,
+    ) -> None:
+        """Take the function that runs a batch and the bound of a batch.
+
+        `run` returns one answer per entry, in order.
+        """
+        self._run = run
+        self._max_entries = max_entries
+        self._waiting: list[tuple[_EntryT, asyncio.Future[_AnswerT]]] = []
+        self._task: asyncio.Task[None] | None = None
+
+    async def submit(self, entry: _EntryT) -> _AnswerT:
+        """Return the answer to an entry; raises what the run raises."""
+        answer: asyncio.Future[_AnswerT]
+        answer = asyncio.get_running_loop().create_future()
+        self._waiting.append((entry, answer))
+        if self._task is None:
+            self._task = asyncio.create_task(self._drain(), name='batcher')
+        return await answer
+
+    async def _drain(self) -> None:
+        try:
+            while self._waiting:
+                batch = self._waiting[: self._max_entries]
+                del self._waiting[: self._max_entries]
+                await self._run_batch(batch)
+        finally:
+            self._task = None
+
+    async def _run_batch(
+        self,
+        batch: list[tuple[_EntryT, asyncio.Future[_AnswerT]]],
+    ) -> None:
+        try:
+            answers = await self._run([entry for entry, _ in batch])
+        except Exception as error:
+            for _, waiting in batch:
+                if not waiting.done():
+                    waiting.set_exception(error)
+            return
+        for (_, waiting), answer in zip(batch, answers, strict=True):
+            if not waiting.done():
+                waiting.set_result(answer)
--- /dev/null
+++ b/hornbeamline/ledger/__init__.py
@@ -0,0 +1,41 @@
+"""Sessions of entry processes and claims of request keys."""
+
+from __future__ import annotations
+
+from hornbeamline.ledger._client import LedgerClient
+from hornbeamline.ledger._machine import LedgerMachine
+from hornbeamline.ledger._service import LedgerService
+from hornbeamline.ledger._types import (
+    Claim,
+    ClaimDecision,
+    ClaimExisting,
+    ClaimGranted,
+    ClaimOutcome,
+    ClaimRefused,
+    ClaimState,
+    ClaimView,
+    SendPermit,
+    make_outcome,
+)
+from hornbeamline.ledger.errors import (
+    ClaimFencedError,
+    LedgerUnavailableError,
+)
+
+__all__ = (
+    'Claim',
+    'ClaimDecision',
+    'ClaimExisting',
+    'ClaimFencedError',
+    'ClaimGranted',
+    'ClaimOutcome',
+    'ClaimRefused',
+    'ClaimState',
+    'ClaimView',
+    'LedgerClient',
+    'LedgerMachine',
+    'LedgerService',
+    'LedgerUnavailableError',
+    'SendPermit',
+    'make_outcome',
+)
--- /dev/null
+++ b/hornbeamline/ledger/_machine.py
@@ -0,0 +1,298 @@
+"""Replicated state of sessions and claims."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, TypeAlias
+
+from hornbeamline.helpers.codec import CodecError, decode, encode
+from hornbeamline.ledger._operations import (
+    KIND_CLAIM,
+    KIND_CLOSE,
+    KIND_FINISH,
+    KIND_MARK,
+    KIND_OPEN,
+    STATUS_EXISTING,
+    STATUS_FENCED,
+    STATUS_GRANTED,
+    STATUS_INVALID,
+    STATUS_OK,
+    STATUS_STALE,
+    Batch,
+    ClaimKey,
+    CloseSession,
+    FinishClaim,
+    MarkSending,
+    OpenSession,
+    Operation,
+    OperationResult,
+)
+from hornbeamline.ledger._records import ClaimRecord, RecordTable, Reference
+from hornbeamline.ledger._types import ClaimOutcome, ClaimState, ClaimView
+from hornbeamline.ledger.const import (
+    CLAIM_GRACE_MS,
+    KEY_KEPT_MS,
+    MAX_RECORDS,
+    MAX_SESSIONS,
+    OUTCOME_KEPT_MS,
+    REASON_CLAIM_DEADLINE,
+    REASON_KEY_EXPIRED,
+    REASON_KEY_REUSED,
+    REASON_LEDGER_FULL,
+    REASON_OWNER_LOST,
+    REASON_RESULT_WAIT,
+    RESULT_WAIT_MS,
+)
+
+_Handler: TypeAlias = Callable[[int, Any], OperationResult]
+
+
+class Session(NamedTuple):
+    """Registration of an entry process."""
+
+    host: str
+    token: str
+
+
+class _Snapshot(NamedTuple):
+    now_ms: int
+    last_epoch: int
+    sessions_by_epoch: dict[int, Session]
+    records: list[tuple[str, str, ClaimRecord]]
+    bodies: list[tuple[str, str, bytes]]
+
+
+class LedgerMachine:
+    """Sessions and claims, derived from the log only.
+
+    Every operation may be applied again: the repetition changes nothing
+    and gets the result of the first.
+    """
+
+    def __init__(self) -> None:
+        """Start without sessions and claims."""
+        self.now_ms = 0
+        self.sessions_by_epoch: dict[int, Session] = {}
+        self._last_epoch = 0
+        self._records = RecordTable()
+        self._due: list[tuple[int, Reference]] = []
+        self._observers: list[Callable[[str, str], None]] = []
+        self._handlers: Mapping[str, tuple[type[Any], _Handler]] = {
+            KIND_OPEN: (OpenSession, self._open),
+            KIND_CLOSE: (CloseSession, self._close),
+            KIND_CLAIM: (ClaimKey, self._claim),
+            KIND_MARK: (MarkSending, self._mark),
+            KIND_FINISH: (FinishClaim, self._finish),
+        }
+
+    def on_ended(self, observer: Callable[[str, str], None]) -> None:
+        """Call back with account and key when a claim gets an outcome."""
+        self._observers.append(observer)
+
+    @property
+    def next_due_ms(self) -> int | None:
+        """Return when the next record changes by itself, or None."""
+        return self._due[0][0] if self._due else None
+
+    def view(self, account: str, request_key: str) -> ClaimView | None:
+        """Return a claim as of the last applied command."""
+        return self._records.view(account, request_key)
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a batch and return its encoded list of results."""
+        try:
+            batch = decode(command, Batch)
+        except CodecError:
+            return encode([])
+        # A leader whose clock is behind must not take time back.
+        self.now_ms = max(self.now_ms, batch.now_ms)
+        self._change_due_records()
+        return encode(
+            [self._apply_one(index, entry) for entry in batch.operations],
+        )
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return encode(
+            _Snapshot(
+                self.now_ms,
+                self._last_epoch,
+                self.sessions_by_epoch,
+                self._records.dump_records(),
+                self._records.dump_bodies(),
+            ),
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot."""
+        state = decode(data, _Snapshot)
+        self.now_ms = state.now_ms
+        self._last_epoch = state.last_epoch
+        self.sessions_by_epoch = dict(state.sessions_by_epoch)
+        self._records = RecordTable()
+        self._records.load(state.records, state.bodies)
+        self._due = [
+            (record.due_ms, (account, request_key))
+            for account, request_key, record in state.records
+        ]
+        heapq.heapify(self._due)
+
+    def _apply_one(self, index: int, entry: Operation) -> OperationResult:
+        if entry.kind not in self._handlers:
+            return OperationResult(STATUS_INVALID)
+        kind, handler = self._handlers[entry.kind]
+        try:
+            body = decode(entry.body, kind)
+        except CodecError:
+            return OperationResult(STATUS_INVALID)
+        return handler(index, body)
+
+    def _open(self, index: int, body: OpenSession) -> OperationResult:
+        wanted = Session(body.host, body.token)
+        for epoch, session in self.sessions_by_epoch.items():
+            if session == wanted:
+                return OperationResult(STATUS_OK, epoch)
+        if len(self.sessions_by_epoch) >= MAX_SESSIONS:
+            return OperationResult(REASON_LEDGER_FULL)
+        # The log index, or the next number when a batch opens several.
+        self._last_epoch = max(index, self._last_epoch + 1)
+        self.sessions_by_epoch[self._last_epoch] = wanted
+        return OperationResult(STATUS_OK, self._last_epoch)
+
+    def _close(self, _index: int, body: CloseSession) -> OperationResult:
+        self.sessions_by_epoch.pop(body.epoch, None)
+        for reference in self._records.open_of(body.epoch):
+            self._end_without_owner(reference, REASON_OWNER_LOST)
+        return OperationResult(STATUS_OK, body.epoch)
+
+    def _claim(self, _index: int, body: ClaimKey) -> OperationResult:
+        reference = (body.account, body.request_key)
+        record = self._records.get(reference)
+        if record is not None and record.belongs_to(body.epoch, body.number):
+            return OperationResult(STATUS_GRANTED, body.epoch, record.attempt)
+        if body.epoch not in self.sessions_by_epoch:
+            return OperationResult(STATUS_FENCED)
+        refusal = self._refusal(record, body)
+        if refusal is not None:
+            return refusal
+        attempt = 1 if record is None else record.attempt + 1
+        self._put(
+            reference,
+            ClaimRecord(
+                body.body_digest,
+                attempt,
+                ClaimState.claimed,
+                body.epoch,
+                body.number,
+                self.now_ms + body.deadline_ms + CLAIM_GRACE_MS,
+            ),
+        )
+        return OperationResult(STATUS_GRANTED, body.epoch, attempt)
+
+    def _refusal(
+        self,
+        record: ClaimRecord | None,
+        body: ClaimKey,
+    ) -> OperationResult | None:
+        if record is None:
+            full = len(self._records) >= MAX_RECORDS
+            return OperationResult(REASON_LEDGER_FULL) if full else None
+        if record.body_digest != body.body_digest:
+            return OperationResult(REASON_KEY_REUSED)
+        if record.state is ClaimState.not_run:
+            # A delayed copy of an attempt that ended must not claim again.
+            is_old = record.epoch == body.epoch and body.number < record.number
+            return OperationResult(STATUS_STALE) if is_old else None
+        if record.is_tombstone:
+            return OperationResult(REASON_KEY_EXPIRED)
+        view = self._records.view(body.account, body.request_key)
+        return OperationResult(STATUS_EXISTING, claim=view)
+
+    def _mark(self, _index: int, body: MarkSending) -> OperationResult:
+        reference = (body.account, body.request_key)
+        record = self._records.get(reference)
+        if record is None or not record.belongs_to(body.epoch, body.number):
+            return OperationResult(STATUS_FENCED)
+        if record.state is ClaimState.sending:
+            return OperationResult(STATUS_OK)
+        if record.state is not ClaimState.claimed:
+            return OperationResult(STATUS_FENCED)
+        send_by_ms = self.now_ms + body.send_by_ms
+        self._put(
+            reference,
+            record._replace(
+                state=ClaimState.sending,
+                send_by_ms=send_by_ms,
+                due_ms=send_by_ms + RESULT_WAIT_MS,
+            ),
+        )
+        return OperationResult(STATUS_OK)
+
+    def _finish(self, _index: int, body: FinishClaim) -> OperationResult:
+        reference = (body.account, body.request_key)
+        record = self._records.get(reference)
+        if record is None or not record.belongs_to(body.epoch, body.number):
+            return OperationResult(STATUS_FENCED)
+        if not record.may_become(body.outcome.state):
+            return OperationResult(STATUS_FENCED)
+        if record.state is not body.outcome.state or record.is_open_ended:
+            self._end(reference, body.outcome)
+        return OperationResult(STATUS_OK)
+
+    def _end_without_owner(self, reference: Reference, reason: str) -> None:
+        record = self._records.get(reference)
+        if record is not None:
+            # SENDING may have reached the target; CLAIMED cannot, because a
+            # later SENDING of this owner is refused.
+            sent = record.state is ClaimState.sending
+            state = ClaimState.unknown if sent else ClaimState.not_run
+            self._end(reference, ClaimOutcome(state, reason))
+
+    def _end(self, reference: Reference, outcome: ClaimOutcome) -> None:
+        record = self._records.get(reference)
+        if record is None:
+            return
+        # A repeated end does not prolong how long the outcome is kept.
+        is_same = record.state is outcome.state
+        due_ms = record.due_ms if is_same else self.now_ms + OUTCOME_KEPT_MS
+        ended = record._replace(
+            state=outcome.state,
+            reason=outcome.reason,
+            answer_digest=outcome.body_digest,
+            due_ms=due_ms,
+        )
+        self._put(reference, ended)
+        self._records.keep_body(reference, outcome.body)
+        for observer in self._observers:
+            observer(*reference)
+
+    def _put(self, reference: Reference, record: ClaimRecord) -> None:
+        self._records.put(reference, record)
+        heapq.heappush(self._due, (record.due_ms, reference))
+
+    def _change_due_records(self) -> None:
+        while self._due and self._due[0][0] <= self.now_ms:
+            due_ms, reference = heapq.heappop(self._due)
+            record = self._records.get(reference)
+            # Entries of earlier states of a record stay in the heap.
+            if record is not None and record.due_ms == due_ms:
+                self._change_due(reference, record)
+
+    def _change_due(self, reference: Reference, record: ClaimRecord) -> None:
+        if record.state is ClaimState.claimed:
+            self._end_without_owner(reference, REASON_CLAIM_DEADLINE)
+        elif record.state is ClaimState.sending:
+            self._end_without_owner(reference, REASON_RESULT_WAIT)
+        elif record.is_tombstone:
+            self._records.remove(reference)
+        else:
+            self._records.keep_body(reference, None)
+            kept_ms = KEY_KEPT_MS - OUTCOME_KEPT_MS
+            self._put(
+                reference,
+                record._replace(
+                    is_tombstone=True,
+                    due_ms=record.due_ms + kept_ms,
+                ),
+            )
--- /dev/null
+++ b/hornbeamline/ledger/_service.py
@@ -0,0 +1,195 @@
+"""Leader's part of the ledger: batches, reads and session expiry."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from hornbeamline.control_link import LeaderServer
+from hornbeamline.core import TaskSet
+from hornbeamline.exceptions import ReplicatedLogError
+from hornbeamline.helpers.batching import Batcher
+from hornbeamline.helpers.clock import MS_PER_S, Clock
+from hornbeamline.helpers.codec import decode, encode
+from hornbeamline.ledger._machine import LedgerMachine
+from hornbeamline.ledger._messages import (
+    CommandRequest,
+    LookupReply,
+    LookupRequest,
+    RenewReply,
+    RenewSession,
+)
+from hornbeamline.ledger._operations import (
+    KIND_CLOSE,
+    Batch,
+    CloseSession,
+    Operation,
+    OperationResult,
+    operation,
+)
+from hornbeamline.ledger._types import ClaimView
+from hornbeamline.ledger.const import (
+    MACHINE_NAME,
+    MAX_BATCH,
+    MAX_HELD_LOOKUP_S,
+    MAX_TICK_GAP_S,
+    SESSION_TIMEOUT_S,
+    TICK_INTERVAL_S,
+)
+from hornbeamline.replog import NotLeaderError, ReplicatedLog
+from hornbeamline.telemetry import log_event
+
+
+class LedgerService:
+    """Serves the ledger on a control host; only the leader decides."""
+
+    def __init__(
+        self,
+        log: ReplicatedLog,
+        server: LeaderServer,
+        clock: Clock,
+        session_timeout_s: float = SESSION_TIMEOUT_S,
+    ) -> None:
+        """Register the machine; must run before the log starts."""
+        self.machine = LedgerMachine()
+        self._log = log
+        self._clock = clock
+        self._session_timeout_s = session_timeout_s
+        self._tasks = TaskSet()
+        self._commands: Batcher[Operation, OperationResult]
+        self._commands = Batcher(self._propose, MAX_BATCH)
+        self._barriers: Batcher[None, None]
+        self._barriers = Batcher(self._pass_barrier, MAX_BATCH)
+        self._waiters: dict[tuple[str, str], set[asyncio.Event]] = {}
+        self._renewed_at: dict[int, float] = {}
+        # Ledger time and own clock at the start of this leadership; None
+        # while this host has not caught up as the leader.
+        self._time_base: tuple[int, float] | None = None
+        log.register_machine(MACHINE_NAME, self.machine)
+        log.on_leadership(self._on_leadership)
+        self.machine.on_ended(self._wake_waiters)
+        server.serve(CommandRequest, self._on_command)
+        server.serve(RenewSession, self._on_renew)
+        server.serve(LookupRequest, self._on_lookup)
+
+    async def start(self) -> None:
+        """Begin to watch sessions."""
+        self._tasks.spawn(self._watch(), 'ledger watch')
+
+    async def stop(self) -> None:
+        """Stop watching sessions."""
+        await self._tasks.cancel_all()
+
+    def _on_leadership(self, is_leader: bool) -> None:
+        self._time_base = None
+        self._renewed_at.clear()
+
+    def _now_ms(self) -> int:
+        # Ledger time advances with the leader's monotonic clock from where
+        # the previous leader left it, so a wrong calendar clock cannot end
+        # outcomes early. Time without a leader does not count.
+        if self._time_base is None:
+            raise NotLeaderError(None)
+        base_ms, base_s = self._time_base
+        elapsed_s = self._clock.monotonic() - base_s
+        return base_ms + int(elapsed_s * MS_PER_S)
+
+    async def _propose(
+        self,
+        operations: list[Operation],
+    ) -> Sequence[OperationResult]:
+        command = encode(Batch(self._now_ms(), operations))
+        answer = await self._log.propose(MACHINE_NAME, command)
+        return decode(answer, list[OperationResult])
+
+    async def _pass_barrier(self, waiting: list[None]) -> Sequence[None]:
+        await self._log.read_barrier()
+        return waiting
+
+    async def _on_command(self, request: CommandRequest) -> OperationResult:
+        return await self._commands.submit(
+            Operation(request.kind, request.body),
+        )
+
+    async def _on_renew(self, request: RenewSession) -> RenewReply:
+        if self._time_base is None:
+            raise NotLeaderError(None)
+        if request.epoch not in self.machine.sessions_by_epoch:
+            # A deposed leader may miss a session that its successor opened.
+            await self._barriers.submit(None)
+        is_live = request.epoch in self.machine.sessions_by_epoch
+        if is_live:
+            self._renewed_at[request.epoch] = self._clock.monotonic()
+        return RenewReply(is_live, self._session_timeout_s)
+
+    async def _on_lookup(self, request: LookupRequest) -> LookupReply:
+        view = await self._read(request)
+        if request.wait_s <= 0 or view is None or view.outcome is not None:
+            return LookupReply(view)
+        reference = (request.account, request.request_key)
+        ended = asyncio.Event()
+        waiters = self._waiters.setdefault(reference, set())
+        waiters.add(ended)
+        try:
+            async with asyncio.timeout(min(request.wait_s, MAX_HELD_LOOKUP_S)):
+                await ended.wait()
+        except TimeoutError:
+            return LookupReply(await self._read(request))
+        finally:
+            waiters.discard(ended)
+            if not waiters:
+                self._waiters.pop(reference, None)
+        return LookupReply(await self._read(request))
+
+    async def _read(self, request: LookupRequest) -> ClaimView | None:
+        await self._barriers.submit(None)
+        return self.machine.view(request.account, request.request_key)
+
+    def _wake_waiters(self, account: str, request_key: str) -> None:
+        for waiter in self._waiters.get((account, request_key), ()):
+            waiter.set()
+
+    async def _watch(self) -> None:
+        last_s = self._clock.monotonic()
+        while True:
+            await asyncio.sleep(TICK_INTERVAL_S)
+            now_s = self._clock.monotonic()
+            if now_s - last_s > MAX_TICK_GAP_S:
+                # This process was suspended and may hold unread renewals.
+                self._renewed_at.clear()
+            last_s = now_s
+            if self._log.is_leader:
+                try:
+                    await self._watch_once()
+                except ReplicatedLogError as error:
+                    log_event('ledger.watch_failed', error=str(error))
+
+    async def _watch_once(self) -> None:
+        if self._time_base is None:
+            # Commands of earlier leaders must be applied before this host
+            # judges sessions or continues the ledger's time.
+            await self._barriers.submit(None)
+            self._time_base = (self.machine.now_ms, self._clock.monotonic())
+        due_ms = self.machine.next_due_ms
+        silent = self._silent_sessions()
+        if due_ms is not None and due_ms <= self._now_ms() and not silent:
+            await self._propose([])
+        for epoch in silent:
+            log_event('ledger.session_expired', epoch=epoch)
+            await self._commands.submit(
+                operation(KIND_CLOSE, CloseSession(epoch)),
+            )
+
+    def _silent_sessions(self) -> list[int]:
+        now_s = self._clock.monotonic()
+        live = self.machine.sessions_by_epoch
+        for gone in self._renewed_at.keys() - live.keys():
+            self._renewed_at.pop(gone)
+        # A session that this leader sees for the first time gets the full
+        # time.
+        return [
+            epoch
+            for epoch in live
+            if now_s - self._renewed_at.setdefault(epoch, now_s)
+            > self._session_timeout_s
+        ]
--- /dev/null
+++ b/tests/shared_log.py
@@ -0,0 +1,124 @@
+"""Replicated log of one event loop, with a leader that the test names."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from hornbeamline.replog import NotLeaderError, ProposalUnknownError
+
+
+class LoopClock:
+    """Clock that follows the event loop, so that it may be virtual."""
+
+    def monotonic(self) -> float:
+        """Return the loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def wall_ms(self) -> int:
+        """Return the loop's time in milliseconds."""
+        return int(self.monotonic() * 1000)
+
+
+class SharedLog:
+    """Commits at once on all voters, in the order of proposals."""
+
+    def __init__(self, rng: random.Random, delay_s: float = 0.002) -> None:
+        """Take a random source and the time of a commit."""
+        self.rng = rng
+        self.delay_s = delay_s
+        # Share of proposals whose result does not reach the proposer.
+        self.unknown_share = 0.0
+        self.leader: str | None = None
+        self.term = 0
+        self.commands: list[tuple[str, bytes]] = []
+        self.voters_by_name: dict[str, VoterLog] = {}
+
+    def voter(self, name: str) -> VoterLog:
+        """Return the log as one voter sees it."""
+        self.voters_by_name[name] = VoterLog(name, self)
+        return self.voters_by_name[name]
+
+    def elect(self, name: str | None) -> None:
+        """Make a voter the leader."""
+        old, self.leader = self.leader, name
+        self.term += 1
+        for voter in self.voters_by_name.values():
+            if voter.name in {old, name}:
+                voter.notify(voter.name == name)
+
+    def commit(self, machine: str, command: bytes) -> None:
+        """Apply a command on all voters."""
+        self.commands.append((machine, command))
+        for voter in self.voters_by_name.values():
+            voter.apply(len(self.commands))
+
+
+class VoterLog:
+    """Implements `hornbeamline.replog.ReplicatedLog`."""
+
+    def __init__(self, name: str, shared: SharedLog) -> None:
+        """Take the voter's name and the shared log."""
+        self.name = name
+        self.shared = shared
+        self.machines: dict[str, Any] = {}
+        self.answers: dict[int, bytes] = {}
+        self._observers: list[Callable[[bool], None]] = []
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this voter leads."""
+        return self.shared.leader == self.name
+
+    @property
+    def leader(self) -> str | None:
+        """Return the leader's name."""
+        return self.shared.leader
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.shared.term
+
+    def register_machine(self, name: str, machine: Any) -> None:
+        """Add a machine."""
+        self.machines[name] = machine
+
+    def on_leadership(self, changed: Callable[[bool], None]) -> None:
+        """Call back on changes of the leader."""
+        self._observers.append(changed)
+
+    def notify(self, is_leader: bool) -> None:
+        """Tell the observers."""
+        for observer in self._observers:
+            observer(is_leader)
+
+    def apply(self, index: int) -> None:
+        """Apply a committed command."""
+        machine, command = self.shared.commands[index - 1]
+        self.answers = {index: self.machines[machine].apply(index, command)}
+
+    async def propose(self, machine: str, command: bytes) -> bytes:
+        """Commit a command, or end in an unknown result."""
+        term = self.shared.term
+        self._require_leader()
+        await asyncio.sleep(self.shared.delay_s)
+        is_unknown = self.shared.rng.random() < self.shared.unknown_share
+        if is_unknown or term != self.shared.term:
+            if self.shared.rng.random() < 0.5:
+                self.shared.commit(machine, command)
+            raise ProposalUnknownError('leadership was lost')
+        self.shared.commit(machine, command)
+        return self.answers[len(self.shared.commands)]
+
+    async def read_barrier(self) -> None:
+        """Return while this voter leads."""
+        self._require_leader()
+        await asyncio.sleep(self.shared.delay_s)
+        self._require_leader()
+
+    def _require_leader(self) -> None:
+        if not self.is_leader:
+            raise NotLeaderError(self.shared.leader)
