Add the replicated log: storage, elections, replication

The ledger and the configuration need one order of commands across the control hosts; only the interface existed.

Before: no implementation.

Conclusion: usable by other components.

--- a/hornbeamline/replog/__init__.py
+++ b/hornbeamline/replog/__init__.py
@@ -2,17 +2,30 @@
 
 from __future__ import annotations
 
+from hornbeamline.replog._disk import Disk
+from hornbeamline.replog._entries import Member, Members
 from hornbeamline.replog._interface import ReplicatedLog, ReplicatedMachine
+from hornbeamline.replog._replica import RaftLog
+from hornbeamline.replog._voters import VoterChange
 from hornbeamline.replog.errors import (
+    LogBusyError,
     LogStoppedError,
     NotLeaderError,
     ProposalUnknownError,
+    VoterChangeRefusedError,
 )
 
 __all__ = (
+    'Disk',
+    'LogBusyError',
     'LogStoppedError',
+    'Member',
+    'Members',
     'NotLeaderError',
     'ProposalUnknownError',
+    'RaftLog',
     'ReplicatedLog',
     'ReplicatedMachine',
+    'VoterChange',
+    'VoterChangeRefusedError',
 )
--- /dev/null
+++ b/hornbeamline/replog/_disk.py
@@ -0,0 +1,67 @@
+"""File operations of the storage; tests inject faults here."""
+
+from __future__ import annotations
+
+import errno
+import fcntl
+import os
+from pathlib import Path
+
+from hornbeamline.helpers.files import sync_folder, write_atomic
+
+
+class Disk:
+    """Blocking operations on real files; all raise `OSError`."""
+
+    def lock(self, path: Path) -> int:
+        """Create and lock a file; the lock ends with the descriptor."""
+        descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o644)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(descriptor)
+            raise
+        return descriptor
+
+    def read(self, path: Path) -> bytes | None:
+        """Return the content of a file, or None without the file."""
+        try:
+            return path.read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def replace(self, path: Path, content: bytes) -> None:
+        """Replace a file in one step and sync it."""
+        write_atomic(path, content)
+
+    def open(self, path: Path) -> int:
+        """Open a file for writing at offsets and sync its folder entry."""
+        descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o644)
+        sync_folder(path.parent)
+        return descriptor
+
+    def write(self, descriptor: int, content: bytes, offset: int) -> None:
+        """Write all bytes at an offset."""
+        remaining = memoryview(content)
+        while remaining:
+            written = os.pwrite(descriptor, remaining, offset)
+            if written == 0:
+                raise OSError(errno.EIO, 'nothing was written')
+            offset += written
+            remaining = remaining[written:]
+
+    def sync(self, descriptor: int) -> None:
+        """Sync the content and the size of a file."""
+        os.fdatasync(descriptor)
+
+    def truncate(self, descriptor: int, size: int) -> None:
+        """Cut a file."""
+        os.ftruncate(descriptor, size)
+
+    def close(self, descriptor: int) -> None:
+        """Close a descriptor."""
+        os.close(descriptor)
+
+    def remove(self, path: Path) -> None:
+        """Remove a file; the removal need not be durable."""
+        path.unlink(missing_ok=True)
--- /dev/null
+++ b/hornbeamline/replog/_replica.py
@@ -0,0 +1,216 @@
+"""Replicated log as a service of a control process."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from hornbeamline.exceptions import ReplicatedLogError
+from hornbeamline.helpers.clock import Clock
+from hornbeamline.inventory import ControlSettings
+from hornbeamline.peering import Peering
+from hornbeamline.replog._bootstrap import Bootstrap
+from hornbeamline.replog._disk import Disk
+from hornbeamline.replog._election import Election
+from hornbeamline.replog._entries import Entry, Members
+from hornbeamline.replog._follower import Follower
+from hornbeamline.replog._interface import ReplicatedMachine
+from hornbeamline.replog._journal import BlockingRunner
+from hornbeamline.replog._leadership import Leadership
+from hornbeamline.replog._metrics import PROPOSALS_REFUSED
+from hornbeamline.replog._node import Node
+from hornbeamline.replog._snapshots import Snapshots
+from hornbeamline.replog._store import Store
+from hornbeamline.replog._threads import Threads
+from hornbeamline.replog._transfer import transfer_leadership
+from hornbeamline.replog._voters import VoterChange, VoterChanges
+from hornbeamline.replog.const import ENTRY_COMMAND, MAX_PENDING_PROPOSALS
+from hornbeamline.replog.errors import (
+    LogBusyError,
+    LogStoppedError,
+    NotLeaderError,
+)
+from hornbeamline.telemetry import log_event
+
+
+class RaftLog:
+    """A voter of the replicated log; implements `ReplicatedLog`.
+
+    Machines are registered before `start`. The handlers of the peering are
+    registered by the constructor.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        peering: Peering,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        disk: Disk | None = None,
+        run_blocking: BlockingRunner | None = None,
+    ) -> None:
+        """Take settings, network, time and random source.
+
+        `disk` and `run_blocking` replace the file operations and the
+        threads that execute them.
+        """
+        self._threads = Threads()
+        self._store = Store(settings.storage.data_folder, disk or Disk())
+        self._node = Node(
+            settings,
+            peering,
+            clock,
+            rng,
+            run_blocking or self._threads.run,
+            self._store,
+        )
+        self._snapshots = Snapshots(self._node)
+        self._follower = Follower(self._node, self._snapshots)
+        self._election = Election(self._node)
+        self._bootstrap = Bootstrap(self._node, self._election)
+        self._changes = VoterChanges(self._node)
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this voter leads, as far as it knows."""
+        return self._node.leadership is not None
+
+    @property
+    def leader(self) -> str | None:
+        """Return the name of the leader as last heard of."""
+        return self._node.leader
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self._node.term
+
+    @property
+    def identity(self) -> str:
+        """Return the random identity of the data folder."""
+        return self._node.identity
+
+    @property
+    def members(self) -> Members:
+        """Return voters and learners of the latest configuration."""
+        return self._node.journal.members
+
+    @property
+    def commit_index(self) -> int:
+        """Return the highest index known to be committed."""
+        return self._node.commit.position
+
+    @property
+    def applied_index(self) -> int:
+        """Return the index up to which the machines are."""
+        return self._node.applied.position
+
+    def register_machine(self, name: str, machine: ReplicatedMachine) -> None:
+        """Add a machine before the log starts."""
+        self._node.machines.register(name, machine)
+
+    def on_leadership(self, changed: Callable[[bool], None]) -> None:
+        """Call back with True on becoming leader, False on losing it.
+
+        True comes after the machines hold all commits of earlier terms.
+        """
+        self._node.leadership_callbacks.append(changed)
+
+    def on_stopped(self, stopped: Callable[[LogStoppedError], None]) -> None:
+        """Call back once when storage or a machine fails.
+
+        The process has to end: this voter acknowledges nothing any more.
+        """
+        self._node.on_stopped = stopped
+
+    async def start(self) -> None:
+        """Recover the data folder and take part; `LogStoppedError`."""
+        node = self._node
+        node.load(await node.run_blocking(self._store.open))
+        log_event(
+            'replog.started',
+            identity=node.identity,
+            term=node.term,
+            last=node.journal.last_index,
+        )
+        for name, address in node.settings.controls_by_name.items():
+            if name != node.name:
+                node.peering.add_peer(name, address)
+        node.tasks.spawn(self._write(), 'replog writer')
+        node.tasks.spawn(self._snapshots.run(), 'replog applier')
+        node.tasks.spawn(self._election.run(), 'replog election')
+        node.tasks.spawn(self._bootstrap.run(), 'replog first start')
+
+    async def stop(self) -> None:
+        """Hand over leadership, then end all activity."""
+        await transfer_leadership(self._node)
+        await self._end()
+
+    async def propose(self, machine: str, command: bytes) -> bytes:
+        """Commit a command and return the result of its `apply`.
+
+        Raises `NotLeaderError` and `LogBusyError` (nothing was proposed),
+        `ProposalUnknownError` (it may still be applied) and
+        `LogStoppedError` (nothing was proposed).
+        """
+        if machine not in self._node.machines:
+            raise ReplicatedLogError(f'machine {machine} is not registered')
+        leadership = self._require_leadership()
+        if leadership.pending >= MAX_PENDING_PROPOSALS:
+            PROPOSALS_REFUSED.inc()
+            raise LogBusyError(f'{leadership.pending} proposals are pending')
+        entry = Entry(leadership.term, ENTRY_COMMAND, machine, command)
+        return await leadership.propose(entry)
+
+    async def read_barrier(self) -> None:
+        """Return once local state holds all commits made before the call.
+
+        Raises `NotLeaderError` when a quorum does not confirm this host as
+        the leader, and `LogStoppedError`.
+        """
+        node = self._node
+        leadership = self._require_leadership()
+        # Before the no-op is committed, the commit index may lack entries
+        # that earlier leaders committed.
+        read_index = max(node.commit.position, leadership.noop_index)
+        try:
+            await leadership.confirm()
+            await leadership.wait_applied(read_index)
+        except NotLeaderError as error:
+            node.require_running()
+            raise NotLeaderError(node.leader) from error
+
+    async def change_voter(self, change: VoterChange) -> Members:
+        """Change one voter or learner and return the new configuration.
+
+        Raises `NotLeaderError` and `VoterChangeRefusedError` (nothing was
+        changed), `ProposalUnknownError` and `LogStoppedError`. After the
+        latter two, look at `members` and repeat the change.
+        """
+        return await self._changes.change(self._require_leadership(), change)
+
+    def _require_leadership(self) -> Leadership:
+        node = self._node
+        node.require_running()
+        if node.leadership is None or node.is_transferring:
+            raise NotLeaderError(node.leader)
+        return node.leadership
+
+    async def _write(self) -> None:
+        try:
+            await self._node.journal.run()
+        except LogStoppedError as error:
+            self._node.fail(error)
+
+    async def _end(self) -> None:
+        node = self._node
+        if node.stopped is None:
+            node.stopped = LogStoppedError('the log is shutting down')
+        node.leave_leadership('stop')
+        for watermark in (node.commit, node.applied, node.journal.durable):
+            watermark.fail(node.stopped)
+        await node.tasks.cancel_all()
+        # A write in progress ends before its file is closed.
+        await self._threads.stop()
+        self._store.close()
--- /dev/null
+++ b/hornbeamline/replog/_snapshots.py
@@ -0,0 +1,106 @@
+"""Applies committed entries; stores and installs snapshots."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hornbeamline.replog._entries import Snapshot
+from hornbeamline.replog._journal import snapshot_bytes
+from hornbeamline.replog._node import Node
+from hornbeamline.replog.const import APPLY_SLICE_ENTRIES
+from hornbeamline.replog.errors import LogStoppedError
+from hornbeamline.telemetry import log_event
+
+
+class Snapshots:
+    """Moves the machines along the log and the log behind them."""
+
+    def __init__(self, node: Node) -> None:
+        """Take the node."""
+        self._node = node
+        # One writer of the snapshot file at a time, newest last.
+        self._lock = asyncio.Lock()
+        self._is_saving = False
+
+    async def run(self) -> None:
+        """Apply entries as they are committed."""
+        node = self._node
+        try:
+            while node.stopped is None:
+                await node.commit.wait(node.applied.position + 1)
+                self._apply_slice()
+                self._save_when_due()
+                # Other tasks get a turn before the next slice.
+                await asyncio.sleep(0)
+        except LogStoppedError as error:
+            node.fail(error)
+
+    async def install(self, raw: bytes, snapshot: Snapshot) -> None:
+        """Replace log and machines by a received snapshot.
+
+        The caller holds the node's lock. Raises `LogStoppedError`.
+        """
+        node = self._node
+        async with self._lock:
+            await node.run_blocking(node.store.save_snapshot, raw)
+            node.machines.restore(snapshot)
+            node.applied.advance(snapshot.last_index)
+            node.commit.advance(snapshot.last_index)
+            await node.journal.start_from(snapshot)
+        log_event('replog.snapshot_installed', index=snapshot.last_index)
+
+    def _apply_slice(self) -> None:
+        node = self._node
+        first = node.applied.position + 1
+        last = min(node.commit.position, first + APPLY_SLICE_ENTRIES - 1)
+        for index in range(first, last + 1):
+            entry = node.journal.entry_at(index)
+            outcome = node.machines.apply(index, entry)
+            node.applied.advance(index)
+            if node.leadership is not None:
+                node.leadership.note_applied(index, outcome)
+        self._announce_leadership(last)
+
+    def _announce_leadership(self, applied: int) -> None:
+        # Only now the machines hold everything that was committed before
+        # the term began.
+        leadership = self._node.leadership
+        if leadership is None or leadership.is_announced:
+            return
+        if applied >= leadership.noop_index:
+            leadership.is_announced = True
+            self._node.announce(leads=True)
+
+    def _save_when_due(self) -> None:
+        node = self._node
+        applied = node.applied.position
+        behind = applied - node.journal.snapshot_index
+        if self._is_saving or behind < node.settings.storage.snapshot_entries:
+            return
+        snapshot = Snapshot(
+            applied,
+            node.journal.term_at(applied) or 0,
+            node.journal.configurations.at(applied),
+            node.machines.states(),
+        )
+        self._is_saving = True
+        node.tasks.spawn(self._save(snapshot), 'replog snapshot')
+
+    async def _save(self, snapshot: Snapshot) -> None:
+        node = self._node
+        try:
+            async with self._lock:
+                if snapshot.last_index <= node.journal.snapshot_index:
+                    return
+                raw = await node.run_blocking(snapshot_bytes, snapshot)
+                await node.run_blocking(node.store.save_snapshot, raw)
+                node.journal.compact(snapshot)
+                log_event(
+                    'replog.snapshot',
+                    index=snapshot.last_index,
+                    size=len(raw),
+                )
+        except LogStoppedError as error:
+            node.fail(error)
+        finally:
+            self._is_saving = False
--- /dev/null
+++ b/hornbeamline/replog/_threads.py
@@ -0,0 +1,26 @@
+"""Threads for the blocking file operations of one voter."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+
+class Threads:
+    """Runs blocking functions, so that a sync never blocks the loop."""
+
+    def __init__(self) -> None:
+        """Create no thread yet."""
+        # One thread each for the log, the vote file and snapshots.
+        self._executor = ThreadPoolExecutor(3, 'replog')
+
+    async def run(self, function: Callable[..., Any], *arguments: Any) -> Any:
+        """Return the result of a function that ran in a thread."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._executor, function, *arguments)
+
+    async def stop(self) -> None:
+        """Wait for the operations in progress."""
+        await asyncio.to_thread(self._executor.shutdown)
--- /dev/null
+++ b/hornbeamline/replog/_transfer.py
@@ -0,0 +1,57 @@
+"""Hand-over of leadership before a graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hornbeamline.exceptions import PeeringError
+from hornbeamline.replog._leadership import Leadership
+from hornbeamline.replog._messages import Accepted, TimeoutNow
+from hornbeamline.replog._node import Node
+from hornbeamline.telemetry import log_event
+
+
+async def transfer_leadership(node: Node) -> None:
+    """Make the most advanced voter the leader, if this node leads.
+
+    New proposals are refused meanwhile. Returns after two election timeouts
+    at the latest, also without a successor.
+    """
+    leadership = node.leadership
+    if leadership is None or len(leadership.members.voters) < 2:
+        return
+    node.is_transferring = True
+    storage = node.settings.storage
+    until_s = node.clock.monotonic() + 2 * storage.election_timeout_max_s
+    while not leadership.is_closed and node.clock.monotonic() < until_s:
+        successor = _successor(node, leadership)
+        if successor is not None:
+            await _ask(node, leadership, successor)
+        await asyncio.sleep(storage.heartbeat_interval_s / 2)
+
+
+def _successor(node: Node, leadership: Leadership) -> str | None:
+    """Return a voter that holds the whole log, once there is one."""
+    if leadership.pending:
+        return None
+    candidates = [
+        progress
+        for name, progress in sorted(leadership.table.progress_by_name.items())
+        if leadership.members.is_voter(name, progress.identity)
+        and progress.match_index == node.journal.last_index
+    ]
+    if not candidates:
+        return None
+    return max(candidates, key=lambda progress: progress.contact_at).name
+
+
+async def _ask(node: Node, leadership: Leadership, successor: str) -> None:
+    try:
+        await node.peering.call(
+            successor,
+            TimeoutNow(leadership.term),
+            Accepted,
+            node.settings.storage.heartbeat_interval_s,
+        )
+    except PeeringError as error:
+        log_event('replog.transfer_failed', error=str(error))
--- a/hornbeamline/replog/errors.py
+++ b/hornbeamline/replog/errors.py
@@ -20,3 +20,11 @@
 
 class LogStoppedError(ReplicatedLogError):
     """Storage failed or the log is shutting down."""
+
+
+class LogBusyError(ReplicatedLogError):
+    """Too many proposals are pending; nothing was proposed."""
+
+
+class VoterChangeRefusedError(ReplicatedLogError):
+    """A change of voters is not allowed now; nothing was changed."""
--- /dev/null
+++ b/tests/replog/group.py
@@ -0,0 +1,292 @@
+"""Voters of one group over the in-process network, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import random
+import shutil
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from hornbeamline.helpers.codec import decode, encode
+from hornbeamline.inventory import (
+    ControlSettings,
+    HostSettings,
+    OperatorSettings,
+    PeeringSettings,
+    StorageSettings,
+)
+from hornbeamline.replog import Disk, RaftLog
+from tests.local_network import LocalNetwork
+
+MACHINE = 'list'
+ADDRESS = '127.0.0.1:1'
+
+
+class LoopClock:
+    """Clock of the event loop, which may run in virtual time."""
+
+    def monotonic(self) -> float:
+        """Return the loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def wall_ms(self) -> int:
+        """Return the loop's time in milliseconds."""
+        return int(self.monotonic() * 1000)
+
+
+class ListMachine:
+    """Machine that keeps all commands in order."""
+
+    def __init__(self) -> None:
+        self.commands: list[tuple[int, bytes]] = []
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Append a command and return its position."""
+        self.commands.append((index, command))
+        return str(len(self.commands)).encode()
+
+    def snapshot(self) -> bytes:
+        """Return all commands."""
+        return encode(self.commands)
+
+    def restore(self, data: bytes) -> None:
+        """Replace all commands."""
+        self.commands = decode(data, list[tuple[int, bytes]])
+
+
+class FaultyDisk(Disk):
+    """Disk that can fail, and lose what was not synced in a crash."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._paths: dict[int, Path] = {}
+        self._synced_sizes: dict[Path, int] = {}
+        self.bytes_until_full: int | None = None
+        self.sync_fails = False
+        self.syncs = 0
+
+    def open(self, path: Path) -> int:
+        """Open a file; what it holds counts as synced."""
+        descriptor = super().open(path)
+        self._paths[descriptor] = path
+        self._synced_sizes.setdefault(path, path.stat().st_size)
+        return descriptor
+
+    def write(self, descriptor: int, content: bytes, offset: int) -> None:
+        """Write, or fill the disk with the first part and fail."""
+        if self.bytes_until_full is None:
+            super().write(descriptor, content, offset)
+            return
+        super().write(descriptor, content[: self.bytes_until_full], offset)
+        if len(content) > self.bytes_until_full:
+            raise OSError(errno.ENOSPC, 'No space left on device')
+        self.bytes_until_full -= len(content)
+
+    def sync(self, descriptor: int) -> None:
+        """Make a file survive `crash`; the real disk is not needed."""
+        if self.sync_fails:
+            raise OSError(errno.EIO, 'Input/output error')
+        self.syncs += 1
+        path = self._paths[descriptor]
+        self._synced_sizes[path] = path.stat().st_size
+
+    def replace(self, path: Path, content: bytes) -> None:
+        """Replace a file in one step."""
+        if self.bytes_until_full is not None:
+            raise OSError(errno.ENOSPC, 'No space left on device')
+        temporary = path.with_name(f'{path.name}.tmp')
+        temporary.write_bytes(content)
+        temporary.replace(path)
+
+    def crash(self) -> None:
+        """Lose a random part of the bytes that were not synced."""
+        for path, synced in self._synced_sizes.items():
+            if path.exists() and path.stat().st_size > synced:
+                size = self._rng.randint(synced, path.stat().st_size)
+                with path.open('r+b') as stream:
+                    stream.truncate(size)
+        self._paths.clear()
+        self._synced_sizes.clear()
+
+
+def control_settings(
+    name: str,
+    voters: list[str],
+    folder: Path,
+    **options: Any,
+) -> ControlSettings:
+    """Return the settings of one voter."""
+    return ControlSettings(
+        host=HostSettings(name=name, data_centre='dc', fleet='test'),
+        peering=PeeringSettings(address=ADDRESS),
+        operator=OperatorSettings(
+            address=ADDRESS,
+            credential_sha256='0' * 64,
+        ),
+        storage=StorageSettings(
+            data_folder=str(folder),
+            snapshot_entries=options.pop('snapshot_entries', 4096),
+        ),
+        controls_by_name=dict.fromkeys(voters, ADDRESS),
+        **options,
+    )
+
+
+class Voter:
+    """One voter that can be started, crashed and emptied."""
+
+    def __init__(self, group: Group, name: str, **options: Any) -> None:
+        self.group = group
+        self.name = name
+        self.options = options
+        self.folder = group.folder / name
+        self.disk = FaultyDisk(group.rng)
+        self.log: RaftLog | None = None
+        self.machine = ListMachine()
+        self.leads: list[bool] = []
+
+    async def start(self) -> None:
+        """Start a process on the data folder."""
+        group = self.group
+        peering = group.network.endpoint(self.name)
+        self.machine = ListMachine()
+        self.leads = []
+        self.log = RaftLog(
+            control_settings(
+                self.name,
+                group.initial,
+                self.folder,
+                **{'snapshot_entries': group.snapshot_entries, **self.options},
+            ),
+            peering,
+            LoopClock(),
+            random.Random(group.rng.random()),
+            disk=self.disk,
+            run_blocking=group.run_blocking,
+        )
+        self.log.register_machine(MACHINE, self.machine)
+        self.log.on_leadership(self.leads.append)
+        await self.log.start()
+
+    async def stop(self) -> None:
+        """Stop gracefully."""
+        if self.log is not None:
+            await self.log.stop()
+            self.group.network.endpoints_by_name[self.name].close()
+            self.log = None
+
+    async def crash(self) -> None:
+        """End the process at once and lose what was not synced."""
+        if self.log is not None:
+            self.group.network.endpoints_by_name[self.name].close()
+            log, self.log = self.log, None
+            await log._end()
+            self.disk.crash()
+
+    async def empty(self) -> None:
+        """Crash and lose the data folder."""
+        await self.crash()
+        shutil.rmtree(self.folder)
+
+
+class Group:
+    """Voters, their network and helpers to wait for them."""
+
+    def __init__(
+        self,
+        folder: Path,
+        voters: int,
+        seed: int = 1,
+        snapshot_entries: int = 4096,
+    ) -> None:
+        self.folder = folder
+        self.rng = random.Random(seed)
+        self.network = LocalNetwork(random.Random(seed + 1))
+        self.snapshot_entries = snapshot_entries
+        self.initial = [f'control-{number}' for number in range(1, voters + 1)]
+        self.voters = {name: Voter(self, name) for name in self.initial}
+
+    async def run_blocking(
+        self,
+        function: Callable[..., Any],
+        *arguments: Any,
+    ) -> Any:
+        """Run a file operation that takes virtual time before and after."""
+        await asyncio.sleep(self.rng.uniform(0, 0.001))
+        outcome = function(*arguments)
+        await asyncio.sleep(self.rng.uniform(0, 0.001))
+        return outcome
+
+    async def start(self) -> None:
+        """Start all voters."""
+        for voter in self.voters.values():
+            await voter.start()
+
+    async def stop(self) -> None:
+        """End all voters."""
+        for voter in self.voters.values():
+            await voter.crash()
+
+    @property
+    def running(self) -> list[Voter]:
+        """Return the voters whose process runs."""
+        return [
+            voter
+            for voter in self.voters.values()
+            if voter.log is not None and voter.log._node.stopped is None
+        ]
+
+    async def leader(self, among: list[Voter] | None = None) -> Voter:
+        """Wait for a leader that a quorum confirms."""
+        async with asyncio.timeout(30):
+            while True:
+                for voter in among or self.running:
+                    if await self._is_confirmed(voter):
+                        return voter
+                await asyncio.sleep(0.05)
+
+    async def _is_confirmed(self, voter: Voter) -> bool:
+        if voter.log is None or not voter.log.is_leader:
+            return False
+        try:
+            await voter.log.read_barrier()
+        except Exception:
+            return False
+        return True
+
+    async def propose(self, command: bytes) -> bytes:
+        """Commit a command through whichever voter leads."""
+        leader = await self.leader()
+        return await leader.log.propose(MACHINE, command)
+
+    async def settle(self) -> None:
+        """Wait until all running voters applied the same entries."""
+        await eventually(
+            lambda: (
+                len({voter.log.applied_index for voter in self.running}) == 1
+            ),
+        )
+        await asyncio.sleep(0.5)
+
+
+async def eventually(
+    condition: Callable[[], bool],
+    timeout_s: float = 30,
+) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.02)
+
+
+async def outcome_of(work: Awaitable[Any]) -> Any:
+    """Return the result of an awaitable or its error."""
+    try:
+        return await work
+    except Exception as error:
+        return error
--- /dev/null
+++ b/tests/replog/test_group.py
@@ -0,0 +1,74 @@
+"""Election, commit, restart and read barriers of whole groups."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hornbeamline.replog import NotLeaderError, ProposalUnknownError
+from tests.replog.group import MACHINE, eventually, outcome_of
+
+pytestmark = pytest.mark.looptime
+
+
+@pytest.mark.parametrize('voters', [1, 3, 5])
+async def test_commits_survive_a_restart_of_all(new_group, voters) -> None:
+    """Guards against a commit that is lost or doubled by a restart."""
+    group = await new_group(voters)
+    results = [await group.propose(b'%d' % number) for number in range(20)]
+    assert results == [b'%d' % number for number in range(1, 21)]
+    for voter in group.voters.values():
+        await voter.crash()
+    await group.start()
+    leader = await group.leader()
+    assert [command for _, command in leader.machine.commands] == [
+        b'%d' % number for number in range(20)
+    ]
+    await group.settle()
+    states = {tuple(voter.machine.commands) for voter in group.running}
+    assert len(states) == 1
+
+
+async def test_follower_refuses_proposals_and_reads(new_group) -> None:
+    """Guards against a follower that serves what a leader must."""
+    group = await new_group(3)
+    leader = await group.leader()
+    follower = next(voter for voter in group.running if voter is not leader)
+    await eventually(lambda: follower.log.leader == leader.name)
+    refusal = await outcome_of(follower.log.propose(MACHINE, b'x'))
+    assert isinstance(refusal, NotLeaderError)
+    assert refusal.leader == leader.name
+    with pytest.raises(NotLeaderError):
+        await follower.log.read_barrier()
+
+
+async def test_isolated_leader_answers_nothing(new_group) -> None:
+    """Guards against stale reads and false commits in a minority."""
+    group = await new_group(3)
+    old = await group.leader()
+    group.network.isolate(old.name)
+    proposal = asyncio.create_task(old.log.propose(MACHINE, b'lost'))
+    read = asyncio.create_task(old.log.read_barrier())
+    others = [voter for voter in group.running if voter is not old]
+    new = await group.leader(others)
+    await new.log.propose(MACHINE, b'kept')
+    assert isinstance(await outcome_of(proposal), ProposalUnknownError)
+    assert isinstance(await outcome_of(read), NotLeaderError)
+    assert not old.log.is_leader
+    assert old.leads == [True, False]
+    group.network.heal()
+    await group.settle()
+    assert [command for _, command in old.machine.commands] == [b'kept']
+
+
+async def test_graceful_stop_hands_over_leadership(new_group) -> None:
+    """Guards against an election timeout at every planned stop."""
+    group = await new_group(3)
+    old = await group.leader()
+    await group.propose(b'a')
+    loop = asyncio.get_running_loop()
+    begin = loop.time()
+    await old.stop()
+    await group.leader()
+    assert loop.time() - begin < 0.5
