Keep requests on their revision and set idempotency per stage

Cause: after the merge of decisions and pipeline, a change of a pipeline ended its requests in progress with configuration_changed, and a service with both repeatable and non-repeatable calls could not be described. Before: a request whose pipeline changed was refused.

--- a/hornbeamline/decisions/__init__.py
+++ b/hornbeamline/decisions/__init__.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from hornbeamline.decisions._engine import DecisionEngine
+from hornbeamline.decisions._routing import RoutingView, algorithm
 from hornbeamline.decisions._types import (
     CallReport,
     CallResult,
@@ -30,5 +31,7 @@
     'LoadReport',
     'Refusal',
     'RequestInfo',
+    'RoutingView',
     'StageCall',
+    'algorithm',
 )
--- a/hornbeamline/decisions/_attempts.py
+++ b/hornbeamline/decisions/_attempts.py
@@ -39,7 +39,7 @@
     ) -> float | None:
         """Return when a hedge would help, or None for never."""
         rules = pool.rules.hedge
-        if not rules.enabled or not pool.entry.idempotent:
+        if not rules.enabled or not dispatch.may_repeat:
             return None
         if dispatch.call.is_hedge or pool.usable_count < 2:
             return None
@@ -62,7 +62,8 @@
             return const.REASON_RETRY_ATTEMPTS
         if dispatch.call.attempt >= pool.rules.retry.max_attempts:
             return const.REASON_RETRY_ATTEMPTS
-        if not pool.entry.idempotent and report.result not in NOT_RUN:
+        is_safe = report.result in NOT_RUN or dispatch.may_repeat
+        if not is_safe:
             return const.REASON_RETRY_NOT_IDEMPOTENT
         return None
 
@@ -97,7 +98,8 @@
         dispatch: Dispatch,
         wall_ms: int,
     ) -> str:
-        is_allowed = pool.rules.hedge.enabled and pool.entry.idempotent
+        may_repeat = dispatch.may_repeat
+        is_allowed = pool.rules.hedge.enabled and may_repeat
         if not is_allowed or dispatch.call.is_hedge:
             return const.HEDGE_NOT_ALLOWED
         # A weight between 0 and 1 grants that much fewer of the hedges.
--- a/hornbeamline/decisions/_dispatcher.py
+++ b/hornbeamline/decisions/_dispatcher.py
@@ -123,7 +123,7 @@
         pool: Pool,
         now: float,
     ) -> _Question:
-        plan = self._state.planner.plan(call, now)
+        plan = self._state.plan(call, now)
         latest_at = call.request.deadline_at
         if pool.rules.admission.by_prediction:
             reserve_s = self._admission.reserve_s(call.request)
@@ -174,8 +174,9 @@
         call = question.call
         if call.attempt == 1 and not call.is_hedge:
             self._admission.dispatched(call.request, call.stage_index)
+        is_idempotent = self._state.may_repeat(call)
         may_retry = (
-            pool.entry.idempotent
+            is_idempotent
             and call.attempt < pool.rules.retry.max_attempts
             and pool.retry_budget.may_take()
             and pool.usable_count > 1
@@ -187,7 +188,7 @@
         )
         tokens = self._state.tokens_of(call)
         dispatch = self._calls.start(call, pool, record, timeout_s, tokens, now)
-        question.decided(dispatch)
+        question.decided(dispatch._replace(may_repeat=is_idempotent))
 
     def _refuse(
         self,
--- a/hornbeamline/decisions/_engine.py
+++ b/hornbeamline/decisions/_engine.py
@@ -153,7 +153,7 @@
         pool = self._state.pool_of(dispatch.call)
         if pool is None:
             return Refusal(const.REASON_NO_TARGET, 1)
-        plan = self._state.planner.plan(dispatch.call, now)
+        plan = self._state.plan(dispatch.call, now)
         answer = self._attempts.retry(pool, dispatch, report, plan, now)
         if isinstance(answer, str):
             return self._admission.refuse(answer, pool, now)
--- a/hornbeamline/decisions/_fleet.py
+++ b/hornbeamline/decisions/_fleet.py
@@ -6,11 +6,11 @@
 from typing import Final
 
 from hornbeamline.decisions._health import HealthReview
-from hornbeamline.decisions._plan import DeadlinePlanner
+from hornbeamline.decisions._plan import DeadlinePlanner, StagePlan
 from hornbeamline.decisions._pool import Pool
 from hornbeamline.decisions._targets import TargetRecord, entry_host_count
 from hornbeamline.decisions._types import DecisionSettings, StageCall
-from hornbeamline.inventory import Fleet
+from hornbeamline.inventory import Fleet, Stage
 
 _NOWHERE: Final = ''
 
@@ -64,19 +64,35 @@
 
     def pool_of(self, call: StageCall) -> Pool | None:
         """Return the pool of a call's stage, None if it is gone."""
-        if self.fleet is None:
-            return None
+        stages = self.stages_of(call)
+        return self.pools_by_name.get(stages[0].service) if stages else None
+
+    def stages_of(self, call: StageCall) -> tuple[Stage, ...]:
+        """Return a call's stage and those after it, empty if unknown."""
+        if call.stages or self.fleet is None:
+            return call.stages
         pipeline = self.fleet.pipelines_by_name.get(call.request.pipeline)
-        if pipeline is None or call.stage_index >= len(pipeline.stages):
-            return None
-        return self.pools_by_name[pipeline.stages[call.stage_index].service]
+        return tuple(pipeline.stages[call.stage_index :]) if pipeline else ()
+
+    def may_repeat(self, call: StageCall) -> bool:
+        """Return whether a call's stage is idempotent."""
+        stages = self.stages_of(call)
+        if self.fleet is None or not stages:
+            return False
+        if stages[0].service not in self.fleet.services_by_name:
+            return False
+        return self.fleet.stage_may_repeat(stages[0])
+
+    def plan(self, call: StageCall, now: float) -> StagePlan:
+        """Return the expected durations of a call and the later stages."""
+        return self.planner.plan(self.stages_of(call), call.max_tokens, now)
 
     def tokens_of(self, call: StageCall) -> int:
         """Return the tokens that a call may produce."""
-        if call.max_tokens or self.fleet is None:
+        stages = self.stages_of(call)
+        if call.max_tokens or not stages:
             return call.max_tokens
-        pipeline = self.fleet.pipelines_by_name[call.request.pipeline]
-        return pipeline.stages[call.stage_index].max_tokens
+        return stages[0].max_tokens
 
     def review(self, pipeline: str, now: float) -> None:
         """Review the targets of all stages of a pipeline."""
--- a/hornbeamline/decisions/_plan.py
+++ b/hornbeamline/decisions/_plan.py
@@ -6,10 +6,10 @@
 
 from hornbeamline.decisions._estimates import MEDIAN, P95
 from hornbeamline.decisions._pool import Pool
-from hornbeamline.decisions._types import StageCall
 from hornbeamline.inventory import Fleet, Stage
 
 _REFRESH_S: Final = 0.05
+_CACHED_PLANS: Final = 1024
 # The first attempt at a stage that may be retried leaves time for another.
 _FIRST_ATTEMPT_PART: Final = 0.5
 # An attempt is never cut before this many p95: a burst that slows all
@@ -26,6 +26,11 @@
     rest_p95_s: float
 
 
+class _Cached(NamedTuple):
+    expires_at: float
+    plan: StagePlan
+
+
 class DeadlinePlanner:
     """Knows the expected durations of all stages of all pipelines."""
 
@@ -35,6 +40,10 @@
         self._pools_by_name = pools_by_name
         self._plans_by_pipeline: dict[str, list[StagePlan]] = {}
         self._expires_by_pipeline: dict[str, float] = {}
+        self._plans_by_stages: dict[
+            tuple[tuple[Stage, ...], int],
+            _Cached,
+        ] = {}
 
     def plans(self, pipeline: str, now: float) -> list[StagePlan]:
         """Return the plans of all stages, at most 50 ms old."""
@@ -52,16 +61,45 @@
         self._expires_by_pipeline[pipeline] = now + _REFRESH_S
         return found
 
-    def plan(self, call: StageCall, now: float) -> StagePlan:
-        """Return the plan of one call."""
-        pipeline = call.request.pipeline
-        plan = self.plans(pipeline, now)[call.stage_index]
-        if not call.max_tokens:
-            return plan
-        stages = self._fleet.pipelines_by_name[pipeline].stages
-        stage = stages[call.stage_index]
-        median_s, p95_s = self._durations(stage, call.max_tokens, now)
-        return plan._replace(median_s=median_s, p95_s=p95_s)
+    def plan(
+        self,
+        stages: tuple[Stage, ...],
+        max_tokens: int,
+        now: float,
+    ) -> StagePlan:
+        """Return the plan of the first of the remaining stages.
+
+        It is at most 50 ms old. `max_tokens` replaces the stage's own bound
+        unless it is 0.
+        """
+        cached = self._plans_by_stages.get((stages, max_tokens))
+        if cached is not None and now < cached.expires_at:
+            return cached.plan
+        if len(self._plans_by_stages) >= _CACHED_PLANS:
+            self._plans_by_stages.clear()
+        plan = self._computed(stages, max_tokens, now)
+        expires_at = now + _REFRESH_S
+        self._plans_by_stages[stages, max_tokens] = _Cached(expires_at, plan)
+        return plan
+
+    def _computed(
+        self,
+        stages: tuple[Stage, ...],
+        max_tokens: int,
+        now: float,
+    ) -> StagePlan:
+        tokens = max_tokens or stages[0].max_tokens
+        own = self._durations(stages[0], tokens, now)
+        rest = [
+            self._durations(stage, stage.max_tokens, now)
+            for stage in stages[1:]
+            if stage.service in self._pools_by_name
+        ]
+        return StagePlan(
+            *own,
+            sum(median_s for median_s, _ in rest),
+            sum(p95_s for _, p95_s in rest),
+        )
 
     def _durations(
         self,
--- a/hornbeamline/decisions/_targets.py
+++ b/hornbeamline/decisions/_targets.py
@@ -9,7 +9,7 @@
 from hornbeamline.decisions._limits import AdaptiveLimit
 from hornbeamline.decisions._quantiles import DecayedQuantiles
 from hornbeamline.decisions._types import LoadReport
-from hornbeamline.inventory import Fleet, Rules, Target, TargetState
+from hornbeamline.inventory import Fleet, HostRole, Rules, Target, TargetState
 
 _HALF_LIFE_S: Final = 5.0
 # Fresh measurements that a comparison with other targets needs.
@@ -138,5 +138,9 @@
 
 def entry_host_count(fleet: Fleet) -> int:
     """Return the entry hosts that share the targets, at least one."""
-    roles = [host.role for host in fleet.hosts_by_name.values()]
-    return max(1, roles.count('entry'))
+    entries = [
+        host
+        for host in fleet.hosts_by_name.values()
+        if HostRole.entry in host.roles
+    ]
+    return max(1, len(entries))
--- a/hornbeamline/decisions/_types.py
+++ b/hornbeamline/decisions/_types.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import NamedTuple, TypeAlias
 
+from hornbeamline.inventory import Stage
+
 
 class DecisionSettings(NamedTuple):
     """Where the deciding host stands."""
@@ -36,6 +38,9 @@
     prefix: str = ''
     # Targets that this stage already tried.
     excluded: frozenset[str] = frozenset()
+    # This stage and those after it in the revision that the request began
+    # with; those of the newest revision when empty.
+    stages: tuple[Stage, ...] = ()
     # Tokens that a generation may produce; 0 means the stage's own bound.
     max_tokens: int = 0
 
@@ -48,6 +53,8 @@
     target: str
     # Bound of this attempt in seconds from now.
     timeout_s: float
+    # Whether the stage is idempotent.
+    may_repeat: bool = False
 
 
 class Refusal(NamedTuple):
--- a/hornbeamline/pipeline/_attempt.py
+++ b/hornbeamline/pipeline/_attempt.py
@@ -62,6 +62,17 @@
     # Where the tokens go, None when the caller does not get them.
     events: TokenEvents | None = None
 
+    @property
+    def remaining_stages(self) -> tuple[Stage, ...]:
+        """Return this stage and those after it."""
+        pipeline = self.fleet.pipelines_by_name[self.request.info.pipeline]
+        return tuple(pipeline.stages[self.stage_index :])
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether a call of this stage is idempotent."""
+        return self.fleet.stage_may_repeat(self.stage)
+
     @property
     def generates(self) -> bool:
         """Return whether the stage streams tokens."""
@@ -180,7 +191,7 @@
             self._attempt_id,
             payload,
             max(0, min(self.dispatch.timeout_s, remaining_s)),
-            self._plan.service.idempotent,
+            self._plan.may_repeat,
             request.request_key,
             request.info.priority,
             self._plan.before_send,
--- a/hornbeamline/pipeline/_run.py
+++ b/hornbeamline/pipeline/_run.py
@@ -132,7 +132,7 @@
         is_last: bool,
     ) -> Refusal | None:
         plan = self._plan(index, stage, is_last=is_last)
-        repeatable = plan.service.idempotent
+        repeatable = plan.may_repeat
         if not repeatable:
             refusal = await self._mark_sending()
             if refusal is not None:
@@ -171,7 +171,7 @@
             ),
             self._costs,
         )
-        if not service.idempotent and self._sending is not None:
+        if not plan.may_repeat and self._sending is not None:
             plan = plan._replace(before_send=self._sending.check)
         if service.kind is not ServiceKind.generation:
             return plan
--- a/hornbeamline/pipeline/_stage.py
+++ b/hornbeamline/pipeline/_stage.py
@@ -84,7 +84,7 @@
         assert attempt.report is not None
         result = attempt.report.result
         failure = Refusal(f'target_{result.value}', _FAILED_RETRY_AFTER_S)
-        if not (self._plan.service.idempotent or proves_not_run(error)):
+        if not (self._plan.may_repeat or proves_not_run(error)):
             return StageEnd(None, failure, may_have_run=True)
         delay = self._tools.decisions.retry_delay_s(
             attempt.dispatch,
@@ -113,6 +113,7 @@
             is_hedge=is_hedge,
             prefix=self._plan.prefix,
             excluded=self._usefully_excluded(is_hedge=is_hedge),
+            stages=self._plan.remaining_stages,
         )
         decision: asyncio.Future[Dispatch | Refusal]
         decision = asyncio.get_running_loop().create_future()
@@ -176,7 +177,7 @@
     async def _opened(self, dispatch: Dispatch) -> Attempt:
         attempt = self._attempt(dispatch)
         delay_s = None
-        if self._plan.service.idempotent:
+        if self._plan.may_repeat:
             delay_s = self._tools.decisions.hedge_delay_s(dispatch)
         if delay_s is None:
             await attempt.open()
