Keep new work away from leaving targets

Cause: nothing read the platform's list of live and leaving targets. The view test compares with an oracle over the whole history. The peering tests choose distinct ports below the ephemeral range: one full run had failed with "address in use" on a port from free_address(). The cause of the port collision is inferred, it was seen once.

--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the view of live and leaving targets."""
--- /dev/null
+++ b/tests/membership/test_view.py
@@ -0,0 +1,196 @@
+"""View against an oracle that recomputes everything from its history."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from hornbeamline.helpers.clock import ManualClock
+from hornbeamline.inventory import (
+    Fleet,
+    FleetInfo,
+    MembershipRules,
+    Target,
+    TargetState,
+)
+from hornbeamline.membership import MembershipView
+
+HOLD_S = 10
+RULES = MembershipRules(leaving_hold_s=HOLD_S)
+TARGETS = ('t1', 't2', 't3')
+STATES = st.dictionaries(
+    st.sampled_from(TARGETS),
+    st.sampled_from(['live', 'leaving']),
+)
+
+
+class Delivered(NamedTuple):
+    """A list as the view got it."""
+
+    at: float
+    version: int
+    states: dict[str, str]
+
+
+class Noted(NamedTuple):
+    """Own evidence about a target."""
+
+    target: str
+
+
+def is_leaving(target: str, history: list[Delivered | Noted]) -> bool:
+    """Return the state of a target by the definition of the design page."""
+    highest = -1
+    evidence_version: int | None = None
+    run: list[float] = []
+    for event in history:
+        if isinstance(event, Noted):
+            if event.target == target:
+                evidence_version, run = highest, []
+            continue
+        if event.version < highest:
+            continue
+        highest = event.version
+        state = event.states.get(target)
+        if state == 'leaving':
+            evidence_version, run = highest, []
+        elif evidence_version is not None and highest > evidence_version:
+            run = [*run, event.at] if state == 'live' else []
+            if run and run[-1] - run[0] >= HOLD_S:
+                evidence_version, run = None, []
+    return evidence_version is not None
+
+
+class ViewMachine(RuleBasedStateMachine):
+    """A platform whose copies lag, flap and come back out of order."""
+
+    @initialize()
+    def begin(self) -> None:
+        """Start without any list."""
+        self.clock = ManualClock()
+        self.view = MembershipView(lambda: RULES, self.clock)
+        self.history: list[Delivered | Noted] = []
+        self.published: list[dict[str, str]] = [{}]
+        self.told: frozenset[str] = frozenset()
+        self.view.on_change(self.take_change)
+
+    def take_change(self, unavailable: frozenset[str]) -> None:
+        """Keep what the callback said last."""
+        assert unavailable != self.told
+        self.told = unavailable
+
+    @rule(seconds=st.sampled_from([0.5, 1, 3, 9.5, 10]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.advance(seconds)
+
+    @rule(states=STATES)
+    def publish(self, states: dict[str, str]) -> None:
+        """Publish the next version, which nobody has read yet."""
+        self.published.append(states)
+
+    @rule(age=st.integers(0, 3))
+    def deliver(self, age: int) -> None:
+        """Read the newest list or a stale copy."""
+        version = max(len(self.published) - 1 - age, 0)
+        self.deliver_version(version, self.published[version])
+
+    @rule(name=st.sampled_from(TARGETS), periods=st.integers(1, 12))
+    def report_live(self, name: str, periods: int) -> None:
+        """Publish and read lists that say live, one a second."""
+        for _ in range(periods):
+            self.published.append({name: 'live'})
+            self.deliver(0)
+            self.clock.advance(1)
+
+    @rule(name=st.sampled_from(TARGETS), periods=st.integers(10, 12))
+    def repeat_after_note(self, name: str, periods: int) -> None:
+        """A list from before a target's answer is read over and over."""
+        self.report_live(name, 1)
+        self.note(name)
+        for _ in range(periods):
+            self.clock.advance(1)
+            self.deliver(0)
+
+    @rule(name=st.sampled_from(TARGETS))
+    def note(self, name: str) -> None:
+        """A target answers that it is leaving."""
+        self.view.note_leaving(name)
+        self.history.append(Noted(name))
+
+    def deliver_version(self, version: int, states: dict[str, str]) -> None:
+        """Hand a list to the view and the oracle."""
+        self.view.apply_list(version, states)
+        at = self.clock.monotonic()
+        self.history.append(Delivered(at, version, states))
+
+    @invariant()
+    def agrees_with_oracle(self) -> None:
+        """Guards against early returns and against targets lost for good."""
+        expected = {name for name in TARGETS if is_leaving(name, self.history)}
+        assert self.view.unavailable() == expected
+        assert self.told == expected
+        for name in TARGETS:
+            assert self.view.accepts_new_work(name) == (name not in expected)
+
+
+TestView = ViewMachine.TestCase
+TestView.settings = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+)
+
+
+def fleet(**states: TargetState) -> Fleet:
+    """Return a fleet with targets in the given states."""
+    return Fleet(
+        fleet=FleetInfo(name='test'),
+        targets_by_name={
+            name: Target(
+                service='s',
+                data_centre='d',
+                address='127.0.0.1:1',
+                state=state,
+            )
+            for name, state in states.items()
+        },
+    )
+
+
+def test_draining_counts_as_leaving() -> None:
+    """Guards against new work for a target that the operator drains."""
+    view = MembershipView(lambda: RULES, ManualClock())
+    view.update_fleet(fleet(t1=TargetState.draining, t2=TargetState.live))
+    assert view.unavailable() == {'t1'}
+    view.update_fleet(fleet(t1=TargetState.live, t2=TargetState.live))
+    assert view.unavailable() == frozenset()
+
+
+def test_operator_returns_a_target_without_a_list() -> None:
+    """Guards against a target lost for good where no list exists."""
+    view = MembershipView(lambda: RULES, ManualClock())
+    view.update_fleet(fleet(t1=TargetState.live))
+    view.note_leaving('t1')
+    view.update_fleet(fleet(t1=TargetState.live))
+    assert not view.accepts_new_work('t1')
+    view.update_fleet(fleet(t1=TargetState.draining))
+    view.update_fleet(fleet(t1=TargetState.live))
+    assert view.accepts_new_work('t1')
+
+
+def test_draining_keeps_what_the_list_says() -> None:
+    """Guards against a leaving report lost by draining and returning."""
+    view = MembershipView(lambda: RULES, ManualClock())
+    view.apply_list(1, {'t1': 'leaving'})
+    view.update_fleet(fleet(t1=TargetState.draining))
+    view.update_fleet(fleet(t1=TargetState.live))
+    assert not view.accepts_new_work('t1')
--- a/tests/peering/conftest.py
+++ b/tests/peering/conftest.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import random
+import socket
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -12,9 +14,11 @@
 from hornbeamline.inventory import PeeringSettings
 from hornbeamline.peering import PynngPeering, message
 from hornbeamline.telemetry import registry
-from tests.common import free_address
 
 SILENCE_TIMEOUT_S = 0.4
+# Below the ports that systems give to outgoing connections and to port 0,
+# so that a connection does not take an address before its listener does.
+PORTS = range(12_000, 32_000)
 
 
 @message('test.ask')
@@ -57,6 +61,19 @@
             await asyncio.sleep(0.005)
 
 
+def free_addresses(count: int) -> list[str]:
+    """Return distinct loopback addresses that are free at the moment."""
+    addresses: list[str] = []
+    with contextlib.ExitStack() as probes:
+        while len(addresses) < count:
+            probe = probes.enter_context(socket.socket())
+            port = random.SystemRandom().choice(PORTS)
+            with contextlib.suppress(OSError):
+                probe.bind(('127.0.0.1', port))
+                addresses.append(f'127.0.0.1:{port}')
+    return addresses
+
+
 class Processes:
     """Starts peerings and stops them at the end of the test."""
 
@@ -96,8 +113,8 @@
 @pytest.fixture
 async def pair(processes: Processes):
     """Return two peerings of which only the first knows the other."""
-    left = await processes.start('left', free_address())
-    address = free_address()
+    left_address, address = free_addresses(2)
+    left = await processes.start('left', left_address)
     right = await processes.start('right', address)
     left.add_peer('right', address)
     return left, right
--- a/tests/peering/test_links.py
+++ b/tests/peering/test_links.py
@@ -9,13 +9,13 @@
 import pytest
 
 from hornbeamline.peering import CallTimeoutError, PynngPeering
-from tests.common import free_address
 from tests.peering.conftest import (
     SILENCE_TIMEOUT_S,
     Ask,
     Processes,
     Told,
     eventually,
+    free_addresses,
 )
 from tests.relay import Relay
 
@@ -28,10 +28,15 @@
     def __init__(self, processes: Processes) -> None:
         """Take the starter of peerings."""
         self.processes = processes
-        self.addresses = {'left': free_address(), 'right': free_address()}
+        left, right, *relays = free_addresses(4)
+        self.addresses = {'left': left, 'right': right}
         self.relays = {
-            name: Relay(free_address(), address)
-            for name, address in self.addresses.items()
+            name: Relay(relay, address)
+            for relay, (name, address) in zip(
+                relays,
+                self.addresses.items(),
+                strict=True,
+            )
         }
 
     async def start(self, name: str) -> PynngPeering:
--- a/tests/peering/test_messages.py
+++ b/tests/peering/test_messages.py
@@ -20,7 +20,6 @@
 )
 from hornbeamline.peering.const import MAX_BACKLOG_BYTES, MAX_FRAME_BYTES
 from hornbeamline.telemetry import registry
-from tests.common import free_address
 from tests.peering.conftest import (
     Ask,
     Processes,
@@ -28,6 +27,7 @@
     Unhandled,
     dropped,
     eventually,
+    free_addresses,
 )
 
 Pair = tuple[PynngPeering, PynngPeering]
@@ -42,7 +42,7 @@
 
 async def test_port_in_use_is_named(processes: Processes) -> None:
     """Guards against a second process that starts without an inbox."""
-    address = free_address()
+    address = free_addresses(1)[0]
     await processes.start('left', address)
     with pytest.raises(ListenError, match=f'cannot listen on {address}'):
         await processes.start('right', address)
@@ -158,9 +158,9 @@
     reason: str,
 ) -> None:
     """Guards against frames of strangers that stop or mislead a process."""
-    address = free_address()
+    address, left_address = free_addresses(2)
     right = await processes.start('right', address)
-    left = await processes.start('left', free_address())
+    left = await processes.start('left', left_address)
     before = dropped(reason)
     with pynng.Push0(dial=f'tcp://{address}') as stranger:
         stranger.send(frame)
@@ -179,7 +179,7 @@
     """Guards against a peer that takes no frames and fills the memory."""
     left, _ = pair
     before = dropped('backlog_full')
-    address = free_address()
+    address = free_addresses(1)[0]
     with pynng.Pull0(listen=f'tcp://{address}') as stuck:
         left.add_peer('stuck', address)
         text = 'x' * 1_000_000
