--- a/hornbeamline/pipeline/_executor.py
+++ b/hornbeamline/pipeline/_executor.py
@@ -10,13 +10,9 @@
 from hornbeamline.exceptions import LedgerError
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.inventory import Fleet
+from hornbeamline.ledger import Claim, ClaimExisting, ClaimRefused
 from hornbeamline.pipeline._attempt import Tools
-from hornbeamline.pipeline._claims import (
-    Claim,
-    ClaimExisting,
-    ClaimRefused,
-    Claims,
-)
+from hornbeamline.pipeline._claims import Claims
 from hornbeamline.pipeline._events import CallerStalledError, TokenEvents
 from hornbeamline.pipeline._metrics import OUTCOMES
 from hornbeamline.pipeline._records import (
--- a/hornbeamline/pipeline/_records.py
+++ b/hornbeamline/pipeline/_records.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 from hornbeamline.helpers.codec import CodecError, decode_json, encode_json
-from hornbeamline.pipeline._claims import (
+from hornbeamline.ledger import (
     ClaimOutcome,
     ClaimState,
     ClaimView,
--- a/hornbeamline/pipeline/_run.py
+++ b/hornbeamline/pipeline/_run.py
@@ -8,8 +8,9 @@
 from hornbeamline.exceptions import LedgerError
 from hornbeamline.helpers.codec import encode_json
 from hornbeamline.inventory import Fleet, ServiceKind, Stage
+from hornbeamline.ledger import Claim, SendPermit
 from hornbeamline.pipeline._attempt import StagePlan, Tools
-from hornbeamline.pipeline._claims import Claim, Claims, SendPermit
+from hornbeamline.pipeline._claims import Claims
 from hornbeamline.pipeline._costs import CostMeter
 from hornbeamline.pipeline._events import TokenEvents
 from hornbeamline.pipeline._stage import StageRunner
--- a/tests/pipeline/support.py
+++ b/tests/pipeline/support.py
@@ -21,7 +21,7 @@
 from hornbeamline.exceptions import LedgerError
 from hornbeamline.helpers.clock import SystemClock
 from hornbeamline.inventory import Fleet
-from hornbeamline.pipeline import (
+from hornbeamline.ledger import (
     Claim,
     ClaimDecision,
     ClaimExisting,
@@ -30,10 +30,9 @@
     ClaimRefused,
     ClaimState,
     ClaimView,
-    PipelineExecutor,
-    PipelineRequest,
     SendPermit,
 )
+from hornbeamline.pipeline import PipelineExecutor, PipelineRequest
 from hornbeamline.targets import TargetClient
 
 CLOCK = SystemClock()
--- a/tests/pipeline/test_non_repeatable.py
+++ b/tests/pipeline/test_non_repeatable.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from hornbeamline.pipeline import ClaimState, OutcomeKind
+from hornbeamline.ledger import ClaimState
+from hornbeamline.pipeline import OutcomeKind
 from hornbeamline.standins import Faults
 from tests.pipeline.support import bench_for, request
 from tests.serving import fleet_with, serving
