Spill to other data centres when the own one is above the average load

Cause: a data centre with one of six targets kept its hosts' calls up to 80% of the limit while targets elsewhere stood idle, so two_choices was slower than least_in_flight. Calls that stand at a data centre when it is cut wait for their timeout; shorter attempts are the next try.

--- a/hornbeamline/decisions/_routing.py
+++ b/hornbeamline/decisions/_routing.py
@@ -65,7 +65,8 @@
             return holder
     best = _best(view, view.own.sample_two(call.excluded, view.rng))
     if best is not None:
-        threshold = view.rules.spill_threshold
+        fair_load = view.average_load * _BOUNDED_LOAD
+        threshold = min(view.rules.spill_threshold, fair_load)
         if relative_load(best, view.now) <= threshold:
             return best
     spilled = view.others.sample_two(call.excluded, view.rng)
