--- a/hornbeamline/replog/_store.py
+++ b/hornbeamline/replog/_store.py
@@ -50,9 +50,13 @@
         try:
             return self._open()
         except OSError as error:
+            self.close()
             raise LogStoppedError(
                 f'data folder {self._folder} cannot be used: {error}',
             ) from error
+        except LogStoppedError:
+            self.close()
+            raise
 
     def append(self, runs: list[Run]) -> None:
         """Write and sync entries as one record."""
--- a/hornbeamline/replog/_threads.py
+++ b/hornbeamline/replog/_threads.py
@@ -13,14 +13,18 @@
 
     def __init__(self) -> None:
         """Create no thread yet."""
-        # One thread each for the log, the vote file and snapshots.
-        self._executor = ThreadPoolExecutor(3, 'replog')
+        self._executor: ThreadPoolExecutor | None = None
 
     async def run(self, function: Callable[..., Any], *arguments: Any) -> Any:
         """Return the result of a function that ran in a thread."""
+        if self._executor is None:
+            # One thread each for the log, the vote file and snapshots.
+            self._executor = ThreadPoolExecutor(3, 'replog')
         loop = asyncio.get_running_loop()
         return await loop.run_in_executor(self._executor, function, *arguments)
 
     async def stop(self) -> None:
         """Wait for the operations in progress."""
-        await asyncio.to_thread(self._executor.shutdown)
+        if self._executor is not None:
+            await asyncio.to_thread(self._executor.shutdown)
+            self._executor = None
--- a/tests/replog/group.py
+++ b/tests/replog/group.py
@@ -40,12 +40,18 @@
 class ListMachine:
     """Machine that keeps all commands in order."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        on_change: Callable[[list[tuple[int, bytes]]], None] | None = None,
+    ) -> None:
         self.commands: list[tuple[int, bytes]] = []
+        self._on_change = on_change
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Append a command and return its position."""
         self.commands.append((index, command))
+        if self._on_change is not None:
+            self._on_change(self.commands)
         return str(len(self.commands)).encode()
 
     def snapshot(self) -> bytes:
@@ -55,6 +61,8 @@
     def restore(self, data: bytes) -> None:
         """Replace all commands."""
         self.commands = decode(data, list[tuple[int, bytes]])
+        if self._on_change is not None:
+            self._on_change(self.commands)
 
 
 class FaultyDisk(Disk):
@@ -108,6 +116,9 @@
                 size = self._rng.randint(synced, path.stat().st_size)
                 with path.open('r+b') as stream:
                     stream.truncate(size)
+                    # A block may be missing before one that was written.
+                    stream.seek(self._rng.randint(synced, size))
+                    stream.write(bytes(min(16, size - stream.tell())))
         self._paths.clear()
         self._synced_sizes.clear()
 
@@ -152,7 +163,7 @@
         """Start a process on the data folder."""
         group = self.group
         peering = group.network.endpoint(self.name)
-        self.machine = ListMachine()
+        self.machine = ListMachine(group.on_machine_change)
         self.leads = []
         self.log = RaftLog(
             control_settings(
@@ -201,10 +212,15 @@
         voters: int,
         seed: int = 1,
         snapshot_entries: int = 4096,
+        network: LocalNetwork | None = None,
     ) -> None:
         self.folder = folder
         self.rng = random.Random(seed)
-        self.network = LocalNetwork(random.Random(seed + 1))
+        self.network = network or LocalNetwork(random.Random(seed + 1))
+        # Called with the state of a machine after every change of it.
+        self.on_machine_change: (
+            Callable[[list[tuple[int, bytes]]], None] | None
+        ) = None
         self.snapshot_entries = snapshot_entries
         self.initial = [f'control-{number}' for number in range(1, voters + 1)]
         self.voters = {name: Voter(self, name) for name in self.initial}
--- /dev/null
+++ b/tests/replog/test_faults.py
@@ -0,0 +1,181 @@
+"""Storage faults, isolation and lagging voters in a group."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hornbeamline.replog import (
+    LogBusyError,
+    LogStoppedError,
+    ProposalUnknownError,
+    const,
+)
+from tests.replog.group import MACHINE, eventually, outcome_of
+
+pytestmark = pytest.mark.looptime
+
+
+def commands_of(voter) -> list[bytes]:
+    """Return the commands that a voter has applied."""
+    return [command for _, command in voter.machine.commands]
+
+
+@pytest.mark.parametrize('fault', ['sync', 'full'])
+async def test_storage_fault_stops_the_leader(new_group, fault) -> None:
+    """Guards against an acknowledgement that the disk did not take."""
+    group = await new_group(3)
+    await group.propose(b'before')
+    leader = await group.leader()
+    stopped: list[LogStoppedError] = []
+    leader.log.on_stopped(stopped.append)
+    if fault == 'sync':
+        leader.disk.sync_fails = True
+    else:
+        leader.disk.bytes_until_full = 10
+    outcome = await outcome_of(leader.log.propose(MACHINE, b'unsure'))
+    # Both followers hold the entry, so it may be committed; the leader must
+    # not have counted itself.
+    assert isinstance(outcome, (ProposalUnknownError, bytes))
+    await eventually(lambda: bool(stopped))
+    syncs = leader.disk.syncs
+    refusal = await outcome_of(leader.log.propose(MACHINE, b'never'))
+    assert isinstance(refusal, LogStoppedError)
+    assert isinstance(
+        await outcome_of(leader.log.read_barrier()),
+        LogStoppedError,
+    )
+    assert not leader.log.is_leader
+    assert await group.propose(b'after')
+    leader.disk.sync_fails = False
+    leader.disk.bytes_until_full = None
+    await asyncio.sleep(2)
+    assert leader.disk.syncs == syncs
+    await leader.crash()
+    await leader.start()
+    await group.settle()
+    kept = [b'before', b'unsure', b'after']
+    assert commands_of(leader) in (kept, [b'before', b'after'])
+    assert len({tuple(v.machine.commands) for v in group.running}) == 1
+
+
+async def test_single_voter_with_failing_sync_commits_nothing(
+    new_group,
+) -> None:
+    """Guards against a commit without any durable copy."""
+    group = await new_group(1)
+    await group.propose(b'kept')
+    voter = await group.leader()
+    voter.disk.sync_fails = True
+    outcome = await outcome_of(voter.log.propose(MACHINE, b'lost'))
+    assert isinstance(outcome, ProposalUnknownError)
+    assert commands_of(voter) == [b'kept']
+    voter.disk.sync_fails = False
+    await voter.crash()
+    await voter.start()
+    await group.leader()
+    assert commands_of(voter) in ([b'kept'], [b'kept', b'lost'])
+
+
+async def test_long_isolation_does_not_disturb(new_group) -> None:
+    """Guards against a returning voter that unseats a working leader."""
+    group = await new_group(3)
+    leader = await group.leader()
+    lonely = next(voter for voter in group.running if voter is not leader)
+    term = leader.log.term
+    group.network.isolate(lonely.name)
+    for number in range(60):
+        await leader.log.propose(MACHINE, b'%d' % number)
+        await asyncio.sleep(5)
+    assert lonely.log.term == term
+    group.network.heal()
+    await asyncio.sleep(5)
+    assert leader.log.is_leader
+    assert leader.log.term == term
+    assert commands_of(lonely) == commands_of(leader)
+
+
+async def test_one_way_silence_does_not_disturb(new_group) -> None:
+    """Guards against a voter that hears nobody but is heard by all."""
+    group = await new_group(3)
+    leader = await group.leader()
+    deaf = next(voter for voter in group.running if voter is not leader)
+    for other in group.voters:
+        if other != deaf.name:
+            group.network.cuts.add((other, deaf.name))
+    term = leader.log.term
+    await asyncio.sleep(30)
+    assert leader.log.is_leader
+    assert leader.log.term == term
+
+
+async def test_lagging_voter_gets_a_snapshot_in_chunks(
+    new_group,
+    monkeypatch,
+) -> None:
+    """Guards against a voter that stays behind the retained log."""
+    monkeypatch.setattr(
+        'hornbeamline.replog._replication.SNAPSHOT_CHUNK_BYTES',
+        100,
+    )
+    group = await new_group(3, snapshot_entries=10)
+    leader = await group.leader()
+    late = next(voter for voter in group.running if voter is not leader)
+    await late.crash()
+    for number in range(100):
+        await leader.log.propose(MACHINE, b'%d' % number)
+    assert leader.log._node.journal.base_index > 50
+    assert len(list((leader.folder / 'replog').glob('log-*'))) < 5
+    await late.start()
+    group.network.loss = 0.05
+    await eventually(lambda: len(late.machine.commands) == 100)
+    assert late.machine.commands == leader.machine.commands
+    group.network.loss = 0
+    await late.crash()
+    await late.start()
+    await group.settle()
+    assert late.machine.commands == leader.machine.commands
+
+
+async def test_pending_proposals_are_bounded(new_group, monkeypatch) -> None:
+    """Guards against unbounded memory while no quorum answers."""
+    monkeypatch.setattr('hornbeamline.replog._replica.MAX_PENDING_PROPOSALS', 5)
+    group = await new_group(3)
+    leader = await group.leader()
+    group.network.isolate(leader.name)
+    waiting = [
+        asyncio.create_task(leader.log.propose(MACHINE, b'%d' % number))
+        for number in range(7)
+    ]
+    outcomes = await asyncio.gather(*waiting, return_exceptions=True)
+    kinds = [type(outcome) for outcome in outcomes]
+    assert kinds == [ProposalUnknownError] * 5 + [LogBusyError] * 2
+
+
+async def test_proposals_share_a_sync(new_group) -> None:
+    """Guards against one sync for each of many waiting proposals."""
+    group = await new_group(1)
+    voter = await group.leader()
+    syncs = voter.disk.syncs
+    await asyncio.gather(
+        *(voter.log.propose(MACHINE, b'%d' % number) for number in range(200)),
+    )
+    assert voter.disk.syncs - syncs <= 2
+    assert const.MAX_PENDING_PROPOSALS >= 200
+
+
+async def test_readers_share_a_quorum_round(new_group) -> None:
+    """Guards against one quorum round for each of many readers."""
+    group = await new_group(3)
+    leader = await group.leader()
+    sent: list[str] = []
+    call = leader.log._node.peering.call
+
+    async def counted(peer, request, reply_kind, timeout_s):
+        sent.append(peer)
+        return await call(peer, request, reply_kind, timeout_s)
+
+    leader.log._node.peering.call = counted
+    await asyncio.gather(*(leader.log.read_barrier() for _ in range(200)))
+    assert len(sent) <= 6
