--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Repeatable measurements; results stand in docs/measurements-*.md."""
+"""Measurements that run from the repository root."""
--- a/hornbeamline/pipeline/__init__.py
+++ b/hornbeamline/pipeline/__init__.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from hornbeamline.pipeline._executor import PipelineExecutor
+from hornbeamline.pipeline._claims import Claims
+from hornbeamline.pipeline._events import TokenEvents
+from hornbeamline.pipeline._executor import FleetSource, PipelineExecutor
 from hornbeamline.pipeline._types import (
     Outcome,
     OutcomeKind,
@@ -11,9 +13,12 @@
 )
 
 __all__ = (
+    'Claims',
+    'FleetSource',
     'Outcome',
     'OutcomeKind',
     'PipelineExecutor',
     'PipelineRequest',
     'StageCost',
+    'TokenEvents',
 )
