--- a/hornbeamline/decisions/_breaker.py
+++ b/hornbeamline/decisions/_breaker.py
@@ -69,11 +69,11 @@
         return True
 
     def return_slowly(self, now: float) -> None:
-        """Start with a small part of the limit and grow to all of it."""
+        """Start with a small part of the calls and grow to all of them."""
         self._returned_at = now
 
     def ramp(self, now: float) -> float:
-        """Return the usable part of the limit, from 0.1 to 1."""
+        """Return the part of its usual calls, from 0.1 to 1."""
         since_s = now - self._returned_at
         if since_s >= self._rules.slow_return_s:
             return 1
--- a/hornbeamline/decisions/_calls.py
+++ b/hornbeamline/decisions/_calls.py
@@ -71,6 +71,7 @@
         record.in_flight += 1
         record.last_dispatch_at = now
         pool.in_flight += 1
+        pool.note_demand()
         pool.sync(record, now)
         if call.prefix:
             pool.affinity.note(call.prefix, record.name, now)
--- a/hornbeamline/decisions/_health.py
+++ b/hornbeamline/decisions/_health.py
@@ -77,7 +77,7 @@
         )
         if is_dead and pool.has_others(record):
             self._eject(record, 'dead', now)
-        elif pool.rest_can_carry(record, now):
+        elif pool.rest_can_carry(record):
             self._eject(record, 'failures', now)
 
     def _eject(self, record: TargetRecord, evidence: str, now: float) -> None:
@@ -110,15 +110,15 @@
             self._probe(record)
         if record.is_avoided:
             self._review_avoided(record, now)
-        elif self._is_too_slow(record, now):
+        elif self._is_too_slow(record):
             record.is_avoided = True
             _metrics.ejections.add(pool.name, 'slow')
         pool.sync(record, now)
 
-    def _is_too_slow(self, record: TargetRecord, now: float) -> bool:
+    def _is_too_slow(self, record: TargetRecord) -> bool:
         if record.slowness <= _TOO_SLOW or not record.is_usable:
             return False
-        return self._pool.rest_can_carry(record, now)
+        return self._pool.rest_can_carry(record)
 
     def _review_avoided(self, record: TargetRecord, now: float) -> None:
         if record.slowness < _FAST_AGAIN:
--- a/hornbeamline/decisions/_limits.py
+++ b/hornbeamline/decisions/_limits.py
@@ -13,6 +13,7 @@
 # Hosts start at a multiple of their equal part of the target, so that one
 # host's burst may use slots that the others leave idle.
 _START_FACTOR: Final = 2
+_EVIDENCE_S: Final = 5.0
 _WINDOW_S: Final = 1.0
 _WINDOW_SAMPLES: Final = 10
 _RISE_IDLE: Final = 0.1
@@ -42,11 +43,24 @@
         )
         part = math.ceil(concurrency * _START_FACTOR / host_count)
         start = min(rules.initial_concurrency, part, self._ceiling)
-        self.value = float(max(self._floor, start))
+        self._start = float(max(self._floor, start))
+        self.value = self._start
         if not rules.adaptive:
             self.value = float(rules.max_concurrency)
         self._relative = 1.0
         self._shrunk_at = -math.inf
+        self._learned_at = -math.inf
+
+    def review(self, now: float) -> None:
+        """Return to the start value when the evidence is old.
+
+        A low limit keeps calls away and with them the evidence that would
+        raise it.
+        """
+        is_old = now - self._learned_at > _EVIDENCE_S
+        if is_old and self._rules.adaptive and self.value < self._start:
+            self.value = self._start
+            self._relative = 1
 
     def succeeded(
         self,
@@ -58,6 +72,7 @@
         """Learn from a duration relative to that of an idle target."""
         if not self._rules.adaptive:
             return
+        self._learned_at = now
         self._relative += _GAIN * (relative - self._relative)
         if self._relative > self._rules.latency_tolerance:
             self._shrink(_SHRINK_SLOW, started_at, now)
@@ -74,6 +89,7 @@
         if started_at < self._shrunk_at:
             return
         self._shrunk_at = now
+        self._learned_at = now
         self.value = max(self._floor, self.value * factor)
 
 
--- a/hornbeamline/decisions/_pool.py
+++ b/hornbeamline/decisions/_pool.py
@@ -22,7 +22,7 @@
 from hornbeamline.inventory import Fleet, ServiceKind
 
 _MS_PER_S: Final = 1000
-_DEMAND_GAIN: Final = 0.2
+_DEMAND_GAIN: Final = 0.1
 _DEFAULT_TOKENS: Final = 64
 
 
@@ -81,7 +81,7 @@
         """Let a target take calls or not, after any change of its state."""
         candidates = self.own if record.is_own else self.others
         is_member = self.records_by_name.get(record.name) is record
-        if is_member and record.is_usable and record.has_room(now):
+        if is_member and record.is_usable and record.has_room:
             candidates.add(record)
         else:
             candidates.discard(record)
@@ -90,14 +90,18 @@
         """Recompute which targets have room, and the sums over them."""
         records = self.records_by_name.values()
         for each in records:
+            each.limit.review(now)
             self.sync(each, now)
         live = [record for record in records if record.is_live]
         # When all live targets are ejected, their probes are all there is.
         usable = [record for record in live if record.is_usable] or live
         self.usable_count = len(usable)
-        self.limit_sum = sum(record.slots_at(now) for record in usable)
+        self.limit_sum = sum(record.slots for record in usable)
         loads = [relative_load(record, now) for record in usable]
         self.average_load = sum(loads) / len(loads) if loads else 0
+
+    def note_demand(self) -> None:
+        """Average the calls in progress and in the queue, per dispatch."""
         needed = self.in_flight + len(self.queue)
         self.demand += _DEMAND_GAIN * (needed - self.demand)
 
@@ -142,11 +146,11 @@
             return False
         return self.average_load < self.rules.routing.spill_threshold
 
-    def rest_can_carry(self, record: TargetRecord, now: float) -> bool:
+    def rest_can_carry(self, record: TargetRecord) -> bool:
         """Return whether the load fits on the other usable targets."""
         rest = self.limit_sum
         if record.is_usable:
-            rest -= record.slots_at(now)
+            rest -= record.slots
         return rest > 0 and rest >= self.demand
 
     def has_others(self, record: TargetRecord) -> bool:
@@ -168,7 +172,7 @@
         for record in self.probes:
             extra_s = (record.slowness - 1) * self.estimates.mean_s
             is_allowed = record.is_live and record.name not in call.excluded
-            if is_allowed and record.has_room(now) and extra_s <= spare_s:
+            if is_allowed and record.has_room and extra_s <= spare_s:
                 self.probes.remove(record)
                 return record
         return None
--- a/hornbeamline/decisions/_quantiles.py
+++ b/hornbeamline/decisions/_quantiles.py
@@ -14,6 +14,8 @@
 _LOG_SMALLEST: Final = math.log(_SMALLEST)
 # Weights grow instead of old ones shrinking; past this they are rescaled.
 _RESCALE_WEIGHT: Final = 1e9
+# Nothing is left after this time; a power of more would overflow.
+_MOST_HALF_LIVES: Final = 500
 _REFRESH_S: Final = 0.1
 _P95_Z: Final = 1.645
 _PRIOR_POINTS: Final = 20
@@ -44,7 +46,8 @@
 
     def record(self, measurement: float, now: float) -> None:
         """Add one measurement."""
-        weight = math.exp2((now - self._landmark_s) / self._half_life_s)
+        half_lives = (now - self._landmark_s) / self._half_life_s
+        weight = math.exp2(min(_MOST_HALF_LIVES, half_lives))
         if weight > _RESCALE_WEIGHT:
             self._rescale(weight, now)
             weight = 1
@@ -62,9 +65,8 @@
     def effective_count(self, now: float) -> float:
         """Return how many fresh measurements the weights are worth."""
         age_s = now - self._landmark_s
-        # Past 500 half-lives the power would overflow; nothing is left.
-        exponent = min(500, age_s / self._half_life_s)
-        return self._total / math.exp2(exponent)
+        half_lives = min(_MOST_HALF_LIVES, age_s / self._half_life_s)
+        return self._total / math.exp2(half_lives)
 
     def _add(self, measurement: float, weight: float) -> None:
         if measurement <= _SMALLEST:
--- a/hornbeamline/decisions/_routing.py
+++ b/hornbeamline/decisions/_routing.py
@@ -16,6 +16,7 @@
 _TIE_BREAK: Final = 0.05
 # A prefix holder may carry this much more than the average target.
 _BOUNDED_LOAD: Final = 1.25
+_NOT_YET: Final = 1000
 _LOAD_STEP: Final = 0.5
 
 
@@ -103,7 +104,7 @@
 
 def relative_load(record: TargetRecord, now: float) -> float:
     """Return the load per limit, scaled by the target's slowness."""
-    return record.load_at(now) * record.slowness / record.limit_at(now)
+    return record.load_at(now) * record.slowness / record.slots
 
 
 def _best(
@@ -114,8 +115,11 @@
     lowest: float = 0
     for record in records:
         load = (record.load_at(view.now) + 1) * record.slowness
-        score = load / record.limit_at(view.now)
+        score = load / record.slots
         score *= 1 + _TIE_BREAK * view.rng.random()
+        # A target that returns gets a growing part of its usual calls.
+        if view.rng.random() > record.breaker.ramp(view.now):
+            score += _NOT_YET
         if best is None or score < lowest:
             best = record
             lowest = score
--- a/hornbeamline/decisions/_targets.py
+++ b/hornbeamline/decisions/_targets.py
@@ -81,19 +81,15 @@
         """Return whether the target takes ordinary calls."""
         return self.is_live and not self.is_avoided and not self.breaker.is_open
 
-    def limit_at(self, now: float) -> float:
-        """Return the own calls allowed now."""
-        if self.breaker.is_open:
-            return 1
-        return max(1, self.limit.value * self.breaker.ramp(now))
-
-    def slots_at(self, now: float) -> int:
-        """Return the limit in whole calls."""
-        return math.ceil(self.limit_at(now))
+    @property
+    def slots(self) -> int:
+        """Return the own calls allowed; one probe while ejected."""
+        return 1 if self.breaker.is_open else math.ceil(self.limit.value)
 
-    def has_room(self, now: float) -> bool:
+    @property
+    def has_room(self) -> bool:
         """Return whether one more call may be sent."""
-        return self.in_flight < self.limit_at(now)
+        return self.in_flight < self.slots
 
     def load_at(self, now: float) -> float:
         """Return own calls plus this host's part of the reported load.
