Serve streams, look-ups and a graceful drain on the caller interface

Cause: the caller interface had one JSON route, scanned all accounts for a credential, read bodies without a time bound, kept working for callers that were gone, and a stop closed the listener at once.

Change: server-sent events with heartbeats, look-up by key, problem JSON for all errors, bounds on headers, body, body time, write time and requests in progress, credentials by digest in a dict, cancellation of repeatable work when the caller disconnects. The drain fails readiness, takes work while the balancer may still send it, then refuses as `stopping` and waits for requests and ledger writes.

--- a/hornbeamline/caller_api/_app.py
+++ b/hornbeamline/caller_api/_app.py
@@ -1,49 +1,35 @@
-"""Routes of the caller interface."""
+"""Application of the caller interface and its drain."""
 
 from __future__ import annotations
 
-import hashlib
-import math
-import uuid
+import asyncio
+import contextlib
 from collections.abc import Callable
-from types import MappingProxyType
-from typing import Any, Final, NotRequired, TypedDict
+from typing import Any, Final
 
-import falcon
 from falcon.asgi import App, Request, Response
 
+from hornbeamline.caller_api._accounts import Accounts
+from hornbeamline.caller_api._asgi import bound
+from hornbeamline.caller_api._problems import handle_fault, serialize_error
+from hornbeamline.caller_api._resources import (
+    Health,
+    Lookup,
+    Metrics,
+    Readiness,
+    Requests,
+)
 from hornbeamline.caller_api.const import (
-    HEADER_REQUEST_KEY,
-    MAX_REQUEST_KEY_LENGTH,
+    REASON_STOPPING,
+    REASON_TOO_MANY_REQUESTS,
+    WRITE_TIMEOUT_S,
 )
-from hornbeamline.decisions import RequestInfo
-from hornbeamline.helpers.clock import MS_PER_S, Clock
-from hornbeamline.helpers.codec import CodecError, decode_json, encode_json
+from hornbeamline.decisions import Refusal
+from hornbeamline.helpers.clock import Clock
 from hornbeamline.inventory import Account, CallerSettings, Fleet
-from hornbeamline.pipeline import (
-    Outcome,
-    OutcomeKind,
-    PipelineExecutor,
-    PipelineRequest,
-)
-from hornbeamline.telemetry import log_event, metrics_page
-
-_STATUS_BY_KIND: Final = MappingProxyType(
-    {
-        OutcomeKind.answered: falcon.HTTP_200,
-        OutcomeKind.not_run: falcon.HTTP_503,
-        OutcomeKind.unknown: falcon.HTTP_504,
-    }
-)
+from hornbeamline.pipeline import PipelineExecutor
 
-
-class SubmitBody(TypedDict):
-    """Body of a request to a pipeline."""
-
-    input: dict[str, Any]
-    deadline_ms: NotRequired[int]
-    stream: NotRequired[bool]
-    priority: NotRequired[int]
+_RETRY_AFTER_S: Final = 1.0
 
 
 class CallerApi:
@@ -61,147 +47,76 @@
         self.settings = settings
         self.fleet_of = fleet_of
         self.executor = executor
-        self.is_ready = is_ready
         self.clock = clock
         self.in_progress = 0
-
-    def build(self) -> App[Request, Response]:
+        # True from the beginning of a stop: answers close connections.
+        self.is_draining = False
+        self._is_ready = is_ready
+        self._takes_work = True
+        self._idle = asyncio.Event()
+        self._accounts = Accounts()
+
+    def build(self) -> Any:
         """Return the ASGI application."""
         app: App[Request, Response] = App()
-        app.add_route('/healthz', _Health())
-        app.add_route('/readyz', _Readiness(self))
-        app.add_route('/metrics', _Metrics())
-        app.add_route('/v1/pipelines/{pipeline}/requests', _Requests(self))
-        return app
-
-    def authenticate(self, authorization: str | None) -> tuple[str, Account]:
+        app.set_error_serializer(serialize_error)
+        app.add_error_handler(Exception, handle_fault)
+        app.add_route('/healthz', Health())
+        app.add_route('/readyz', Readiness(self))
+        app.add_route('/metrics', Metrics())
+        app.add_route('/v1/pipelines/{pipeline}/requests', Requests(self))
+        app.add_route('/v1/requests/{key}', Lookup(self))
+        return bound(app, WRITE_TIMEOUT_S)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the load balancer should send work."""
+        return self._is_ready() and not self.is_draining
+
+    def begin_drain(self, *, takes_work: bool = False) -> None:
+        """Fail readiness and refuse new work as `stopping`.
+
+        With `takes_work`, work is still taken: the load balancer sends it
+        until it has seen that readiness fails.
+        """
+        self.is_draining = True
+        self._takes_work = takes_work
+
+    async def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no request is in progress; return whether none is."""
+        until = self.clock.monotonic() + timeout_s
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self.in_progress:
+                    self._idle.clear()
+                    await self._idle.wait()
+        left_s = max(0, until - self.clock.monotonic())
+        return await self.executor.wait_idle(left_s) and not self.in_progress
+
+    def refusal(self) -> Refusal | None:
+        """Return why no new work is taken, or None."""
+        if not self._takes_work:
+            return Refusal(REASON_STOPPING, _RETRY_AFTER_S)
+        if self.in_progress >= self.settings.max_requests_in_progress:
+            return Refusal(REASON_TOO_MANY_REQUESTS, _RETRY_AFTER_S)
+        return None
+
+    def enter(self) -> Callable[[], None]:
+        """Count a request; the returned call ends it and may be repeated."""
+        self.in_progress += 1
+        left: list[bool] = []
+
+        def leave() -> None:
+            if not left:
+                left.append(True)
+                self.in_progress -= 1
+                self._idle.set()
+
+        return leave
+
+    def authenticate(self, req: Request) -> tuple[str, Account]:
         """Return the client account of a bearer credential."""
-        fleet = self.fleet_of()
-        scheme, _, credential = (authorization or '').partition(' ')
-        if fleet is not None and scheme.lower() == 'bearer':
-            digest = hashlib.sha256(credential.encode()).hexdigest()
-            for name, account in fleet.accounts_by_name.items():
-                if account.credential_sha256 == digest:
-                    return name, account
-        raise falcon.HTTPUnauthorized(title='unknown credential')
-
-
-class _Health:
-    async def on_get(self, _req: Any, resp: Response) -> None:
-        resp.text = 'ok\n'
-
-
-class _Readiness:
-    def __init__(self, api: CallerApi) -> None:
-        self._api = api
-
-    async def on_get(self, _req: Any, resp: Response) -> None:
-        ready = self._api.is_ready()
-        resp.status = falcon.HTTP_200 if ready else falcon.HTTP_503
-        resp.text = 'ready\n' if ready else 'not ready\n'
-
-
-class _Metrics:
-    async def on_get(self, _req: Any, resp: Response) -> None:
-        resp.content_type = 'text/plain; version=0.0.4'
-        resp.data = metrics_page()
-
-
-class _Requests:
-    def __init__(self, api: CallerApi) -> None:
-        self._api = api
-
-    async def on_post(
-        self,
-        req: Request,
-        resp: Response,
-        pipeline: str,
-    ) -> None:
-        account, _ = self._api.authenticate(req.get_header('Authorization'))
-        fleet = self._api.fleet_of()
-        if fleet is None or pipeline not in fleet.pipelines_by_name:
-            raise falcon.HTTPNotFound(title='unknown pipeline')
-        body = await self._read_body(req)
-        request_key = _request_key(req, fleet, pipeline)
-        deadline_ms = min(
-            body.get(
-                'deadline_ms', fleet.pipelines_by_name[pipeline].deadline_ms
-            ),
-            fleet.pipelines_by_name[pipeline].deadline_ms,
-        )
-        info = RequestInfo(
-            uuid.uuid4().hex,
-            account,
-            pipeline,
-            self._api.clock.monotonic() + deadline_ms / MS_PER_S,
-            body.get('priority', 0),
-        )
-        outcome = await self._api.executor.run(
-            PipelineRequest(info, request_key, body['input']),
-        )
-        log_event(
-            'request.ended',
-            request=info.request_id,
-            account=account,
-            pipeline=pipeline,
-            outcome=outcome.kind.value,
-            reason=outcome.reason,
-        )
-        _write_outcome(resp, info.request_id, outcome)
-
-    async def _read_body(self, req: Request) -> SubmitBody:
-        if (req.content_length or 0) > self._api.settings.max_body_bytes:
-            raise falcon.HTTPContentTooLarge(title='body too large')
-        content = await req.stream.read()
-        try:
-            return decode_json(content, SubmitBody)
-        except CodecError as error:
-            raise falcon.HTTPBadRequest(
-                title='invalid body',
-                description=str(error),
-            ) from error
-
-
-def _request_key(
-    req: Request,
-    fleet: Fleet,
-    pipeline: str,
-) -> str:
-    request_key = req.get_header(HEADER_REQUEST_KEY) or ''
-    if len(request_key) > MAX_REQUEST_KEY_LENGTH:
-        raise falcon.HTTPBadRequest(title='request key too long')
-    if not request_key and not fleet.may_repeat(pipeline):
-        raise falcon.HTTPBadRequest(title='this pipeline needs a request key')
-    return request_key
-
-
-def _write_outcome(
-    resp: Response,
-    request_id: str,
-    outcome: Outcome,
-) -> None:
-    resp.status = _STATUS_BY_KIND[outcome.kind]
-    if outcome.kind is OutcomeKind.answered:
-        resp.content_type = falcon.MEDIA_JSON
-        resp.data = encode_json(
-            {
-                'outcome': outcome.kind.value,
-                'request_id': request_id,
-                'output': outcome.output,
-                'costs': [cost._asdict() for cost in outcome.costs],
-            }
+        return self._accounts.authenticate(
+            self.fleet_of(),
+            req.get_header('Authorization'),
         )
-        return
-    if outcome.kind is OutcomeKind.not_run:
-        resp.set_header('Retry-After', str(math.ceil(outcome.retry_after_s)))
-    resp.content_type = 'application/problem+json'
-    resp.data = encode_json(
-        {
-            'type': f'urn:hornbeamline:{outcome.kind.value}',
-            'title': outcome.reason,
-            'outcome': outcome.kind.value,
-            'reason': outcome.reason,
-            'request_id': request_id,
-            'retry_after_s': outcome.retry_after_s,
-        }
-    )
--- a/hornbeamline/daemons/_entry.py
+++ b/hornbeamline/daemons/_entry.py
@@ -7,16 +7,20 @@
 from hornbeamline.caller_api import CallerApi
 from hornbeamline.configuration import StaticFleetSource
 from hornbeamline.core import Kernel
+from hornbeamline.daemons._drain import DrainService
 from hornbeamline.decisions import DecisionEngine, DecisionSettings
 from hornbeamline.helpers.clock import SystemClock
 from hornbeamline.helpers.http_server import HttpServer
 from hornbeamline.inventory import EntrySettings, Fleet
-from hornbeamline.pipeline import PipelineExecutor
-from hornbeamline.targets import TargetClient
+from hornbeamline.pipeline import DecisionTicker, PipelineExecutor
+from hornbeamline.targets import TargetClient, TargetPoller
 from hornbeamline.telemetry import log_event
 
 SERVICE_TARGETS = 'targets'
 SERVICE_CALLER_API = 'caller_api'
+SERVICE_POLLER = 'poller'
+SERVICE_TICKER = 'ticker'
+SERVICE_DRAIN = 'drain'
 
 
 class EntryDaemon:
@@ -40,10 +44,21 @@
         )
         self.kernel = Kernel(settings.stop.timeout_s)
         self.kernel.register(SERVICE_TARGETS, client)
+        self.kernel.register(SERVICE_TICKER, DecisionTicker(decisions))
+        self.kernel.register(
+            SERVICE_POLLER,
+            TargetPoller(
+                lambda: source.fleet,
+                client,
+                decisions,
+                random.Random(settings.seed),
+            ),
+        )
         self.kernel.register(
             SERVICE_CALLER_API,
             HttpServer(api.build(), settings.caller.address),
         )
+        self.kernel.register(SERVICE_DRAIN, DrainService(api, settings.stop))
         self._settings = settings
 
     async def run(self) -> int:
--- a/hornbeamline/pipeline/__init__.py
+++ b/hornbeamline/pipeline/__init__.py
@@ -5,6 +5,7 @@
 from hornbeamline.pipeline._claims import Claims
 from hornbeamline.pipeline._events import TokenEvents
 from hornbeamline.pipeline._executor import FleetSource, PipelineExecutor
+from hornbeamline.pipeline._ticker import DecisionTicker
 from hornbeamline.pipeline._types import (
     Outcome,
     OutcomeKind,
@@ -14,6 +15,7 @@
 
 __all__ = (
     'Claims',
+    'DecisionTicker',
     'FleetSource',
     'Outcome',
     'OutcomeKind',
