--- /dev/null
+++ b/benchmarks/entry.py
@@ -0,0 +1,456 @@
+"""One entry process against direct calls of the stand-ins, on loopback.
+
+Run from the repository root: python -m benchmarks.entry
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import hashlib
+import json
+import os
+import platform
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiohttp
+import tomli_w
+
+CREDENTIAL = 'bench'
+SERVICES = 2
+ENGINES = 2
+WORKERS = 2
+SERVICE_MS = 5
+TOKENS = 200
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+
+
+class Job(NamedTuple):
+    """Work of one client process."""
+
+    # Addresses of targets, or of the entry process alone.
+    addresses: list[str]
+    through_entry: bool
+    seconds: float
+    # Closed loop with this many callers, or open loop at a rate.
+    callers: int = 0
+    rate: float = 0
+    streams: bool = False
+
+
+class Figures(NamedTuple):
+    """What one client process saw; times in milliseconds."""
+
+    completed: int = 0
+    failed: int = 0
+    tokens: int = 0
+    latencies_ms: list[float] = []
+    gaps_ms: list[float] = []
+
+
+def free_address() -> str:
+    """Return a loopback address that is free at the moment."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def request_of(job: Job, number: int) -> tuple[str, dict[str, Any]]:
+    """Return URL and options of one request."""
+    address = job.addresses[number % len(job.addresses)]
+    prompt = {'prompt': f'prompt {number}'}
+    if job.through_entry:
+        pipeline = 'draft' if job.streams else 'read'
+        return f'http://{address}/v1/pipelines/{pipeline}/requests', {
+            'json': {'input': prompt, 'stream': job.streams},
+            'headers': {'Authorization': f'Bearer {CREDENTIAL}'},
+        }
+    headers = {'X-Request-Id': f'r-{number}'}
+    if job.streams:
+        body = {**prompt, 'max_tokens': TOKENS, 'stream': True}
+        return f'http://{address}/v1/completions', {
+            'json': body,
+            'headers': headers,
+        }
+    body = {'stage': 'read', 'input': prompt, 'outputs_by_stage': {}}
+    return f'http://{address}/v1/run', {'json': body, 'headers': headers}
+
+
+class Client:
+    """Sends the requests of one job."""
+
+    def __init__(self, job: Job) -> None:
+        """Take the job."""
+        self.job = job
+        self.figures = Figures(latencies_ms=[], gaps_ms=[])
+        self.completed = 0
+        self.failed = 0
+        self.tokens = 0
+
+    async def run(self) -> Figures:
+        """Send for the job's time."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            if self.job.callers:
+                await self._closed_loop(session)
+            else:
+                await self._open_loop(session)
+        return self.figures._replace(
+            completed=self.completed,
+            failed=self.failed,
+            tokens=self.tokens,
+        )
+
+    async def _closed_loop(self, session: aiohttp.ClientSession) -> None:
+        until = time.monotonic() + self.job.seconds
+
+        async def call_repeatedly(number: int) -> None:
+            while time.monotonic() < until:
+                await self._send(session, number, until)
+                number += self.job.callers
+
+        callers = range(self.job.callers)
+        await asyncio.gather(*(call_repeatedly(number) for number in callers))
+
+    async def _open_loop(self, session: aiohttp.ClientSession) -> None:
+        started_at = time.monotonic()
+        tasks = []
+        for number in range(int(self.job.rate * self.job.seconds)):
+            wait_s = started_at + number / self.job.rate - time.monotonic()
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+            tasks.append(
+                asyncio.create_task(self._send(session, number, float('inf'))),
+            )
+        await asyncio.gather(*tasks)
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        number: int,
+        until: float,
+    ) -> None:
+        url, options = request_of(self.job, number)
+        started_at = time.monotonic()
+        try:
+            async with session.post(url, **options) as response:
+                if self.job.streams:
+                    await self._read_tokens(response, until)
+                else:
+                    await response.read()
+                is_good = response.status == 200
+        except aiohttp.ClientError:
+            is_good = False
+        now = time.monotonic()
+        if now > until:
+            return
+        self.completed += is_good
+        self.failed += not is_good
+        self.figures.latencies_ms.append((now - started_at) * 1000)
+
+    async def _read_tokens(
+        self,
+        response: aiohttp.ClientResponse,
+        until: float,
+    ) -> None:
+        last_at = 0.0
+        async for chunk in response.content.iter_any():
+            count = chunk.count(b'event: token')
+            now = time.monotonic()
+            if not count or now > until:
+                continue
+            self.tokens += count
+            if last_at:
+                self.figures.gaps_ms.append((now - last_at) * 1000)
+                self.figures.gaps_ms.extend([0.0] * (count - 1))
+            last_at = now
+
+
+def run_job(job: Job) -> Figures:
+    """Run a job; entry point of the client processes."""
+    return asyncio.run(Client(job).run())
+
+
+def run_jobs(pool: ProcessPoolExecutor, job: Job) -> Figures:
+    """Share a job between the client processes and add the figures up."""
+    shared = job._replace(
+        callers=job.callers // WORKERS,
+        rate=job.rate / WORKERS,
+    )
+    parts = list(pool.map(run_job, [shared] * WORKERS))
+    return Figures(
+        sum(part.completed for part in parts),
+        sum(part.failed for part in parts),
+        sum(part.tokens for part in parts),
+        [each for part in parts for each in part.latencies_ms],
+        [each for part in parts for each in part.gaps_ms],
+    )
+
+
+class Site(NamedTuple):
+    """Addresses of the processes under measurement."""
+
+    entry: str
+    entry_pid: int
+    services: list[str]
+    engines: list[str]
+
+    def processor_s(self) -> float:
+        """Return user and system time of the entry process."""
+        stat = Path(f'/proc/{self.entry_pid}/stat').read_text(encoding='utf-8')
+        fields = stat.rpartition(')')[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+    def peak_memory_mb(self) -> float:
+        """Return the greatest resident memory of the entry process."""
+        path = Path(f'/proc/{self.entry_pid}/status')
+        lines = path.read_text(encoding='utf-8').splitlines()
+        peak = next(line for line in lines if line.startswith('VmHWM'))
+        return int(peak.split()[1]) / 1024
+
+
+def fleet_document(site: Site) -> dict[str, Any]:
+    """Return inventory and rules of the measurement."""
+    targets = {
+        f'{service}-{number}': {
+            'service': service,
+            'data_centre': 'dc-a',
+            'address': address,
+            'concurrency': 512,
+        }
+        for service, addresses in (
+            ('service', site.services),
+            ('engine', site.engines),
+        )
+        for number, address in enumerate(addresses)
+    }
+    return {
+        'fleet': {'name': 'bench'},
+        'data_centres_by_name': {'dc-a': {'region': 'r'}},
+        'services_by_name': {
+            'service': {'kind': 'plain', 'expected_ms': SERVICE_MS},
+            'engine': {'kind': 'generation', 'expected_ms': 1500},
+        },
+        'targets_by_name': targets,
+        'accounts_by_name': {
+            'bench': {
+                'credential_sha256': hashlib.sha256(
+                    CREDENTIAL.encode(),
+                ).hexdigest(),
+            },
+        },
+        'pipelines_by_name': {
+            'read': {'stages': [{'name': 'read', 'service': 'service'}]},
+            'draft': {
+                'stages': [
+                    {
+                        'name': 'draft',
+                        'service': 'engine',
+                        'max_tokens': TOKENS,
+                    },
+                ],
+                'deadline_ms': 60_000,
+            },
+        },
+        'rules': {'limits': {'initial_concurrency': 256}},
+    }
+
+
+def start(folder: Path, *arguments: str) -> subprocess.Popen[bytes]:
+    """Start a hornbeamline process."""
+    with Path(folder, 'log').open('ab') as log:
+        return subprocess.Popen(
+            [sys.executable, '-m', 'hornbeamline', *arguments],
+            stdout=log,
+            stderr=log,
+        )
+
+
+def wait_listening(address: str) -> None:
+    """Wait until an address accepts connections."""
+    host, _, port = address.rpartition(':')
+    for _ in range(500):
+        with contextlib.suppress(OSError):
+            socket.create_connection((host, int(port)), 0.2).close()
+            return
+        time.sleep(0.02)
+    raise SystemExit(f'{address} does not accept connections')
+
+
+@contextlib.contextmanager
+def open_site(folder: Path, token_ms: float) -> Iterator[Site]:
+    """Run the targets and one entry process."""
+    site = Site(
+        free_address(),
+        0,
+        [free_address() for _ in range(SERVICES)],
+        [free_address() for _ in range(ENGINES)],
+    )
+    processes = []
+
+    def write(name: str, content: dict[str, Any]) -> str:
+        path = folder / f'{name}.toml'
+        path.write_text(tomli_w.dumps(content), encoding='utf-8')
+        return str(path)
+
+    for kind, addresses in (
+        ('plain', site.services),
+        ('generation', site.engines),
+    ):
+        for number, address in enumerate(addresses):
+            settings = {
+                'name': f'{kind}-{number}',
+                'address': address,
+                'service': kind,
+                'kind': kind,
+                'service_ms': SERVICE_MS,
+                'service_jitter_ms': 0,
+                'concurrency': 512,
+                'engine': {
+                    'max_batch': 512,
+                    'token_ms': token_ms,
+                    'token_ms_per_sequence': 0,
+                },
+            }
+            path = write(f'{kind}-{number}', settings)
+            processes.append(start(folder, 'target', 'run', '--settings', path))
+    entry = start(
+        folder,
+        'entry',
+        'run',
+        '--settings',
+        write(
+            'entry',
+            {
+                'host': {'name': 'e', 'data_centre': 'dc-a', 'fleet': 'bench'},
+                'caller': {'address': site.entry},
+                'peering': {'address': free_address()},
+                'controls_by_name': {'control-1': free_address()},
+                'stop': {'balancer_wait_s': 0},
+            },
+        ),
+        '--fleet',
+        write('fleet', fleet_document(site)),
+    )
+    try:
+        for address in (site.entry, *site.services, *site.engines):
+            wait_listening(address)
+        yield site._replace(entry_pid=entry.pid)
+    finally:
+        for process in (entry, *processes):
+            process.terminate()
+        for process in (entry, *processes):
+            process.wait(20)
+
+
+def quantiles(times: list[float]) -> tuple[float, float]:
+    """Return median and 99th percentile."""
+    cuts = statistics.quantiles(times, n=100)
+    return round(cuts[49], 2), round(cuts[98], 2)
+
+
+def measure_requests(
+    site: Site,
+    pool: ProcessPoolExecutor,
+    seconds: float,
+) -> dict[str, Any]:
+    """Measure one-stage requests at saturation and at half of it."""
+    through = Job([site.entry], True, seconds)
+    direct = Job(site.services, False, seconds)
+    run_jobs(pool, through._replace(callers=64, seconds=1))
+    before_s = site.processor_s()
+    full = run_jobs(pool, through._replace(callers=64))
+    spent_s = site.processor_s() - before_s
+    direct_full = run_jobs(pool, direct._replace(callers=64))
+    rate = full.completed / seconds / 2
+    half = run_jobs(pool, through._replace(rate=rate))
+    direct_half = run_jobs(pool, direct._replace(rate=rate))
+    entry_ms = quantiles(half.latencies_ms)
+    direct_ms = quantiles(direct_half.latencies_ms)
+    return {
+        'requests_per_s': round(full.completed / seconds),
+        'direct_requests_per_s': round(direct_full.completed / seconds),
+        'failed': full.failed + half.failed,
+        'processor_us_per_request': round(spent_s / full.completed * 1e6),
+        'half_rate_per_s': round(rate),
+        'entry_p50_p99_ms': entry_ms,
+        'direct_p50_p99_ms': direct_ms,
+        'added_p50_ms': round(entry_ms[0] - direct_ms[0], 2),
+        'added_p99_ms': round(entry_ms[1] - direct_ms[1], 2),
+    }
+
+
+def measure_tokens(
+    site: Site,
+    pool: ProcessPoolExecutor,
+    seconds: float,
+    callers: int,
+) -> dict[str, Any]:
+    """Measure relayed token events, through the entry process and direct."""
+    before_s = site.processor_s()
+    through = run_jobs(
+        pool,
+        Job([site.entry], True, seconds, callers, streams=True),
+    )
+    spent_s = site.processor_s() - before_s
+    direct = run_jobs(
+        pool,
+        Job(site.engines, False, seconds, callers, streams=True),
+    )
+    entry_ms = quantiles(through.gaps_ms)
+    direct_ms = quantiles(direct.gaps_ms)
+    return {
+        'callers': callers,
+        'tokens_per_s': round(through.tokens / seconds),
+        'direct_tokens_per_s': round(direct.tokens / seconds),
+        'failed': through.failed,
+        'processor_us_per_token': round(spent_s / through.tokens * 1e6, 1),
+        'entry_gap_p50_p99_ms': entry_ms,
+        'direct_gap_p50_p99_ms': direct_ms,
+        'added_gap_p50_ms': round(entry_ms[0] - direct_ms[0], 2),
+        'added_gap_p99_ms': round(entry_ms[1] - direct_ms[1], 2),
+    }
+
+
+def main() -> None:
+    """Run all measurements and print them as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=float, default=5)
+    parser.add_argument('--callers', type=int, nargs='*', default=[400])
+    parser.add_argument('--token-ms', type=float, default=15)
+    parser.add_argument('--no-requests', action='store_true')
+    options = parser.parse_args()
+    report: dict[str, Any] = {
+        'python': platform.python_version(),
+        'processors': os.cpu_count(),
+        'load_before': os.getloadavg()[0],
+    }
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        open_site(Path(folder), options.token_ms) as site,
+        ProcessPoolExecutor(WORKERS, get_context('spawn')) as pool,
+    ):
+        if not options.no_requests:
+            report['requests'] = measure_requests(site, pool, options.seconds)
+        report['tokens'] = [
+            measure_tokens(site, pool, options.seconds, callers)
+            for callers in options.callers
+        ]
+        report['peak_memory_mb'] = round(site.peak_memory_mb())
+    report['load_after'] = os.getloadavg()[0]
+    sys.stdout.write(f'{json.dumps(report, indent=2)}\n')
+
+
+if __name__ == '__main__':
+    main()
