--- a/hornbeamline/configuration/_service.py
+++ b/hornbeamline/configuration/_service.py
@@ -37,10 +37,12 @@
 from hornbeamline.helpers.codec import decode, encode
 from hornbeamline.inventory import (
     Document,
+    Fleet,
     InvalidDocumentError,
     apply_operations,
     difference,
     document_digest,
+    fleet_of,
     validate,
 )
 from hornbeamline.replog import ReplicatedLog
@@ -81,6 +83,8 @@
         # Encoded answers for the revision in force; most holders are at the
         # same revision and get the same bytes.
         self._encoded_for = 0
+        self._fleet: Fleet | None = None
+        self._fleet_revision = 0
         self._whole = b''
         log.register_machine(MACHINE_NAME, self.machine)
         log.on_leadership(self._on_leadership)
@@ -95,6 +99,16 @@
         """Stop background work."""
         await self._tasks.cancel_all()
 
+    def current_fleet(self) -> Fleet | None:
+        """Return the fleet as of the last applied change, None if empty."""
+        accepted = self.machine.accepted
+        if accepted.revision == 0:
+            return None
+        if self._fleet is None or self._fleet_revision != accepted.revision:
+            self._fleet = fleet_of(accepted.document)
+            self._fleet_revision = accepted.revision
+        return self._fleet
+
     async def read(self) -> Accepted:
         """Return the document in force.
 
--- a/hornbeamline/daemons/_control.py
+++ b/hornbeamline/daemons/_control.py
@@ -13,11 +13,14 @@
 from hornbeamline.inventory import (
     ControlSettings,
     Document,
+    Fleet,
+    FleetInfo,
     load_document,
     validate,
 )
 from hornbeamline.ledger import LedgerService
 from hornbeamline.operator_api import OperatorApi
+from hornbeamline.orders import HttpEngineClient, OrderService
 from hornbeamline.peering import PynngPeering
 from hornbeamline.replog import RaftLog
 from hornbeamline.telemetry import log_event
@@ -26,6 +29,7 @@
 SERVICE_LOG = 'replog'
 SERVICE_LEDGER = 'ledger'
 SERVICE_CONFIGURATION = 'configuration'
+SERVICE_ORDERS = 'orders'
 SERVICE_OPERATOR_API = 'operator_api'
 
 
@@ -53,6 +57,14 @@
             _initial_document(settings),
             settings.lease_s,
         )
+        empty = Fleet(fleet=FleetInfo(name=host.fleet))
+        orders = OrderService(
+            host.name,
+            log,
+            lambda: configuration.current_fleet() or empty,
+            HttpEngineClient(),
+            clock,
+        )
         api = OperatorApi(settings, configuration, log, peering)
         self.kernel = Kernel(settings.stop.timeout_s)
         log.on_stopped(self.kernel.fail)
@@ -60,6 +72,7 @@
         self.kernel.register(SERVICE_LOG, log)
         self.kernel.register(SERVICE_LEDGER, ledger)
         self.kernel.register(SERVICE_CONFIGURATION, configuration)
+        self.kernel.register(SERVICE_ORDERS, orders)
         self.kernel.register(
             SERVICE_OPERATOR_API,
             HttpServer(api.build(), settings.operator.address),
--- a/hornbeamline/daemons/_entry.py
+++ b/hornbeamline/daemons/_entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import secrets
 
 from hornbeamline.caller_api import CallerApi
 from hornbeamline.configuration import (
@@ -10,21 +11,27 @@
     StaticFleetSource,
 )
 from hornbeamline.core import Kernel
+from hornbeamline.daemons._drain import DrainService
 from hornbeamline.decisions import DecisionEngine, DecisionSettings
-from hornbeamline.helpers.clock import Clock, SystemClock
+from hornbeamline.helpers.clock import SystemClock
 from hornbeamline.helpers.http_server import HttpServer
-from hornbeamline.inventory import EntrySettings, Fleet
+from hornbeamline.inventory import EntrySettings, Fleet, MembershipRules
 from hornbeamline.ledger import LedgerClient
+from hornbeamline.membership import MembershipPoller, MembershipView
 from hornbeamline.peering import PynngPeering
-from hornbeamline.pipeline import PipelineExecutor
-from hornbeamline.targets import TargetClient
+from hornbeamline.pipeline import Claims, DecisionTicker, PipelineExecutor
+from hornbeamline.targets import TargetClient, TargetPoller
 from hornbeamline.telemetry import log_event
 
 SERVICE_PEERING = 'peering'
 SERVICE_CONFIGURATION = 'configuration'
 SERVICE_LEDGER = 'ledger'
+SERVICE_MEMBERSHIP = 'membership'
 SERVICE_TARGETS = 'targets'
 SERVICE_CALLER_API = 'caller_api'
+SERVICE_POLLER = 'poller'
+SERVICE_TICKER = 'ticker'
+SERVICE_DRAIN = 'drain'
 
 
 class EntryDaemon:
@@ -40,53 +47,98 @@
         A fixed fleet replaces the control hosts; there is no ledger then,
         for embedding and tests.
         """
-        clock = SystemClock()
-        place = DecisionSettings(settings.host.name, settings.host.data_centre)
-        decisions = DecisionEngine(place, clock, random.Random(settings.seed))
-        client = TargetClient()
         self.kernel = Kernel(settings.stop.timeout_s)
         self._settings = settings
-        source: ConfigurationClient | StaticFleetSource
+        self._clock = SystemClock()
+        seed = settings.seed or secrets.randbits(64)
+        place = DecisionSettings(settings.host.name, settings.host.data_centre)
+        self._rng = random.Random(seed)
+        self._decisions = DecisionEngine(place, self._clock, self._rng)
+        self._membership = MembershipView(self._membership_rules, self._clock)
+        self._membership.on_change(self._decisions.update_unavailable)
+        self._source: ConfigurationClient | StaticFleetSource
+        claims: Claims | None = None
         if fleet is None:
-            source = self._join_fleet(clock, decisions)
+            claims = self._join_fleet()
         else:
-            source = StaticFleetSource(fleet)
-            decisions.update_fleet(fleet)
-        executor = PipelineExecutor(source, decisions, client, clock)
-        api = CallerApi(
-            settings.caller,
-            source.current_fleet,
-            executor,
-            source.holds_lease,
-            clock,
-        )
-        self.kernel.register(SERVICE_TARGETS, client)
-        self.kernel.register(
-            SERVICE_CALLER_API,
-            HttpServer(api.build(), settings.caller.address),
-        )
+            self._source = StaticFleetSource(fleet)
+            self._take_fleet(fleet, 1)
+        self._serve(claims)
 
     async def run(self) -> int:
         """Serve until a stop signal; return the exit code."""
         log_event('entry.starting', address=self._settings.caller.address)
         return await self.kernel.run()
 
-    def _join_fleet(
-        self,
-        clock: Clock,
-        decisions: DecisionEngine,
-    ) -> ConfigurationClient:
+    def _join_fleet(self) -> LedgerClient:
         settings = self._settings
         host = settings.host
-        peering = PynngPeering(host.name, host.fleet, settings.peering, clock)
+        peering = PynngPeering(
+            host.name,
+            host.fleet,
+            settings.peering,
+            self._clock,
+        )
         for name, address in settings.controls_by_name.items():
             peering.add_peer(name, address)
-        configuration = ConfigurationClient(settings, peering, clock)
-        configuration.on_revision(
-            lambda fleet, _revision: decisions.update_fleet(fleet),
-        )
-        ledger = LedgerClient(settings, peering, clock)
+        configuration = ConfigurationClient(settings, peering, self._clock)
+        configuration.on_revision(self._take_fleet)
+        ledger = LedgerClient(settings, peering, self._clock)
         self.kernel.register(SERVICE_PEERING, peering)
         self.kernel.register(SERVICE_CONFIGURATION, configuration)
         self.kernel.register(SERVICE_LEDGER, ledger)
-        return configuration
+        self._source = configuration
+        return ledger
+
+    def _serve(self, claims: Claims | None) -> None:
+        settings = self._settings
+        client = TargetClient()
+        executor = PipelineExecutor(
+            self._source,
+            self._decisions,
+            client,
+            self._clock,
+            claims,
+            on_leaving=self._membership.note_leaving,
+        )
+        api = CallerApi(
+            settings.caller,
+            self._source.current_fleet,
+            executor,
+            self._source.holds_lease,
+            self._clock,
+        )
+        self.kernel.register(
+            SERVICE_MEMBERSHIP,
+            MembershipPoller(
+                settings.membership,
+                self._membership,
+                self._membership_rules,
+                self._clock,
+                self._rng,
+            ),
+        )
+        self.kernel.register(SERVICE_TARGETS, client)
+        self.kernel.register(SERVICE_TICKER, DecisionTicker(self._decisions))
+        self.kernel.register(
+            SERVICE_POLLER,
+            TargetPoller(
+                self._source.current_fleet,
+                client,
+                self._decisions,
+                self._rng,
+            ),
+        )
+        self.kernel.register(
+            SERVICE_CALLER_API,
+            HttpServer(api.build(), settings.caller.address),
+        )
+        self.kernel.register(SERVICE_DRAIN, DrainService(api, settings.stop))
+
+    def _take_fleet(self, fleet: Fleet, _revision: int) -> None:
+        self._membership.update_fleet(fleet)
+        self._decisions.update_fleet(fleet)
+
+    def _membership_rules(self) -> MembershipRules:
+        fleet = self._source.current_fleet()
+        return MembershipRules() if fleet is None else fleet.rules.membership
--- a/hornbeamline/membership/_poller.py
+++ b/hornbeamline/membership/_poller.py
@@ -47,7 +47,8 @@
         await self._source.close()
 
     async def poll(self) -> None:
-        """Read the list once."""
+        """Read the list once and drop evidence that is out of date."""
+        self._view.expire()
         timeout_s = min(self._rules().poll_interval_s, MAX_FETCH_S)
         try:
             found = await self._source.fetch(timeout_s)
--- a/hornbeamline/membership/const.py
+++ b/hornbeamline/membership/const.py
@@ -12,3 +12,6 @@
 MAX_FETCH_S: Final = 1.0
 # Spread of poll times, so that hosts started together do not poll together.
 POLL_JITTER: Final = 0.1
+
+# A target that only itself said it is leaving is asked again after this.
+OWN_EVIDENCE_S: Final = 60.0
--- a/hornbeamline/pipeline/_executor.py
+++ b/hornbeamline/pipeline/_executor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 from hornbeamline.core import TaskSet
@@ -39,6 +40,10 @@
 _RETRY_AFTER_S: Final = 1.0
 
 
+def _ignore_leaving(_target: str) -> None:
+    """Take no note of a leaving target; used without membership."""
+
+
 class FleetSource(Protocol):
     """Where the executor reads the configuration in force."""
 
@@ -60,10 +65,12 @@
         client: TargetClient,
         clock: Clock,
         claims: Claims | None = None,
+        on_leaving: Callable[[str], None] = _ignore_leaving,
     ) -> None:
         """Take configuration, decisions, target client, clock, ledger.
 
         Without a ledger every non-repeatable request is refused.
+        `on_leaving` gets the name of a target that says it is leaving.
         """
         self._source = fleet_source
         self._decisions = decisions
@@ -78,6 +85,7 @@
             clock,
             self._tasks,
             lambda: fleet_source.fleet,
+            on_leaving,
         )
 
     async def run(
