--- a/hornbeamline/decisions/_admission.py
+++ b/hornbeamline/decisions/_admission.py
@@ -98,6 +98,11 @@
         self._pools_by_name = pools_by_name
         self._planner = planner
         self._host_count = entry_host_count(fleet)
+        self._rates = {
+            name: rate
+            for name, rate in self._rates.items()
+            if name in fleet.accounts_by_name
+        }
         shares = [each.share for each in fleet.accounts_by_name.values()]
         average = sum(shares) / len(shares) if shares else 1
         self._weights = {
@@ -123,6 +128,8 @@
             refusal = self._check_rate(request, now)
         if refusal is not None:
             return refusal
+        # A request id that is admitted again replaces its earlier entry.
+        self.finish(request)
         self._admitted[request.request_id] = Admitted(
             request.account,
             weight,
--- a/hornbeamline/decisions/_attempts.py
+++ b/hornbeamline/decisions/_attempts.py
@@ -25,11 +25,6 @@
         self._cost = cost
         self._rng = rng
 
-    def first_attempt(self, pool: Pool) -> None:
-        """Let a first attempt earn its part of the budgets."""
-        pool.retry_budget.earn()
-        pool.hedge_budget.earn()
-
     def hedge_delay_s(
         self,
         pool: Pool,
--- a/hornbeamline/decisions/_dispatcher.py
+++ b/hornbeamline/decisions/_dispatcher.py
@@ -174,6 +174,8 @@
         call = question.call
         if call.attempt == 1 and not call.is_hedge:
             self._admission.dispatched(call.request, call.stage_index)
+            pool.retry_budget.earn()
+            pool.hedge_budget.earn()
         may_retry = (
             pool.entry.idempotent
             and call.attempt < pool.rules.retry.max_attempts
--- a/hornbeamline/decisions/_engine.py
+++ b/hornbeamline/decisions/_engine.py
@@ -100,8 +100,6 @@
             decided(Refusal(const.REASON_NO_TARGET, 1))
             return
         self._state.review_pool(pool, now)
-        if call.attempt == 1 and not call.is_hedge:
-            self._attempts.first_attempt(pool)
         self._dispatcher.submit(call, decided, pool, now)
 
     def withdraw(self, call: StageCall) -> None:
--- a/tests/decisions/test_engine_machine.py
+++ b/tests/decisions/test_engine_machine.py
@@ -116,7 +116,6 @@
                     st.frozensets(st.sampled_from(TARGETS), max_size=3)
                 ),
             )
-            self.firsts['first' if call.stage_index == 0 else 'second'] += 1
             self._submit(call)
 
     @rule(
@@ -250,6 +249,8 @@
         assert answer.target != self.removed
         assert answer.timeout_s > 0
         self.active.append(answer)
+        if call.attempt == 1 and not call.is_hedge:
+            self.firsts[answer.target.split('-')[0]] += 1
 
 
 TestEngine = EngineMachine.TestCase
