Run entry hosts on the configuration and the ledger of control hosts

Cause: `entry run` took a fixed fleet and had no ledger, so every non-repeatable request was refused and no change could be made at run time. Change: `control run`, `config apply|show|history` and `status`; the entry daemon joins the control hosts and hands the ledger to the pipeline; the `--fleet` option is gone. The process tests for whole path and stop under load start a control process instead; their assertions are unchanged. The demonstration does not pass: its targets refuse the key `checks_fencing` that local_fleet writes.

--- a/hornbeamline/cli/_app.py
+++ b/hornbeamline/cli/_app.py
@@ -8,7 +8,7 @@
 import typer
 
 from hornbeamline import VERSION
-from hornbeamline.cli import _caller, _daemons
+from hornbeamline.cli import _caller, _config, _daemons
 from hornbeamline.cli._check import check
 from hornbeamline.cli._demo import demo
 from hornbeamline.exceptions import HornbeamlineError, InventoryError
@@ -24,6 +24,7 @@
     help='Serves multi-stage model pipelines between callers and targets.',
 )
 app.add_typer(_daemons.entry_app, name='entry', help='The entry process.')
+app.add_typer(_daemons.control_app, name='control', help='A voter.')
 app.add_typer(_daemons.target_app, name='target', help='Stand-in targets.')
 
 app.add_typer(
@@ -31,6 +32,12 @@
     name='request',
     help='Single requests as a caller.',
 )
+app.add_typer(
+    _config.config_app,
+    name='config',
+    help='The accepted configuration.',
+)
+app.command()(_config.status)
 app.command()(check)
 app.command()(_caller.load)
 app.command()(demo)
--- a/tests/process/test_whole_path.py
+++ b/tests/process/test_whole_path.py
@@ -2,21 +2,18 @@
 
 from __future__ import annotations
 
-import contextlib
-import signal
-from pathlib import Path
-from typing import Any
+import asyncio
+from collections.abc import Iterator
 
 import aiohttp
 import pytest
 
 from hornbeamline.helpers.codec import encode_json
-from tests.common import (
-    digest_of,
-    free_address,
-    running,
-    wait_listening,
-    write_toml,
+from tests.process.fleet import (
+    base_document,
+    eventually,
+    hosts,
+    running_fleet,
 )
 from tests.serving import expected_tokens
 
@@ -28,88 +25,27 @@
 }
 
 
-def fleet_document(addresses: dict[str, str]) -> dict[str, Any]:
-    """Return a small fleet with one target per service."""
-    return {
-        'fleet': {'name': 'test'},
-        'data_centres_by_name': {'dc-a': {'region': 'r'}},
-        'services_by_name': {
-            name: {'kind': kind} for name, kind in SERVICES.items()
-        },
-        'targets_by_name': {
-            f'{name}-1': {
-                'service': name,
-                'data_centre': 'dc-a',
-                'address': addresses[name],
-            }
-            for name in SERVICES
-        },
-        'accounts_by_name': {
-            'cement': {'credential_sha256': digest_of('cement-credential')},
-        },
-        'pipelines_by_name': {
-            'report': {
-                'stages': [
-                    {'name': kind, 'service': name}
-                    for name, kind in SERVICES.items()
-                ],
-            },
-        },
-    }
-
-
-@pytest.fixture
-def caller_address(tmp_path: Path):
-    """Run one entry process and four targets; yield the caller address."""
-    addresses = {name: free_address() for name in SERVICES}
-    fleet = write_toml(tmp_path / 'fleet.toml', fleet_document(addresses))
-    caller = free_address()
-    entry = write_toml(
-        tmp_path / 'entry.toml',
-        {
-            'host': {'name': 'entry-1', 'data_centre': 'dc-a', 'fleet': 'test'},
-            'caller': {'address': caller},
-            'peering': {'address': free_address()},
-            'controls_by_name': {'control-1': free_address()},
-            'stop': {'balancer_wait_s': 0},
-        },
+@pytest.fixture(scope='module')
+def caller_address(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[str]:
+    """Run one control, one entry and four targets; yield an address."""
+    document = base_document(
+        {name: {'kind': kind} for name, kind in SERVICES.items()},
     )
-    with contextlib.ExitStack() as stack:
-        for name, address in addresses.items():
-            path = write_toml(
-                tmp_path / f'{name}.toml',
-                {
-                    'name': f'{name}-1',
-                    'address': address,
-                    'service': name,
-                    'kind': SERVICES[name],
-                },
-            )
-            stack.enter_context(
-                running(
-                    tmp_path / 'log',
-                    'target',
-                    'run',
-                    '--settings',
-                    str(path),
-                )
-            )
-        process = stack.enter_context(
-            running(
-                tmp_path / 'log',
-                'entry',
-                'run',
-                '--settings',
-                str(entry),
-                '--fleet',
-                str(fleet),
-            )
-        )
-        for address in (*addresses.values(), caller):
-            wait_listening(address)
-        yield caller
-        process.send_signal(signal.SIGTERM)
-        assert process.wait(20) == 0
+    document['hosts_by_name'] = hosts(1, 1)
+    document['pipelines_by_name']['report'] = {
+        'stages': [
+            {'name': kind, 'service': name} for name, kind in SERVICES.items()
+        ],
+    }
+    with running_fleet(tmp_path_factory.mktemp('path'), document) as fleet:
+        for target in fleet.plan.addresses.targets_by_name:
+            fleet.target_options(target)
+        fleet.start()
+        asyncio.run(eventually(fleet.all_ready, 40))
+        yield fleet.plan.addresses.callers_by_entry['entry-1']
+        assert set(fleet.stop_all().values()) == {0}
 
 
 async def test_request_crosses_all_stages(caller_address: str) -> None:
