--- a/hornbeamline/cli/_daemons.py
+++ b/hornbeamline/cli/_daemons.py
@@ -9,17 +9,17 @@
 import typer
 
 from hornbeamline.core import Kernel
-from hornbeamline.daemons import EntryDaemon
+from hornbeamline.daemons import ControlDaemon, EntryDaemon
 from hornbeamline.inventory import (
+    ControlSettings,
     EntrySettings,
-    load_document,
     load_settings,
-    validate,
 )
 from hornbeamline.standins import StandinSettings, StandinTarget
 from hornbeamline.telemetry import configure_logs
 
 entry_app = typer.Typer(no_args_is_help=True)
+control_app = typer.Typer(no_args_is_help=True)
 target_app = typer.Typer(no_args_is_help=True)
 
 SettingsOption = Annotated[
@@ -29,20 +29,25 @@
 
 
 @entry_app.command('run')
-def run_entry(
-    settings: SettingsOption,
-    fleet: Annotated[
-        list[Path],
-        typer.Option('--fleet', help='Inventory and rules files (TOML).'),
-    ],
-) -> None:
+def run_entry(settings: SettingsOption) -> None:
     """Run an entry process until SIGTERM."""
     entry_settings = load_settings(settings, EntrySettings)
-    checked = validate(load_document(fleet))
     configure_logs(host=entry_settings.host.name)
 
     async def serve() -> int:
-        return await EntryDaemon(entry_settings, checked).run()
+        return await EntryDaemon(entry_settings).run()
+
+    raise typer.Exit(asyncio.run(serve()))
+
+
+@control_app.command('run')
+def run_control(settings: SettingsOption) -> None:
+    """Run a control process until SIGTERM."""
+    control_settings = load_settings(settings, ControlSettings)
+    configure_logs(host=control_settings.host.name)
+
+    async def serve() -> int:
+        return await ControlDaemon(control_settings).run()
 
     raise typer.Exit(asyncio.run(serve()))
 
--- a/hornbeamline/operator_api/_status.py
+++ b/hornbeamline/operator_api/_status.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, Final
 
 from hornbeamline.configuration import Accepted, HolderStatus
+from hornbeamline.inventory import HostRole
 from hornbeamline.peering import Peering
 from hornbeamline.replog import Members, ReplicatedLog
 
+# Of a host table that does not name its roles.
+DEFAULT_ROLES: Final = (HostRole.entry.value,)
+
 
 def status_of(
     accepted: Accepted,
@@ -22,9 +26,9 @@
     revision None.
     """
     hosts = {
-        name: _silent_host(name, table)
+        name: _silent_host(name)
         for name, table in accepted.document.get('hosts_by_name', {}).items()
-        if table.get('role', 'entry') != 'control'
+        if HostRole.entry.value in table.get('roles', DEFAULT_ROLES)
     }
     for holder in holders:
         hosts[holder.host] = _renewing_host(holder)
@@ -38,10 +42,10 @@
     }
 
 
-def _silent_host(name: str, table: dict[str, Any]) -> dict[str, Any]:
+def _silent_host(name: str) -> dict[str, Any]:
     return {
         'host': name,
-        'role': table.get('role', 'entry'),
+        'role': HostRole.entry.value,
         'revision': None,
         'lease_left_s': 0,
         'renewed_ago_s': None,
--- /dev/null
+++ b/tests/process/test_control.py
@@ -0,0 +1,209 @@
+"""Ledger and configuration through killed and frozen processes."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+from collections.abc import Iterator
+from typing import Any
+
+import aiohttp
+import pytest
+
+from tests.common import write_toml
+from tests.process.fleet import (
+    Answer,
+    Fleet,
+    base_document,
+    eventually,
+    hosts,
+    running_fleet,
+)
+
+# Long enough to kill the owner while the target works.
+SERVICE_MS = 700
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    """Run three control hosts, two entry hosts and a filing desk.
+
+    All tests of this module share the processes, since their start takes
+    longer than most tests; each leaves a working fleet behind.
+    """
+    folder = tmp_path_factory.mktemp('fleet')
+    document = base_document({'desk': {'kind': 'plain', 'idempotent': False}})
+    document['hosts_by_name'] = hosts(3, 2)
+    with running_fleet(folder, document) as running:
+        running.target_options('desk-1', service_ms=SERVICE_MS)
+        running.start()
+        asyncio.run(eventually(running.all_ready, 40))
+        yield running
+
+
+def with_rule(fleet: Fleet, queue_length: int) -> dict[str, Any]:
+    """Return the fleet's document with another queue length."""
+    document = copy.deepcopy(fleet.plan.document)
+    document['rules'] = {'admission': {'queue_length': queue_length}}
+    return document
+
+
+async def until_decided(fleet: Fleet, entry: str, key: str) -> Answer:
+    """Resend a request until it is answered or stays unknown."""
+    for _ in range(60):
+        try:
+            answer = await fleet.send(entry, key)
+        except (aiohttp.ClientError, TimeoutError):
+            answer = Answer(0, {})
+        is_pending = answer.body.get('reason') in {None, 'in_progress'}
+        is_lasting = answer.body.get('outcome') == 'unknown' and not is_pending
+        if answer.status == 200 or is_lasting:
+            return answer
+        await asyncio.sleep(0.25)
+    raise AssertionError(f'{key} was not decided: {answer}')
+
+
+async def executed(fleet: Fleet, *keys: str) -> list[int]:
+    """Return how often the desk executed requests."""
+    counts = await fleet.executions('desk-1')
+    return [counts.get(key, 0) for key in keys]
+
+
+async def test_killed_leader_costs_no_claim_and_no_change(
+    fleet: Fleet,
+) -> None:
+    """Guards against lost claims and changes when the leader dies."""
+    first = await fleet.send('entry-1', 'before')
+    assert first.status == 200, first
+    revision = fleet.apply(with_rule(fleet, 11))['revision']
+    leader = fleet.leader()
+    sending = asyncio.create_task(fleet.send('entry-1', 'during'))
+    await asyncio.sleep(SERVICE_MS / 2000)
+    fleet.group.kill(leader)
+    await asyncio.gather(sending, return_exceptions=True)
+    after = await until_decided(fleet, 'entry-2', 'after')
+    assert after.status == 200, after
+    assert fleet.apply(with_rule(fleet, 12))['revision'] == revision + 1
+    for key in ('before', 'during'):
+        again = await until_decided(fleet, 'entry-2', key)
+        assert again.status == 200, again
+    fleet.start(leader)
+    assert await executed(fleet, 'before', 'during', 'after') == [1, 1, 1]
+    assert fleet.status()['revision'] == revision + 1
+
+
+async def test_killed_owner_leaves_unknown_and_one_execution(
+    fleet: Fleet,
+) -> None:
+    """Guards against a second run after the owner died while sending."""
+    sending = asyncio.create_task(fleet.send('entry-1', 'owner'))
+    await asyncio.sleep(SERVICE_MS / 2000)
+    fleet.group.kill('entry-1')
+    await asyncio.gather(sending, return_exceptions=True)
+
+    async def is_unknown() -> bool:
+        found = await fleet.lookup('entry-2', 'owner')
+        is_owner_lost = found.body.get('reason') == 'owner_lost'
+        return found.body.get('outcome') == 'unknown' and is_owner_lost
+
+    await eventually(is_unknown, 15)
+    again = await fleet.send('entry-2', 'owner')
+    assert again.body['outcome'] == 'unknown', again
+    assert await executed(fleet, 'owner') == [1]
+    fleet.start('entry-1')
+    await eventually(fleet.all_ready)
+
+
+async def test_thawed_entry_serves_no_old_revision(fleet: Fleet) -> None:
+    """Guards against a frozen host that resumes with its old lease."""
+    fleet.group.freeze('entry-1')
+    document = with_rule(fleet, 13)
+    document['accounts_by_name']['cement']['credential_sha256'] = '0' * 64
+    revision = fleet.apply(document)['revision']
+    await asyncio.sleep(4.1)
+    waiting = asyncio.create_task(fleet.send('entry-1', 'old'))
+    await asyncio.sleep(0.2)
+    fleet.group.thaw('entry-1')
+    answer = await waiting
+    assert answer.status in {401, 503}, answer
+    assert await executed(fleet, 'old') == [0]
+
+    async def is_current() -> bool:
+        return all(
+            host['revision'] == revision and host['lease_left_s'] > 0
+            for host in fleet.status()['hosts']
+        )
+
+    await eventually(is_current)
+    fleet.apply(with_rule(fleet, 14))
+
+
+async def test_frozen_leader_is_replaced_and_returns(fleet: Fleet) -> None:
+    """Guards against a thawed leader that still decides."""
+    frozen = fleet.leader()
+    fleet.group.freeze(frozen)
+    answer = await until_decided(fleet, 'entry-1', 'frozen')
+    assert answer.status == 200, answer
+    revision = fleet.apply(with_rule(fleet, 15))['revision']
+    fleet.group.thaw(frozen)
+    again = await until_decided(fleet, 'entry-2', 'frozen')
+    assert again.status == 200, again
+    assert await executed(fleet, 'frozen') == [1]
+    state = fleet.status()
+    assert (state['leader'] != frozen, state['revision']) == (True, revision)
+
+
+async def test_lost_quorum_refuses_and_full_restart_remembers(
+    fleet: Fleet,
+) -> None:
+    """Guards against work without a quorum and a restart that forgets."""
+    first = await until_decided(fleet, 'entry-1', 'restart')
+    assert first.status == 200, first
+    revision = fleet.apply(with_rule(fleet, 16))['revision']
+    for control in fleet.controls:
+        fleet.group.kill(control)
+    await asyncio.sleep(4.2)
+    assert not await fleet.is_ready('entry-1')
+    refused = await fleet.send('entry-1', 'refused')
+    assert refused.status == 503
+    assert refused.body['outcome'] == 'not_run'
+    fleet.start(*fleet.controls)
+    await eventually(fleet.all_ready)
+    again = await until_decided(fleet, 'entry-2', 'restart')
+    assert again.status == 200, again
+    assert await executed(fleet, 'restart', 'refused') == [1, 0]
+    assert fleet.status()['revision'] == revision
+
+
+async def test_config_commands(fleet: Fleet) -> None:
+    """Guards against wrong exit codes and partial changes."""
+    revision = fleet.apply(with_rule(fleet, 17))['revision']
+    again = fleet.apply(with_rule(fleet, 17))
+    assert again == {
+        'status': 'unchanged',
+        'revision': revision,
+        'operations': 0,
+    }
+    broken = copy.deepcopy(fleet.plan.document)
+    broken['services_by_name'].pop('desk')
+    path = write_toml(fleet.folder / 'broken.toml', broken)
+    ended = fleet.config('config', 'apply', str(path))
+    assert ended.returncode == 2
+    assert f'{path}: targets_by_name.desk-1.service' in ended.stderr
+    assert len(ended.stderr.splitlines()) == 1
+    listed = fleet.config('config', 'history').stdout.splitlines()
+    numbers = [int(line.split(' ', 1)[0]) for line in listed]
+    assert numbers == list(range(1, revision + 1))
+    assert 'put rules.admission' in listed[-1]
+    shown = fleet.config('config', 'show').stdout
+    assert shown.startswith(f'# revision {revision}\n')
+    assert 'queue_length = 17' in shown
+
+
+def test_planned_stop_and_unreachable_operator(fleet: Fleet) -> None:
+    """Guards against a stop that fails and a command that hangs."""
+    stopped = fleet.stop_all()
+    assert set(stopped.values()) == {0}, stopped
+    unreachable = fleet.config('status', '--timeout=2')
+    assert unreachable.returncode == 4
+    assert 'no control host answered' in unreachable.stderr
