--- /dev/null
+++ b/hornbeamline/orders/_plan.py
@@ -0,0 +1,216 @@
+"""Comparison of wanted and reported engine state."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from hornbeamline.inventory import Fleet, Target, TargetState
+from hornbeamline.orders._messages import EngineReport, Order, OrderKey
+from hornbeamline.orders.const import (
+    ACTION_CHANGE_ROLE,
+    ACTION_LOAD_ADAPTER,
+    ACTION_LOAD_MODEL,
+    ACTION_UNLOAD_MODEL,
+    ADAPTER_SIZE_GB,
+)
+
+
+class EngineView(NamedTuple):
+    """What the plan is made from."""
+
+    fleet: Fleet
+    # Engines that answered just now; the others count as without copies.
+    reports_by_target: Mapping[str, EngineReport]
+    # Targets that get no new work, by membership.
+    unavailable: frozenset[str] = frozenset()
+    # Target and model of orders that may still take the copy away.
+    interrupted: frozenset[tuple[str, str]] = frozenset()
+    # Orders that wait for their effect or for a retry.
+    blocked: frozenset[OrderKey] = frozenset()
+
+
+class Plan(NamedTuple):
+    """At most one order per target, and how many were held back."""
+
+    orders: list[Order]
+    # Held, because they would take the last ready copy of a model.
+    held: int
+
+
+def is_managed(target: Target) -> bool:
+    """Return whether a target gets orders.
+
+    A target without models in its `engine` table is left alone: an
+    inventory that does not state models must not empty the engines.
+    """
+    return bool(target.engine.models)
+
+
+def has_effect(key: OrderKey, report: EngineReport) -> bool:
+    """Return whether a report shows what an interrupting order asked."""
+    if key.action == ACTION_UNLOAD_MODEL:
+        return key.model not in report.models
+    if key.action == ACTION_CHANGE_ROLE:
+        return report.role == key.role
+    return report.models.get(key.model) == key.version
+
+
+def plan_orders(view: EngineView) -> Plan:
+    """Return the orders that bring engines to the wanted state."""
+    planner = _Planner(view)
+    orders = []
+    for name in sorted(view.reports_by_target):
+        order = planner.next_order(name)
+        if order is not None:
+            orders.append(order)
+    return Plan(orders, planner.held)
+
+
+class _Planner:
+    def __init__(self, view: EngineView) -> None:
+        self.held = 0
+        self._view = view
+        self._fleet = view.fleet
+        self._used_models = {
+            stage.model
+            for pipeline in view.fleet.pipelines_by_name.values()
+            for stage in pipeline.stages
+            if stage.model
+        }
+        self._ready_by_model: dict[str, set[str]] = {}
+        for name, report in view.reports_by_target.items():
+            if self._takes_work(name):
+                self._add_copies(name, report)
+
+    def next_order(self, name: str) -> Order | None:
+        target = self._fleet.targets_by_name.get(name)
+        if target is None or not self._takes_work(name):
+            return None
+        if not is_managed(target):
+            return None
+        report = self._view.reports_by_target[name]
+        for order in self._candidates(name, target, report):
+            if order.key in self._view.blocked:
+                continue
+            for model in order.interrupts:
+                self._ready_by_model.get(model, set()).discard(name)
+            return order
+        return None
+
+    def _candidates(
+        self,
+        name: str,
+        target: Target,
+        report: EngineReport,
+    ) -> Iterator[Order]:
+        yield from self._role_changes(name, target, report)
+        # Before loads: an engine may need the memory for them.
+        yield from self._unloads(name, target, report)
+        for model in target.engine.models:
+            if model not in report.loading:
+                yield from self._loads(name, model, report)
+
+    def _role_changes(
+        self,
+        name: str,
+        target: Target,
+        report: EngineReport,
+    ) -> Iterator[Order]:
+        role = target.engine.role
+        if report.role == role:
+            return
+        if all(self._may_take(name, model) for model in report.models):
+            key = OrderKey(name, ACTION_CHANGE_ROLE, role=role)
+            yield Order(key, interrupts=frozenset(report.models))
+        else:
+            self.held += 1
+
+    def _unloads(
+        self,
+        name: str,
+        target: Target,
+        report: EngineReport,
+    ) -> Iterator[Order]:
+        for model, version in sorted(report.models.items()):
+            if model in target.engine.models:
+                continue
+            if self._may_take(name, model):
+                key = OrderKey(
+                    name,
+                    ACTION_UNLOAD_MODEL,
+                    model,
+                    version=version,
+                )
+                yield Order(key, interrupts=frozenset((model,)))
+            else:
+                self.held += 1
+
+    def _loads(
+        self,
+        name: str,
+        model: str,
+        report: EngineReport,
+    ) -> Iterator[Order]:
+        entry = self._fleet.models_by_name[model]
+        version = entry.version
+        if report.models.get(model) != version:
+            key = OrderKey(name, ACTION_LOAD_MODEL, model, version=version)
+            if model not in report.models:
+                yield Order(key, entry.size_gb)
+            elif self._may_replace(name, model):
+                interrupts = frozenset((model,))
+                yield Order(key, entry.size_gb, interrupts)
+            else:
+                self.held += 1
+            return
+        loaded = (report.adapters or {}).get(model, [])
+        for adapter in entry.adapters:
+            if adapter not in loaded and adapter not in report.loading:
+                key = OrderKey(
+                    name,
+                    ACTION_LOAD_ADAPTER,
+                    model,
+                    adapter,
+                    version,
+                )
+                yield Order(key, ADAPTER_SIZE_GB)
+
+    def _may_take(self, name: str, model: str) -> bool:
+        """Return whether enough copies are ready without this one."""
+        if model not in self._used_models:
+            return True
+        others = self._ready_by_model.get(model, set()) - {name}
+        entry = self._fleet.models_by_name.get(model)
+        wanted = 1 if entry is None else entry.min_copies
+        return len(others) >= wanted
+
+    def _may_replace(self, name: str, model: str) -> bool:
+        """Return whether another version may be loaded over a copy.
+
+        An engine serves the old version until the new one is ready, so a
+        model with a single engine can be replaced; with more engines they
+        take turns, in case a load fails.
+        """
+        if model not in self._used_models:
+            return True
+        if self._ready_by_model.get(model, set()) - {name}:
+            return True
+        return not any(
+            other != name
+            and model in target.engine.models
+            and self._takes_work(other)
+            for other, target in self._fleet.targets_by_name.items()
+        )
+
+    def _takes_work(self, name: str) -> bool:
+        target = self._fleet.targets_by_name.get(name)
+        if target is None or target.state is not TargetState.live:
+            return False
+        return name not in self._view.unavailable
+
+    def _add_copies(self, name: str, report: EngineReport) -> None:
+        for model in report.models:
+            away = (name, model) in self._view.interrupted
+            if not away and model not in report.loading:
+                self._ready_by_model.setdefault(model, set()).add(name)
--- /dev/null
+++ b/tests/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of orders to model engines."""
