Keep peer links when the own event loop stalls

Cause: after a stall longer than the silence timeout every link counted as unproven and was dialled again, with the frames that its socket held. Change: the stall is added to the time at which a link was last proven. New tests for the stall and for the bound of the inbox. Conclusion: a busy process no longer disturbs its links.

--- a/hornbeamline/peering/_links.py
+++ b/hornbeamline/peering/_links.py
@@ -155,6 +155,8 @@
             wait_s = wake_at - self._clock.monotonic()
             await asyncio.sleep(max(wait_s, _MIN_SLEEP_S))
             now = self._clock.monotonic()
+            # A stall of this process says nothing about the link.
+            link.proven_at += max(now - wake_at - interval_s, 0)
             if link.alive and not self.is_alive(link.peer):
                 self._set_alive(link, alive=False)
             if self._is_forgotten(link, now):
--- a/tests/peering/test_links.py
+++ b/tests/peering/test_links.py
@@ -186,3 +186,15 @@
     for number in range(8):
         assert await left.call('right', Ask(number), Told, 2) == Told(number)
     assert linked.relays['right'].accepted == accepted
+
+
+async def test_own_stall_is_no_silence(linked: Linked) -> None:
+    """Guards against redialling every peer after a busy event loop."""
+    left = await linked.start('left')
+    right = await linked.start('right')
+    await wait_linked(left, right)
+    accepted = linked.relays['right'].accepted
+    for _ in range(3):
+        time.sleep(2 * SILENCE_TIMEOUT_S)  # noqa: ASYNC251 - a stall.
+        await left.call('right', Ask(1), Told, LIMIT_S)
+    assert linked.relays['right'].accepted == accepted
--- a/tests/peering/test_messages.py
+++ b/tests/peering/test_messages.py
@@ -18,7 +18,11 @@
     PynngPeering,
     UnknownPeerError,
 )
-from hornbeamline.peering.const import MAX_BACKLOG_BYTES, MAX_FRAME_BYTES
+from hornbeamline.peering.const import (
+    MAX_BACKLOG_BYTES,
+    MAX_FRAME_BYTES,
+    MAX_INBOX_FRAMES,
+)
 from hornbeamline.telemetry import registry
 from tests.peering.conftest import (
     Ask,
@@ -215,3 +219,32 @@
     assert time.monotonic() - before < 2
     with pytest.raises(PeeringStoppedError):
         await left.call('right', Ask(1), Told, 1)
+
+
+async def test_inbox_is_bounded_while_the_event_loop_is_busy(
+    processes: Processes,
+) -> None:
+    """Guards against frames that fill the memory, and against losing them."""
+    address = free_addresses(1)[0]
+    right = await processes.start('right', address)
+    numbers: list[int] = []
+
+    async def note(_sender: str, ask: Ask) -> None:
+        numbers.append(ask.number)
+
+    right.on(Ask, note)
+    count = 2 * MAX_INBOX_FRAMES
+
+    def flood() -> None:
+        with pynng.Push0(dial=f'tcp://{address}') as sender:
+            for number in range(count):
+                mark = ('test.ask', 0, 0, False, (number, ''))
+                sender.send(encode(('test', 'left', [mark])))
+            time.sleep(1)
+
+    flooding = asyncio.get_running_loop().run_in_executor(None, flood)
+    time.sleep(0.5)  # noqa: ASYNC251 - a busy event loop.
+    assert len(right._inbox._frames) == MAX_INBOX_FRAMES
+    await eventually(lambda: len(numbers) == count, 5)
+    assert numbers == list(range(count))
+    await flooding
