Keep min_copies of a model while versions and roles change

Cause: a version change planned loads over all copies but one, and a role change was never allowed where the fleet wants just min_copies. Planning built a set of all other copies for each target. Change: copies are interrupted down to min_copies, or take turns where the fleet wants no more than that; copies are counted instead of copied.

--- a/hornbeamline/orders/_plan.py
+++ b/hornbeamline/orders/_plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
@@ -78,6 +79,12 @@
             for stage in pipeline.stages
             if stage.model
         }
+        self._wanted_copies = Counter(
+            model
+            for name, target in view.fleet.targets_by_name.items()
+            if self._takes_work(name)
+            for model in target.engine.models
+        )
         self._ready_by_model: dict[str, set[str]] = {}
         for name, report in view.reports_by_target.items():
             if self._takes_work(name):
@@ -120,7 +127,10 @@
         role = target.engine.role
         if report.role == role:
             return
-        if all(self._may_take(name, model) for model in report.models):
+        if all(
+            self._may_interrupt(name, model, lowest=1)
+            for model in report.models
+        ):
             key = OrderKey(name, ACTION_CHANGE_ROLE, role=role)
             yield Order(key, interrupts=frozenset(report.models))
         else:
@@ -158,7 +168,9 @@
             key = OrderKey(name, ACTION_LOAD_MODEL, model, version=version)
             if model not in report.models:
                 yield Order(key, entry.size_gb)
-            elif self._may_replace(name, model):
+            elif self._may_interrupt(name, model, lowest=0):
+                # An engine serves the old version until the new one is
+                # ready, so a single copy can be replaced.
                 interrupts = frozenset((model,))
                 yield Order(key, entry.size_gb, interrupts)
             else:
@@ -180,28 +192,27 @@
         """Return whether enough copies are ready without this one."""
         if model not in self._used_models:
             return True
-        others = self._ready_by_model.get(model, set()) - {name}
-        entry = self._fleet.models_by_name.get(model)
-        wanted = 1 if entry is None else entry.min_copies
-        return len(others) >= wanted
+        return self._other_copies(name, model) >= self._min_copies(model)
 
-    def _may_replace(self, name: str, model: str) -> bool:
-        """Return whether another version may be loaded over a copy.
+    def _may_interrupt(self, name: str, model: str, *, lowest: int) -> bool:
+        """Return whether a copy may be away for a time.
 
-        An engine serves the old version until the new one is ready, so a
-        model with a single engine can be replaced; with more engines they
-        take turns, in case a load fails.
+        `min_copies` is kept where the fleet has more copies than that;
+        otherwise the copies take turns, down to `lowest` ready ones.
         """
         if model not in self._used_models:
             return True
-        if self._ready_by_model.get(model, set()) - {name}:
-            return True
-        return not any(
-            other != name
-            and model in target.engine.models
-            and self._takes_work(other)
-            for other, target in self._fleet.targets_by_name.items()
-        )
+        others_wanted = self._wanted_copies[model] - 1
+        kept = min(self._min_copies(model), others_wanted)
+        return self._other_copies(name, model) >= max(kept, lowest)
+
+    def _min_copies(self, model: str) -> int:
+        entry = self._fleet.models_by_name.get(model)
+        return 1 if entry is None else entry.min_copies
+
+    def _other_copies(self, name: str, model: str) -> int:
+        ready = self._ready_by_model.get(model, set())
+        return len(ready) - (name in ready)
 
     def _takes_work(self, name: str) -> bool:
         target = self._fleet.targets_by_name.get(name)
--- a/tests/orders/cluster.py
+++ b/tests/orders/cluster.py
@@ -298,6 +298,7 @@
     used: tuple[str, ...] = (),
     rules: OrderRules | None = None,
     version: str = 'v1',
+    min_copies: int = 1,
 ) -> Fleet:
     """Return a fleet; the address of a target repeats its name."""
     sizes = sizes_gb or {
@@ -309,7 +310,11 @@
     return Fleet(
         fleet=FleetInfo(name='test'),
         models_by_name={
-            model: Model(version=version, size_gb=size)
+            model: Model(
+                version=version,
+                size_gb=size,
+                min_copies=min_copies,
+            )
             for model, size in sizes.items()
         },
         pipelines_by_name={'p': Pipeline(stages=stages)} if stages else {},
--- a/tests/orders/test_reconcile.py
+++ b/tests/orders/test_reconcile.py
@@ -80,6 +80,16 @@
     idle = EngineReport(models={'m1': 'v2'}, role='idle')
     roles = {'e1': idle, 'e2': idle}
     assert actions(fleet, roles) == [('e1', 'change_role', '')]
+    more = make_fleet(
+        {name: ['m1'] for name in TARGETS},
+        used=('m1',),
+        version='v2',
+        min_copies=2,
+    )
+    assert actions(more, dict.fromkeys(TARGETS, report(m1='v1'))) == [
+        ('e1', 'load_model', 'm1'),
+        ('e2', 'load_model', 'm1'),
+    ]
     single = make_fleet({'e1': ['m1']}, used=('m1',), version='v2')
     assert actions(single, {'e1': idle}) == []
     # The engine serves the old version until the new one is ready.
