Give targets an idempotency key per account, request and stage

Cause: the demonstration reported requests executed three times: every stage sent the caller's key, so a target that checks keys could answer a stage with the answer of another stage or of another client account. Change: only non-repeatable stages send a key, made of client account, request key and stage; the load generator checks that answers are those of their own prompts.

--- a/hornbeamline/cli/_demo.py
+++ b/hornbeamline/cli/_demo.py
@@ -110,18 +110,26 @@
         )
         endings = _load_with_kill(plan, group, load_plan)
         typer.echo(render_text(build_report(endings, load_plan.duration_s)))
-        executions = asyncio.run(
-            executions_by_key(plan.addresses.targets_by_name.values()),
-        )
-        report = find_violations(endings, executions)
-        typer.echo(f'{report.checked} request keys checked at the targets')
+        violations = _check_promises(plan, endings)
         stopped = group.stop(commands.keys() - group.exited().keys())
     failed = tuple(
         f'{process}: exit code {code} after SIGTERM'
         for process, code in stopped.items()
         if code
     )
-    return report.violations + failed
+    return violations + failed
+
+
+def _check_promises(
+    plan: FleetPlan,
+    endings: list[Ending],
+) -> tuple[str, ...]:
+    executions = asyncio.run(
+        executions_by_key(plan.addresses.targets_by_name.values()),
+    )
+    report = find_violations(endings, executions)
+    typer.echo(f'{report.checked} request keys checked at the targets')
+    return report.violations
 
 
 def _wait_ready(plan: FleetPlan, group: ProcessGroup) -> None:
--- a/hornbeamline/load/_runner.py
+++ b/hornbeamline/load/_runner.py
@@ -17,6 +17,7 @@
 from hornbeamline.load._balancer import Balancer
 from hornbeamline.load._settings import LoadSettings
 from hornbeamline.load._types import Ending, EndingKind
+from hornbeamline.standins import prompt_seed, token_text
 
 # Time that a caller waits beyond its deadline for the final outcome.
 GRACE_S: Final = 2.0
@@ -146,18 +147,26 @@
         try:
             async with session.post(
                 f'http://{entry}/v1/pipelines/{arrival.pipeline}/requests',
-                json={'input': {'nonce': nonce}, 'deadline_ms': deadline_ms},
+                json={
+                    'input': {'nonce': nonce, 'prompt': nonce},
+                    'deadline_ms': deadline_ms,
+                },
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(
                     total=deadline_ms / _MS_PER_S + GRACE_S,
                 ),
             ) as response:
-                return _read(response.status, await response.read(), nonce)
+                body = await response.read()
+                attempt = _read(response.status, body)
         except (aiohttp.ClientError, TimeoutError) as error:
             return _Attempt(
                 kind=EndingKind.connection_lost,
                 reason=type(error).__name__,
             )
+        is_checked = self._settings.check_answers and attempt.output is not None
+        if is_checked and not is_own_answer(attempt.output or {}, nonce):
+            return _Attempt(kind=EndingKind.wrong_answer)
+        return attempt
 
 
 class _Attempt(msgspec.Struct, frozen=True, kw_only=True):
@@ -165,19 +174,36 @@
     reason: str = ''
     retry_after_s: float = 0
     costs: tuple[dict[str, Any], ...] = ()
+    # None unless answered.
+    output: dict[str, Any] | None = None
 
 
-def _read(status: int, body: bytes, nonce: str) -> _Attempt:
+def is_own_answer(output: dict[str, Any], nonce: str) -> bool:
+    """Return whether stand-ins give this output for a prompt.
+
+    Plain stand-ins repeat the input; engines generate text that depends on
+    the prompt only.
+    """
+    text = output.get('text')
+    if text is None:
+        echo = output.get('echo')
+        return isinstance(echo, dict) and echo.get('nonce') == nonce
+    seed = prompt_seed(nonce)
+    tokens = len(text.split())
+    whole = ''.join(token_text(seed, index) for index in range(tokens))
+    return tokens > 0 and text == whole
+
+
+def _read(status: int, body: bytes) -> _Attempt:
     try:
         answer = msgspec.json.decode(body)
     except msgspec.DecodeError:
         return _Attempt(kind=EndingKind.rejected, reason=f'status {status}')
     if status == _HTTP_OK:
-        # The stand-ins repeat the input, so a swapped answer shows.
-        own = nonce in msgspec.json.encode(answer.get('output')).decode()
         return _Attempt(
-            kind=EndingKind.answered if own else EndingKind.wrong_answer,
+            kind=EndingKind.answered,
             costs=tuple(answer.get('costs', ())),
+            output=answer.get('output') or {},
         )
     outcome = answer.get('outcome', '')
     if outcome not in {EndingKind.not_run.value, EndingKind.unknown.value}:
--- a/hornbeamline/load/_settings.py
+++ b/hornbeamline/load/_settings.py
@@ -40,4 +40,6 @@
     resends: Annotated[int, Meta(ge=0)] = 2
     # A caller that is told "not run" comes back after Retry-After.
     obey_retry_after: bool = False
+    # Compares answers with what the project's stand-ins must answer.
+    check_answers: bool = True
     max_in_progress: Annotated[int, Meta(ge=1)] = 4000
--- a/hornbeamline/local_fleet/_files.py
+++ b/hornbeamline/local_fleet/_files.py
@@ -106,7 +106,10 @@
         'kind': service.kind.value,
         'service_ms': service.expected_ms,
         'concurrency': target.concurrency,
-        'checks_fencing': target.engine.checks_fencing,
+        'engine': {
+            'checks_fencing': target.engine.checks_fencing,
+            'models': list(target.engine.models),
+        },
     }
 
 
--- a/hornbeamline/local_fleet/_promises.py
+++ b/hornbeamline/local_fleet/_promises.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
@@ -21,7 +21,11 @@
 
 
 async def executions_by_key(addresses: Iterable[str]) -> dict[str, int]:
-    """Return how often stand-ins executed each request key."""
+    """Return how often stand-ins executed each request.
+
+    Names are `client account/request key/stage`, as in the key that targets
+    get.
+    """
     totals: Counter[str] = Counter()
     timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
     async with aiohttp.ClientSession(timeout=timeout) as session:
@@ -39,12 +43,16 @@
     """Check endings against executions of non-repeatable calls."""
     violations: list[str] = []
     checked = 0
+    counts_by_prefix: defaultdict[str, list[int]] = defaultdict(list)
+    for name, executed in executions.items():
+        counts_by_prefix[f'{name.rpartition("/")[0]}/'].append(executed)
     for ending in endings:
         if ending.kind is EndingKind.wrong_answer:
             violations.append(f'{_name(ending)}: answer of another request')
         if ending.request_key:
             checked += 1
-            count = executions.get(ending.request_key, 0)
+            prefix = f'{ending.account}/{ending.request_key}/'
+            count = max(counts_by_prefix.get(prefix, ()), default=0)
             violations.extend(_key_violations(ending, count))
     return PromiseReport(checked, tuple(violations))
 
--- a/hornbeamline/pipeline/_attempt.py
+++ b/hornbeamline/pipeline/_attempt.py
@@ -64,6 +64,18 @@
     # Where the tokens go, None when the caller does not get them.
     events: TokenEvents | None = None
 
+    @property
+    def idempotency_key(self) -> str:
+        """Return the key that the target gets, empty when repeatable.
+
+        Request keys are unique within a client account only, and several
+        stages of a request may call the same target.
+        """
+        request_key = self.request.request_key
+        if self.may_repeat or not request_key:
+            return ''
+        return f'{self.request.info.account}/{request_key}/{self.stage.name}'
+
     @property
     def remaining_stages(self) -> tuple[Stage, ...]:
         """Return this stage and those after it."""
@@ -196,7 +208,7 @@
             payload,
             max(0, min(self.dispatch.timeout_s, remaining_s)),
             self._plan.may_repeat,
-            request.request_key,
+            self._plan.idempotency_key,
             request.info.priority,
             self._plan.before_send,
         )
--- a/hornbeamline/standins/_batch.py
+++ b/hornbeamline/standins/_batch.py
@@ -20,8 +20,12 @@
 
 
 def prompt_seed(prompt: str) -> int:
-    """Return the seed of the token text of a prompt."""
-    return zlib.crc32(prompt.encode())
+    """Return the seed of the token text of a prompt.
+
+    Only the first line counts: it is the caller's part, so that a caller
+    can tell whether an answer belongs to its request.
+    """
+    return zlib.crc32(prompt.partition('\n')[0].encode())
 
 
 def token_text(seed: int, index: int) -> str:
--- a/hornbeamline/targets/_client.py
+++ b/hornbeamline/targets/_client.py
@@ -236,8 +236,8 @@
         'X-Deadline-Ms': str(int(call.timeout_s * 1000)),
         'X-Priority': str(call.priority),
     }
-    if call.request_key:
-        headers['Idempotency-Key'] = call.request_key
+    if call.idempotency_key:
+        headers['Idempotency-Key'] = call.idempotency_key
     return headers
 
 
--- a/hornbeamline/targets/_messages.py
+++ b/hornbeamline/targets/_messages.py
@@ -92,7 +92,7 @@
     payload: StagePayload | CompletionPayload
     timeout_s: float
     idempotent: bool = True
-    request_key: str = ''
+    idempotency_key: str = ''
     priority: int = 0
     # Called immediately before the first byte is written; an error that it
     # raises aborts the call and proves that it did not run.
--- a/tests/caller_api/test_caller_api.py
+++ b/tests/caller_api/test_caller_api.py
@@ -205,7 +205,10 @@
     assert (status, body['outcome']) == (200, 'unknown')
     status, body = found['k-1', 'paper-credential']
     assert (status, body['reason']) == (404, 'unknown_key')
-    assert site.desk.executions_by_key == {'k-1': 1, 'k-2': 1}
+    assert site.desk.executions_by_key == {
+        'cement/k-1/desk': 1,
+        'cement/k-2/desk': 1,
+    }
 
 
 @pytest.mark.parametrize(
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -92,7 +92,7 @@
     broken: bool,
 ) -> None:
     """Guards against a checker that accepts a wrong history."""
-    report = find_violations([ending(kind, 'k')], {'k': executions})
+    report = find_violations([ending(kind, 'k')], {'large/k/file': executions})
     assert bool(report.violations) is broken
 
 
--- a/tests/pipeline/test_non_repeatable.py
+++ b/tests/pipeline/test_non_repeatable.py
@@ -44,7 +44,7 @@
         first = await bench.executor.run(request('file', key='k'))
         await bench.executor.wait_idle(1)
         again = await bench.executor.run(request('file', key='k'))
-        assert desk.executions_by_key == {'k': 1}
+        assert desk.executions_by_key == {'cement/k/desk': 1}
     assert first.kind is again.kind is OutcomeKind.answered
     assert again.output == first.output
     assert bench.claims.states == [
@@ -73,7 +73,7 @@
         await bench.executor.wait_idle(1)
         desk.set_faults(Faults())
         again = await bench.executor.run(request('file', key='k'))
-        assert desk.executions_by_key == {'k': 1}
+        assert desk.executions_by_key == {'cement/k/desk': 1}
     assert outcome.kind is again.kind is OutcomeKind.unknown
     assert outcome.reason == reason
     assert bench.claims.states[-1] is ClaimState.unknown
@@ -90,7 +90,7 @@
         desk.set_faults(Faults())
         again = await bench.executor.run(request('file', key='k'))
         assert again.kind is OutcomeKind.answered
-        assert desk.executions_by_key == {'k': 1}
+        assert desk.executions_by_key == {'cement/k/desk': 1}
 
 
 async def test_later_failure_is_partially_run() -> None:
@@ -99,7 +99,7 @@
         outcome = await bench.executor.run(request('file', key='k'))
         await bench.executor.wait_idle(1)
         found = await bench.executor.lookup('cement', 'k')
-        assert desk.executions_by_key == {'k': 1}
+        assert desk.executions_by_key == {'cement/k/desk': 1}
     for each in (outcome, found):
         assert each.kind is OutcomeKind.unknown
         assert each.reason == 'partially_run'
@@ -134,7 +134,7 @@
     async with filing_desk() as (bench, desk):
         await bench.executor.run(request('file', key='k', levy=1))
         other = await bench.executor.run(request('file', key='k', levy=2))
-        assert desk.executions_by_key == {'k': 1}
+        assert desk.executions_by_key == {'cement/k/desk': 1}
     assert other.reason == 'key_reused'
 
 
@@ -148,7 +148,7 @@
         running.cancel()
         assert await bench.executor.wait_idle(2)
         found = await bench.executor.lookup('cement', 'k')
-        assert desk.executions_by_key == {'k': 1}
+        assert desk.executions_by_key == {'cement/k/desk': 1}
         assert desk.cancelled == []
     assert found.kind is OutcomeKind.answered
 
@@ -167,7 +167,10 @@
             request('file', key='other', deadline_s=0.01),
         )
         await late
-        assert desk.executions_by_key == {'k': 1, 'other': 1}
+        assert desk.executions_by_key == {
+            'cement/k/desk': 1,
+            'cement/other/desk': 1,
+        }
     assert {each.kind for each in outcomes} == {OutcomeKind.answered}
     assert impatient.kind is OutcomeKind.unknown
     assert impatient.reason == 'in_progress'
@@ -199,6 +202,6 @@
 
         monkeypatch.setattr(bench.client, 'call', failing)
         outcome = await bench.executor.run(request('file', key='k'))
-        assert desk.executions_by_key == {'k': 1}
+        assert desk.executions_by_key == {'cement/k/desk': 1}
     assert outcome.kind is OutcomeKind.unknown
     assert outcome.reason == 'internal_error'
--- a/tests/pipeline/test_with_ledger.py
+++ b/tests/pipeline/test_with_ledger.py
@@ -67,7 +67,10 @@
                     assert await executor.wait_idle(2)
                     outcomes.append((outcome.kind, outcome.reason))
             found = await executor.lookup('cement', 'answered')
-        assert desk.executions_by_key == {'answered': 1, 'lost': 1}
+        assert desk.executions_by_key == {
+            'cement/answered/desk': 1,
+            'cement/lost/desk': 1,
+        }
     await ledger.stop()
     await service.stop()
     assert outcomes == [
--- a/tests/process/test_control.py
+++ b/tests/process/test_control.py
@@ -66,7 +66,8 @@
 async def executed(fleet: Fleet, *keys: str) -> list[int]:
     """Return how often the desk executed requests."""
     counts = await fleet.executions('desk-1')
-    return [counts.get(key, 0) for key in keys]
+    names_by_key = {name.split('/')[1]: name for name in counts}
+    return [counts.get(names_by_key.get(key, ''), 0) for key in keys]
 
 
 async def test_killed_leader_costs_no_claim_and_no_change(
--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -82,7 +82,7 @@
             await client.call(
                 't',
                 inventory_target(standin),
-                stage_call(idempotent=False, request_key='k'),
+                stage_call(idempotent=False, idempotency_key='k'),
             )
         assert standin.executions_by_key == {'k': 1}
 
@@ -121,7 +121,7 @@
             await client.call(
                 't',
                 inventory_target(standin),
-                stage_call(request_key='k'),
+                stage_call(idempotency_key='k'),
             )
         assert refusal.value.leaving is leaving
         assert standin.executions_by_key == {}
@@ -138,7 +138,7 @@
         target = inventory_target(standin)
         await client.call('t', target, stage_call('r-0'))
         call = stage_call(
-            request_key='k',
+            idempotency_key='k',
             before_send=too_late,
             idempotent=idempotent,
         )
