--- a/hornbeamline/decisions/_calls.py
+++ b/hornbeamline/decisions/_calls.py
@@ -71,7 +71,8 @@
         record.in_flight += 1
         record.last_dispatch_at = now
         pool.in_flight += 1
-        pool.sync(record, now)
+        pool.note_demand()
+        pool.sync(record)
         if call.prefix:
             pool.affinity.note(call.prefix, record.name, now)
         return dispatch
@@ -107,7 +108,7 @@
         # about the present one.
         if active.epoch == record.epoch:
             _learn(active, report, now)
-        active.pool.sync(record, now)
+        active.pool.sync(record)
         return active.pool
 
 
@@ -141,6 +142,7 @@
 def _learn_success(active: _Active, report: CallReport, now: float) -> None:
     pool = active.pool
     record = active.record
+    pool.served.count(now)
     estimates = pool.estimates
     tokens = report.tokens or active.max_tokens
     relative = report.duration_s / estimates.expected_s(tokens, now)
--- a/hornbeamline/decisions/_limits.py
+++ b/hornbeamline/decisions/_limits.py
@@ -7,16 +7,20 @@
 
 from hornbeamline.inventory import LimitRules
 
-_SHRINK_SLOW: Final = 0.9
+_SHRINK_MOST: Final = 0.6
+# Half a call per limit's worth of successes; a whole one made the limits of
+# 12 hosts swing between 1 and 2 at full load.
+_RISE: Final = 0.5
 _SHRINK_REFUSED: Final = 0.7
 _GAIN: Final = 0.2
 # Hosts start at a multiple of their equal part of the target, so that one
 # host's burst may use slots that the others leave idle.
 _START_FACTOR: Final = 2
+_EVIDENCE_S: Final = 5.0
 _WINDOW_S: Final = 1.0
 _WINDOW_SAMPLES: Final = 10
 _RISE_IDLE: Final = 0.1
-_RISE_BUSY: Final = 0.005
+_RISE_BUSY: Final = 0.001
 _FALL: Final = 0.5
 
 
@@ -42,11 +46,24 @@
         )
         part = math.ceil(concurrency * _START_FACTOR / host_count)
         start = min(rules.initial_concurrency, part, self._ceiling)
-        self.value = float(max(self._floor, start))
+        self._start = float(max(self._floor, start))
+        self.value = self._start
         if not rules.adaptive:
             self.value = float(rules.max_concurrency)
         self._relative = 1.0
         self._shrunk_at = -math.inf
+        self._learned_at = -math.inf
+
+    def review(self, now: float) -> None:
+        """Return to the start value when the evidence is old.
+
+        A low limit keeps calls away and with them the evidence that would
+        raise it.
+        """
+        is_old = now - self._learned_at > _EVIDENCE_S
+        if is_old and self._rules.adaptive and self.value < self._start:
+            self.value = self._start
+            self._relative = 1
 
     def succeeded(
         self,
@@ -58,11 +75,13 @@
         """Learn from a duration relative to that of an idle target."""
         if not self._rules.adaptive:
             return
+        self._learned_at = now
         self._relative += _GAIN * (relative - self._relative)
-        if self._relative > self._rules.latency_tolerance:
-            self._shrink(_SHRINK_SLOW, started_at, now)
+        tolerated = self._rules.latency_tolerance / self._relative
+        if tolerated < 1:
+            self._shrink(max(_SHRINK_MOST, tolerated), started_at, now)
         elif in_flight + 1 >= self.value / 2:
-            self.value = min(self._ceiling, self.value + 1 / self.value)
+            self.value = min(self._ceiling, self.value + _RISE / self.value)
 
     def pushed_back(self, started_at: float, now: float) -> None:
         """Learn from an explicit refusal or a timeout."""
@@ -74,6 +93,7 @@
         if started_at < self._shrunk_at:
             return
         self._shrunk_at = now
+        self._learned_at = now
         self.value = max(self._floor, self.value * factor)
 
 
--- a/hornbeamline/decisions/_pool.py
+++ b/hornbeamline/decisions/_pool.py
@@ -12,6 +12,7 @@
 from hornbeamline.decisions._estimates import ServiceEstimates
 from hornbeamline.decisions._limits import IdleDuration
 from hornbeamline.decisions._queue import FairQueue, FairTags
+from hornbeamline.decisions._rates import RateMeter
 from hornbeamline.decisions._routing import (
     RoutingView,
     algorithm_of,
@@ -22,8 +23,10 @@
 from hornbeamline.inventory import Fleet, ServiceKind
 
 _MS_PER_S: Final = 1000
-_DEMAND_GAIN: Final = 0.2
+_DEMAND_GAIN: Final = 0.1
 _DEFAULT_TOKENS: Final = 64
+# Bounds the search for a probe that suits a call.
+_PROBE_TRIES: Final = 4
 
 
 class Pool:
@@ -49,6 +52,8 @@
         self.demand: float = 0
         self.limit_sum = 0
         self.average_load: float = 0
+        self.served = RateMeter()
+        self.served_per_s: float = 0
         self.decisions = 0
         self.next_review_at: float = 0
         self._take_rules(fleet)
@@ -77,11 +82,11 @@
         self.affinity.update_targets(frozenset(records_by_name))
         self.measure(now)
 
-    def sync(self, record: TargetRecord, now: float) -> None:
+    def sync(self, record: TargetRecord) -> None:
         """Let a target take calls or not, after any change of its state."""
         candidates = self.own if record.is_own else self.others
         is_member = self.records_by_name.get(record.name) is record
-        if is_member and record.is_usable and record.has_room(now):
+        if is_member and record.has_room and record.is_usable:
             candidates.add(record)
         else:
             candidates.discard(record)
@@ -90,21 +95,32 @@
         """Recompute which targets have room, and the sums over them."""
         records = self.records_by_name.values()
         for each in records:
-            self.sync(each, now)
+            each.limit.review(now)
+            self.sync(each)
         live = [record for record in records if record.is_live]
         # When all live targets are ejected, their probes are all there is.
         usable = [record for record in live if record.is_usable] or live
         self.usable_count = len(usable)
-        self.limit_sum = sum(record.slots_at(now) for record in usable)
+        self.limit_sum = sum(record.slots for record in usable)
+        self.served_per_s = self.served.per_s(now)
         loads = [relative_load(record, now) for record in usable]
         self.average_load = sum(loads) / len(loads) if loads else 0
+
+    def note_demand(self) -> None:
+        """Average the calls in progress and in the queue, per dispatch."""
         needed = self.in_flight + len(self.queue)
         self.demand += _DEMAND_GAIN * (needed - self.demand)
 
     @property
     def per_s(self) -> float:
-        """Return the calls per second that this host can get through."""
-        return self.limit_sum / self.estimates.mean_s
+        """Return the calls per second that this host can get through.
+
+        Limits and durations lag behind each other when the load changes;
+        the rate that targets did serve is a lower bound.
+        """
+        if not self.limit_sum:
+            return 0
+        return max(self.served_per_s, self.limit_sum / self.estimates.mean_s)
 
     def choose(
         self,
@@ -142,11 +158,11 @@
             return False
         return self.average_load < self.rules.routing.spill_threshold
 
-    def rest_can_carry(self, record: TargetRecord, now: float) -> bool:
+    def rest_can_carry(self, record: TargetRecord) -> bool:
         """Return whether the load fits on the other usable targets."""
         rest = self.limit_sum
         if record.is_usable:
-            rest -= record.slots_at(now)
+            rest -= record.slots
         return rest > 0 and rest >= self.demand
 
     def has_others(self, record: TargetRecord) -> bool:
@@ -165,10 +181,10 @@
     ) -> TargetRecord | None:
         if not self.probes or call.is_hedge or call.attempt > 1:
             return None
-        for record in self.probes:
+        for record in self.probes[:_PROBE_TRIES]:
             extra_s = (record.slowness - 1) * self.estimates.mean_s
             is_allowed = record.is_live and record.name not in call.excluded
-            if is_allowed and record.has_room(now) and extra_s <= spare_s:
+            if is_allowed and record.has_room and extra_s <= spare_s:
                 self.probes.remove(record)
                 return record
         return None
--- a/hornbeamline/decisions/_targets.py
+++ b/hornbeamline/decisions/_targets.py
@@ -14,6 +14,8 @@
 _HALF_LIFE_S: Final = 5.0
 # Fresh measurements that a comparison with other targets needs.
 _FEW_SAMPLES: Final = 1.5
+# A slow target that is not even probed is tried again after this time.
+_FORGOTTEN_S: Final = 30.0
 
 
 class TargetRecord:
@@ -64,6 +66,7 @@
         self.breaker = Breaker(self._rules.routing)
         # Durations relative to the service's median.
         self._relative = DecayedQuantiles(_HALF_LIFE_S)
+        self._measured_at = -math.inf
         self._others_load: float = 0
         self._load_at = -math.inf
         # Duration relative to the pool's typical target.
@@ -81,19 +84,15 @@
         """Return whether the target takes ordinary calls."""
         return self.is_live and not self.is_avoided and not self.breaker.is_open
 
-    def limit_at(self, now: float) -> float:
-        """Return the own calls allowed now."""
-        if self.breaker.is_open:
-            return 1
-        return max(1, self.limit.value * self.breaker.ramp(now))
-
-    def slots_at(self, now: float) -> int:
-        """Return the limit in whole calls."""
-        return math.ceil(self.limit_at(now))
+    @property
+    def slots(self) -> int:
+        """Return the own calls allowed; one probe while ejected."""
+        return 1 if self.breaker.is_open else math.ceil(self.limit.value)
 
-    def has_room(self, now: float) -> bool:
+    @property
+    def has_room(self) -> bool:
         """Return whether one more call may be sent."""
-        return self.in_flight < self.limit_at(now)
+        return self.in_flight < self.slots
 
     def load_at(self, now: float) -> float:
         """Return own calls plus this host's part of the reported load.
@@ -120,10 +119,13 @@
 
     def record_relative(self, relative: float, now: float) -> None:
         """Add a duration relative to the service's median."""
+        self._measured_at = now
         self._relative.record(relative, now)
 
     def relative_quantile(self, quantile: float, now: float) -> float | None:
         """Return a quantile of relative durations, or None if unknown."""
+        if now - self._measured_at > _FORGOTTEN_S:
+            return None
         if self._relative.effective_count(now) < _FEW_SAMPLES:
             return None
         return self._relative.quantile(quantile, now)
--- a/hornbeamline/membership/_view.py
+++ b/hornbeamline/membership/_view.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping
 from typing import Final, Literal, NamedTuple, TypeAlias
 
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.inventory import Fleet, MembershipRules, TargetState
 from hornbeamline.membership._metrics import UNAVAILABLE
+from hornbeamline.membership.const import OWN_EVIDENCE_S
 from hornbeamline.telemetry import log_event
 
 Report: TypeAlias = Literal['live', 'leaving']
@@ -22,6 +24,8 @@
     version: int
     # Start of the unbroken run of newer lists that say live.
     live_since: float | None = None
+    # End of a report that only the target itself has made.
+    own_until: float = math.inf
 
 
 class MembershipView:
@@ -29,9 +33,10 @@
 
     The list lags and may be served from stale copies. A target counts as
     leaving from the first sign on, and as live again only after newer
-    lists have said so for `leaving_hold_s`. Without lists nothing is
-    withdrawn, except that a target that the operator drains or removes
-    starts afresh when it returns.
+    lists have said so for `leaving_hold_s`. What only the target itself
+    said ends after `OWN_EVIDENCE_S`: a target that restarts quickly may
+    never stand as leaving in a list. A target that the operator drains or
+    removes starts afresh when it returns.
     """
 
     def __init__(
@@ -62,7 +67,23 @@
 
     def note_leaving(self, target: str) -> None:
         """Record that a target itself said that it is leaving."""
-        self._leaving_by_target[target] = _Leaving(self._version)
+        known = self._leaving_by_target.get(target)
+        if known is not None and known.own_until == math.inf:
+            self._leaving_by_target[target] = _Leaving(self._version)
+        else:
+            until = self._clock.monotonic() + OWN_EVIDENCE_S
+            self._leaving_by_target[target] = _Leaving(
+                self._version,
+                own_until=until,
+            )
+        self._publish()
+
+    def expire(self) -> None:
+        """Withdraw what only targets said, once it is out of date."""
+        now = self._clock.monotonic()
+        for target, leaving in tuple(self._leaving_by_target.items()):
+            if leaving.own_until <= now:
+                self._leaving_by_target.pop(target)
         self._publish()
 
     def apply_list(self, version: int, reports: Mapping[str, Report]) -> bool:
