Bound commands, keep election waits above the clock's resolution

An entry larger than a message between processes could have been accepted and never replicated. Replacing the leader's own identity would have demoted it.

--- a/hornbeamline/replog/__init__.py
+++ b/hornbeamline/replog/__init__.py
@@ -8,6 +8,7 @@
 from hornbeamline.replog._replica import RaftLog
 from hornbeamline.replog._voters import VoterChange
 from hornbeamline.replog.errors import (
+    CommandTooLargeError,
     LogBusyError,
     LogStoppedError,
     NotLeaderError,
@@ -16,6 +17,7 @@
 )
 
 __all__ = (
+    'CommandTooLargeError',
     'Disk',
     'LogBusyError',
     'LogStoppedError',
--- a/hornbeamline/replog/_election.py
+++ b/hornbeamline/replog/_election.py
@@ -17,6 +17,7 @@
 )
 from hornbeamline.replog._metrics import ELECTIONS_WON
 from hornbeamline.replog._node import Node
+from hornbeamline.replog.const import MIN_ELECTION_WAIT_S
 from hornbeamline.telemetry import log_event
 
 
@@ -40,7 +41,7 @@
                 await asyncio.sleep(node.settings.storage.heartbeat_interval_s)
                 await self._check_quorum()
             elif wait_s > 0:
-                await asyncio.sleep(wait_s)
+                await asyncio.sleep(max(wait_s, MIN_ELECTION_WAIT_S))
             else:
                 node.postpone_election()
                 await self.campaign()
--- a/hornbeamline/replog/_follower.py
+++ b/hornbeamline/replog/_follower.py
@@ -89,10 +89,13 @@
             log_event('replog.snapshot_refused', index=request.last_index)
             return self._snapshot_reply(0)
         try:
-            await self._snapshots.install(
+            snapshot = await self._node.run_blocking(
+                unpack,
                 raw,
-                unpack(raw, Snapshot, 'received snapshot'),
+                Snapshot,
+                'received snapshot',
             )
+            await self._snapshots.install(raw, snapshot)
         except LogStoppedError as error:
             self._node.fail(error)
             raise
--- a/hornbeamline/replog/_leadership.py
+++ b/hornbeamline/replog/_leadership.py
@@ -30,6 +30,9 @@
         self._applied = Watermark(node.applied.position)
         self._confirmed = Watermark()
         self._proposals_by_index: dict[int, asyncio.Future[bytes]] = {}
+        self._sizes_by_index: dict[int, int] = {}
+        # Sum of the commands without an outcome.
+        self.pending_bytes = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -51,12 +54,16 @@
         future: asyncio.Future[bytes] = (
             asyncio.get_running_loop().create_future()
         )
-        self._proposals_by_index[self._append(entry)] = future
+        index = self._append(entry)
+        self._proposals_by_index[index] = future
+        self._sizes_by_index[index] = len(entry.command)
+        self.pending_bytes += len(entry.command)
         return future
 
     def note_applied(self, index: int, outcome: bytes) -> None:
         """Answer the proposal at an applied index."""
         self._applied.advance(index)
+        self.pending_bytes -= self._sizes_by_index.pop(index, 0)
         future = self._proposals_by_index.pop(index, None)
         if future is not None and not future.done():
             future.set_result(outcome)
--- a/hornbeamline/replog/_replica.py
+++ b/hornbeamline/replog/_replica.py
@@ -24,8 +24,14 @@
 from hornbeamline.replog._threads import Threads
 from hornbeamline.replog._transfer import transfer_leadership
 from hornbeamline.replog._voters import VoterChange, VoterChanges
-from hornbeamline.replog.const import ENTRY_COMMAND, MAX_PENDING_PROPOSALS
+from hornbeamline.replog.const import (
+    ENTRY_COMMAND,
+    MAX_COMMAND_BYTES,
+    MAX_PENDING_BYTES,
+    MAX_PENDING_PROPOSALS,
+)
 from hornbeamline.replog.errors import (
+    CommandTooLargeError,
     LogBusyError,
     LogStoppedError,
     NotLeaderError,
@@ -150,16 +156,23 @@
     async def propose(self, machine: str, command: bytes) -> bytes:
         """Commit a command and return the result of its `apply`.
 
-        Raises `NotLeaderError` and `LogBusyError` (nothing was proposed),
-        `ProposalUnknownError` (it may still be applied) and
-        `LogStoppedError` (nothing was proposed).
+        Raises `NotLeaderError`, `LogBusyError`, `CommandTooLargeError`
+        and `LogStoppedError` (nothing was proposed), and
+        `ProposalUnknownError` (it may still be applied).
         """
         if machine not in self._node.machines:
             raise ReplicatedLogError(f'machine {machine} is not registered')
+        if len(command) > MAX_COMMAND_BYTES:
+            raise CommandTooLargeError(
+                f'{len(command)} bytes, limit {MAX_COMMAND_BYTES}',
+            )
         leadership = self._require_leadership()
-        if leadership.pending >= MAX_PENDING_PROPOSALS:
+        if _is_busy(leadership):
             PROPOSALS_REFUSED.inc()
-            raise LogBusyError(f'{leadership.pending} proposals are pending')
+            raise LogBusyError(
+                f'{leadership.pending} proposals with '
+                f'{leadership.pending_bytes} bytes are pending',
+            )
         entry = Entry(leadership.term, ENTRY_COMMAND, machine, command)
         return await leadership.propose(entry)
 
@@ -214,3 +227,9 @@
         # A write in progress ends before its file is closed.
         await self._threads.stop()
         self._store.close()
+
+
+def _is_busy(leadership: Leadership) -> bool:
+    if leadership.pending >= MAX_PENDING_PROPOSALS:
+        return True
+    return leadership.pending_bytes >= MAX_PENDING_BYTES
--- a/hornbeamline/replog/_replication.py
+++ b/hornbeamline/replog/_replication.py
@@ -125,7 +125,12 @@
         raw = await self._node.run_blocking(self._node.store.read_snapshot)
         if raw is None:
             raise LogStoppedError('the snapshot file is missing')
-        snapshot = unpack(raw, Snapshot, 'snapshot')
+        snapshot = await self._node.run_blocking(
+            unpack,
+            raw,
+            Snapshot,
+            'snapshot',
+        )
         checksum = zlib.crc32(raw)
         SNAPSHOTS_SENT.inc()
         offset = 0
--- a/hornbeamline/replog/_voters.py
+++ b/hornbeamline/replog/_voters.py
@@ -101,8 +101,10 @@
 
     async def _identity_of(self, change: VoterChange) -> str:
         node = self._node
-        if change.action == CHANGE_REMOVE or change.name == node.name:
+        if change.action == CHANGE_REMOVE:
             return change.identity
+        if change.name == node.name:
+            return node.identity
         if change.address:
             node.peering.add_peer(change.name, change.address)
         try:
--- a/hornbeamline/replog/const.py
+++ b/hornbeamline/replog/const.py
@@ -23,6 +23,9 @@
 
 # Proposals without an outcome; more are refused with `LogBusyError`.
 MAX_PENDING_PROPOSALS: Final = 8192
+MAX_PENDING_BYTES: Final = 67_108_864
+# A larger entry would not fit into one message between processes (8 MiB).
+MAX_COMMAND_BYTES: Final = 7_340_032
 
 # A learner this close to the end of the log has caught up: the rest takes
 # one append message.
@@ -31,5 +34,9 @@
 # Entries applied before other tasks of the event loop get a turn.
 APPLY_SLICE_ENTRIES: Final = 256
 
+# A shorter sleep may lie below the resolution of the clock and end before
+# the time it waits for, again and again.
+MIN_ELECTION_WAIT_S: Final = 0.001
+
 BOOTSTRAP_INTERVAL_S: Final = 0.2
 HELLO_TIMEOUT_S: Final = 1.0
--- a/hornbeamline/replog/errors.py
+++ b/hornbeamline/replog/errors.py
@@ -26,5 +26,9 @@
     """Too many proposals are pending; nothing was proposed."""
 
 
+class CommandTooLargeError(ReplicatedLogError):
+    """A command does not fit into one message; nothing was proposed."""
+
+
 class VoterChangeRefusedError(ReplicatedLogError):
     """A change of voters is not allowed now; nothing was changed."""
