--- a/benchmarks/entry.py
+++ b/benchmarks/entry.py
@@ -374,16 +374,19 @@
     spent_s = site.processor_s() - before_s
     direct_full = run_jobs(pool, direct._replace(callers=64))
     rate = full.completed / seconds / 2
+    before_s = site.processor_s()
     half = run_jobs(pool, through._replace(rate=rate))
+    half_share = (site.processor_s() - before_s) / seconds
     direct_half = run_jobs(pool, direct._replace(rate=rate))
     entry_ms = quantiles(half.latencies_ms)
     direct_ms = quantiles(direct_half.latencies_ms)
     return {
         'requests_per_s': round(full.completed / seconds),
         'direct_requests_per_s': round(direct_full.completed / seconds),
-        'failed': full.failed + half.failed,
+        'failed_full_half': (full.failed, half.failed),
         'processor_us_per_request': round(spent_s / full.completed * 1e6),
         'half_rate_per_s': round(rate),
+        'half_processor_share': round(half_share, 2),
         'entry_p50_p99_ms': entry_ms,
         'direct_p50_p99_ms': direct_ms,
         'added_p50_ms': round(entry_ms[0] - direct_ms[0], 2),
--- a/hornbeamline/daemons/_entry.py
+++ b/hornbeamline/daemons/_entry.py
@@ -8,6 +8,7 @@
 from hornbeamline.configuration import StaticFleetSource
 from hornbeamline.core import Kernel
 from hornbeamline.daemons._drain import DrainService
+from hornbeamline.daemons._memory import CollectorService
 from hornbeamline.decisions import DecisionEngine, DecisionSettings
 from hornbeamline.helpers.clock import SystemClock
 from hornbeamline.helpers.http_server import HttpServer
@@ -21,6 +22,7 @@
 SERVICE_POLLER = 'poller'
 SERVICE_TICKER = 'ticker'
 SERVICE_DRAIN = 'drain'
+SERVICE_COLLECTOR = 'collector'
 
 
 class EntryDaemon:
@@ -58,6 +60,7 @@
             SERVICE_CALLER_API,
             HttpServer(api.build(), settings.caller.address),
         )
+        self.kernel.register(SERVICE_COLLECTOR, CollectorService())
         self.kernel.register(SERVICE_DRAIN, DrainService(api, settings.stop))
         self._settings = settings
 
