--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -67,6 +67,7 @@
 PREFIX_SAVING = 0.4
 CANCEL_DELAY_S = 0.002
 SIGMA = 0.5
+CYCLES = 20_000
 FILING_PART = 0.1
 SHARES = {'ash': 1, 'beech': 1, 'cedar': 1, 'elm': 2, 'fir': 3}
 
@@ -107,6 +108,8 @@
     report_delay_s: float = 2.0
     flood: float = 1.0
     prefixes: int = 0
+    # Calls that a target queues before it refuses, per slot.
+    queue_per_slot: int = 8
 
 
 SCENARIOS = {
@@ -114,6 +117,7 @@
     'steady_95': Scenario(0.95),
     'steady_100': Scenario(1.0),
     'overload_2x': Scenario(2.0),
+    'overload_2x_deep_queues': Scenario(2.0, queue_per_slot=10_000),
     'burst_3x_2s': Scenario(0.7, burst=3.0),
     'straggler_10x': Scenario(0.7, slow={'drafting-1': 10.0}),
     'one_dead': Scenario(0.7, modes={'drafting-1': 'dead'}),
@@ -243,7 +247,9 @@
             return
         elif len(self.running) < self.shape.concurrency:
             self._start(job)
-        elif len(self.waiting) < 8 * self.shape.concurrency:
+        elif len(self.waiting) < (
+            self.bench.scenario.queue_per_slot * self.shape.concurrency
+        ):
             self.waiting.append(job)
         else:
             job.flow.ended(job, CallResult.refused)
@@ -628,6 +634,58 @@
 )
 
 
+def cycle_us(target_count: int, kind: ServiceKind) -> float:
+    """Return the CPU time of one request of one stage, in microseconds.
+
+    A cycle is `admit`, `submit`, `hedge_delay_s`, `finished` and
+    `finish_request`, with half of all slots in use.
+    """
+    targets = {
+        f'target-{index}': Target(
+            service='only',
+            data_centre=DATA_CENTRES[index % 4],
+            address=f'10.0.0.1:{1000 + index}',
+        )
+        for index in range(target_count)
+    }
+    fleet = Fleet(
+        fleet=FleetInfo(name='cycle'),
+        services_by_name={'only': ServiceEntry(kind=kind)},
+        targets_by_name=targets,
+        pipelines_by_name={
+            'one': Pipeline(stages=[Stage(name='only', service='only')])
+        },
+    )
+    clock = ManualClock()
+    settings = DecisionSettings('entry-0', DATA_CENTRES[0])
+    engine = DecisionEngine(settings, clock, random.Random(1))
+    engine.update_fleet(fleet)
+    held: deque[Any] = deque()
+    report = CallReport(CallResult.succeeded, 0.05)
+    in_use = target_count * 4
+    started_at = time.process_time()
+    for serial in range(CYCLES):
+        clock.advance(0.05 / in_use)
+        info = RequestInfo(f'r{serial}', 'ash', 'one', clock.now_s + DEADLINE_S)
+        engine.admit(info)
+        call = StageCall(info, 0, prefix=f'p{serial % 50}')
+        engine.submit(call, held.append)
+        if len(held) > in_use:
+            dispatch = held.popleft()
+            engine.hedge_delay_s(dispatch)
+            engine.finished(dispatch, report)
+        engine.finish_request(info)
+    return (time.process_time() - started_at) / CYCLES * 1e6
+
+
+def print_cycles() -> None:
+    """Print the CPU time of a cycle for some sizes."""
+    for count in (4, 50, 300):
+        for kind in (ServiceKind.retrieval, ServiceKind.generation):
+            costs = [cycle_us(count, kind) for _ in range(3)]
+            print(f'{count:4} targets {kind.value:10} {min(costs):6.1f} us')
+
+
 def main() -> None:
     """Run the chosen scenarios and variants and print the medians."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -636,7 +694,11 @@
     parser.add_argument('--scenarios', nargs='*', default=list(SCENARIOS))
     parser.add_argument('--variants', nargs='*', default=list(VARIANTS))
     parser.add_argument('--json', type=Path)
+    parser.add_argument('--cycle', action='store_true')
     arguments = parser.parse_args()
+    if arguments.cycle:
+        print_cycles()
+        return
     pairs = list(itertools.product(arguments.scenarios, arguments.variants))
     jobs = [(*pair, seed) for pair in pairs for seed in range(arguments.seeds)]
     with ProcessPoolExecutor(arguments.processes) as pool:
--- a/hornbeamline/decisions/_pool.py
+++ b/hornbeamline/decisions/_pool.py
@@ -25,6 +25,8 @@
 _MS_PER_S: Final = 1000
 _DEMAND_GAIN: Final = 0.1
 _DEFAULT_TOKENS: Final = 64
+# Above this load per limit, extra attempts would only lengthen queues.
+_SPARE_LOAD: Final = 0.8
 # Bounds the search for a probe that suits a call.
 _PROBE_TRIES: Final = 4
 
@@ -156,7 +158,7 @@
         """Return whether targets are idle enough for extra attempts."""
         if self.queue or not (self.own.records or self.others.records):
             return False
-        return self.average_load < self.rules.routing.spill_threshold
+        return self.average_load < _SPARE_LOAD
 
     def rest_can_carry(self, record: TargetRecord) -> bool:
         """Return whether the load fits on the other usable targets."""
