Apply changed rules to limits, breakers and budgets at once

Change: a new revision moves each limit between its new bounds and replaces the breaker's rules; a change of concurrency keeps the measurements; a budget of 0 grants nothing; these refusals count as `no_target`. The new test covers the three rules. Conclusion: an accepted change of rules needs no restart.

--- a/hornbeamline/decisions/_breaker.py
+++ b/hornbeamline/decisions/_breaker.py
@@ -20,7 +20,7 @@
 
     def __init__(self, rules: RoutingRules) -> None:
         """Take the failures that open and the time until a probe."""
-        self._rules = rules
+        self.rules = rules
         self.failures = 0
         self.is_open = False
         # Open, but one call may try the target.
@@ -32,7 +32,7 @@
     @property
     def wants_open(self) -> bool:
         """Return whether enough consecutive calls failed."""
-        return self.failures >= self._rules.ejection_failures
+        return self.failures >= self.rules.ejection_failures
 
     def open(self, now: float, rng: random.Random) -> None:
         """Keep calls away until the next probe."""
@@ -40,7 +40,7 @@
             self._periods = min(_LONGEST_PERIODS, self._periods * 2)
         self.is_open = True
         self.is_probing = False
-        period_s = self._rules.ejection_s * self._periods
+        period_s = self.rules.ejection_s * self._periods
         self._probe_at = now + period_s * (1 + _JITTER * rng.random())
 
     def start_probe(self, now: float) -> None:
@@ -65,6 +65,6 @@
     def ramp(self, now: float) -> float:
         """Return the part of its usual calls, from 0.1 to 1."""
         since_s = now - self._returned_at
-        if since_s >= self._rules.slow_return_s:
+        if since_s >= self.rules.slow_return_s:
             return 1
-        return max(_FIRST_RAMP, since_s / self._rules.slow_return_s)
+        return max(_FIRST_RAMP, since_s / self.rules.slow_return_s)
--- a/hornbeamline/decisions/_budgets.py
+++ b/hornbeamline/decisions/_budgets.py
@@ -32,7 +32,7 @@
     def may_take(self) -> bool:
         """Return whether an extra attempt is left."""
         # Sums of fractions such as 0.1 fall short of 1 by rounding.
-        return self._tokens > 1 - 1e-9
+        return self.fraction > 0 and self._tokens > 1 - 1e-9
 
     def take(self) -> bool:
         """Take an extra attempt if one is left."""
--- a/hornbeamline/decisions/_engine.py
+++ b/hornbeamline/decisions/_engine.py
@@ -5,7 +5,7 @@
 import random
 from typing import Final
 
-from hornbeamline.decisions import const
+from hornbeamline.decisions import _metrics, const
 from hornbeamline.decisions._admission import Admission
 from hornbeamline.decisions._attempts import ExtraAttempts
 from hornbeamline.decisions._budgets import CostWeight
@@ -79,7 +79,7 @@
         Each admitted request is ended by `finish_request`.
         """
         if self._state.fleet is None:
-            return Refusal(const.REASON_NO_TARGET, 1)
+            return self._without_pool()
         now = self._clock.monotonic()
         self._state.review(request.pipeline, now)
         return self._admission.admit(request, now)
@@ -97,7 +97,7 @@
         now = self._clock.monotonic()
         pool = self._state.pool_of(call)
         if pool is None:
-            decided(Refusal(const.REASON_NO_TARGET, 1))
+            decided(self._without_pool())
             return
         self._state.review_pool(pool, now)
         self._dispatcher.submit(call, decided, pool, now)
@@ -150,7 +150,7 @@
         now = self._clock.monotonic()
         pool = self._state.pool_of(dispatch.call)
         if pool is None:
-            return Refusal(const.REASON_NO_TARGET, 1)
+            return self._without_pool()
         plan = self._state.planner.plan(dispatch.call, now)
         answer = self._attempts.retry(pool, dispatch, report, plan, now)
         if isinstance(answer, str):
@@ -191,6 +191,10 @@
         record = self._state.records_by_name.get(target)
         return 0 if record is None else record.in_flight
 
+    def _without_pool(self) -> Refusal:
+        _metrics.refusals.add('', const.REASON_NO_TARGET)
+        return Refusal(const.REASON_NO_TARGET, 1)
+
     def _serve_all(self, now: float) -> None:
         for pool in list(self._state.pools_by_name.values()):
             self._dispatcher.refuse_hopeless(pool, now)
--- a/hornbeamline/decisions/_fleet.py
+++ b/hornbeamline/decisions/_fleet.py
@@ -117,10 +117,9 @@
             record.is_own = is_own
             record.is_unavailable = name in self._unavailable
             record.take_entry(entry, fleet.rules, host_count)
-            is_other = (old.address, old.service, old.concurrency) != (
+            is_other = (old.address, old.service) != (
                 entry.address,
                 entry.service,
-                entry.concurrency,
             )
             models = {*entry.engine.models, *_models_of(fleet, entry.service)}
             if is_other or models & changed_models:
--- a/hornbeamline/decisions/_limits.py
+++ b/hornbeamline/decisions/_limits.py
@@ -38,6 +38,20 @@
         host_count: int,
     ) -> None:
         """Take bounds, the target's own concurrency and sharing hosts."""
+        self.value: float = 1
+        self.take_rules(rules, concurrency, host_count)
+        self.value = self._start
+        self._relative = 1.0
+        self._shrunk_at = -math.inf
+        self._learned_at = -math.inf
+
+    def take_rules(
+        self,
+        rules: LimitRules,
+        concurrency: int,
+        host_count: int,
+    ) -> None:
+        """Take new bounds and move the limit between them."""
         self._rules = rules
         self._floor = rules.min_concurrency
         self._ceiling = max(
@@ -47,12 +61,11 @@
         part = math.ceil(concurrency * _START_FACTOR / host_count)
         start = min(rules.initial_concurrency, part, self._ceiling)
         self._start = float(max(self._floor, start))
-        self.value = self._start
         if not rules.adaptive:
-            self.value = float(rules.max_concurrency)
-        self._relative = 1.0
-        self._shrunk_at = -math.inf
-        self._learned_at = -math.inf
+            self._start = float(rules.max_concurrency)
+            self.value = self._start
+            return
+        self.value = max(self._floor, min(self._ceiling, self.value))
 
     def review(self, now: float) -> None:
         """Return to the start value when the evidence is old.
--- a/hornbeamline/decisions/_targets.py
+++ b/hornbeamline/decisions/_targets.py
@@ -41,7 +41,9 @@
         self.last_success_at = -math.inf
         # Grows when measurements are forgotten.
         self.epoch = 0
-        self.take_entry(entry, rules, host_count)
+        self.entry = entry
+        self._rules = rules
+        self._host_count = host_count
         self.forget()
 
     def take_entry(
@@ -54,6 +56,8 @@
         self.entry = entry
         self._rules = rules
         self._host_count = host_count
+        self.limit.take_rules(rules.limits, entry.concurrency, host_count)
+        self.breaker.rules = rules.routing
 
     def forget(self) -> None:
         """Drop all measurements; calls in progress stay counted."""
--- a/tests/decisions/test_routing.py
+++ b/tests/decisions/test_routing.py
@@ -17,6 +17,7 @@
 from hornbeamline.decisions._limits import AdaptiveLimit
 from hornbeamline.inventory import (
     LimitRules,
+    RetryRules,
     RoutingRules,
     Rules,
     ServiceKind,
@@ -159,6 +160,30 @@
     driver.run(lambda _: GOOD, 50)
 
 
+def test_new_rules_take_effect_at_once() -> None:
+    """Guards against limits, breakers and budgets that keep old rules."""
+    driver = Driver(fleet_of(targets=1))
+    held = [driver.submit(), driver.submit()]
+    assert driver.submit() is None
+    one = Rules(limits=LimitRules(max_concurrency=1))
+    driver.engine.update_fleet(fleet_of(targets=1, rules=one))
+    driver.end(held[0])
+    assert len(driver.answers) == 2
+    driver.end(held[1])
+    assert len(driver.answers) == 3
+    none = Rules(retry=RetryRules(budget=0))
+    driver.engine.update_fleet(fleet_of(targets=1, rules=none))
+    report = driver.end(driver.answers[2], CallResult.failed)
+    answer = driver.engine.retry_delay_s(driver.answers[2], report)
+    assert answer.reason == 'retry_budget_exhausted'
+    eager = Rules(routing=RoutingRules(ejection_failures=1))
+    driver.engine.update_fleet(fleet_of(rules=eager))
+    failed = driver.submit()
+    driver.end(failed, CallResult.failed)
+    picked = {driver.submit().target for _ in range(5)}
+    assert failed.target not in picked
+
+
 def test_unavailable_targets_get_nothing() -> None:
     """Guards against work for a leaving target, also from the queue."""
     driver = Driver(fleet_of(targets=2))
