--- a/hornbeamline/helpers/http_server.py
+++ b/hornbeamline/helpers/http_server.py
@@ -13,6 +13,7 @@
 from hornbeamline.exceptions import HornbeamlineError
 
 _BACKLOG: Final = 2048
+_UNACKNOWLEDGED_MS: Final = 30_000
 
 
 class AddressInUseError(HornbeamlineError):
@@ -38,8 +39,17 @@
     """Return a bound TCP socket; raises `AddressInUseError`."""
     host, port = split_address(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    # asyncio sets TCP_NODELAY only on sockets that name their protocol;
+    # without it the body of an answer may wait 40 ms for an acknowledgement.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted sockets inherit it: a peer that acknowledges nothing any more
+    # must not hold its connection for the system's default of 15 minutes.
+    listener.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _UNACKNOWLEDGED_MS,
+    )
     try:
         listener.bind((host, port))
         listener.listen(_BACKLOG)
--- a/hornbeamline/local_fleet/_files.py
+++ b/hornbeamline/local_fleet/_files.py
@@ -108,7 +108,10 @@
         'concurrency': target.concurrency,
         'engine': {
             'checks_fencing': target.engine.checks_fencing,
-            'models': list(target.engine.models),
+            'models': {
+                model: plan.fleet.models_by_name[model].version
+                for model in target.engine.models
+            },
         },
     }
 
--- a/hornbeamline/standins/_orders.py
+++ b/hornbeamline/standins/_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
 from typing import Any, Final, NotRequired, TypedDict
 
 from hornbeamline.core import TaskSet
@@ -20,7 +21,7 @@
 
     order_id: str
     action: str
-    fencing_number: NotRequired[int]
+    fencing: NotRequired[int]
     model: NotRequired[str]
     version: NotRequired[str]
     adapter: NotRequired[str]
@@ -38,17 +39,31 @@
         self.fencing_number = 0
         self.role = settings.role
         self.models_by_name: dict[str, dict[str, Any]] = {
-            model: {'version': '', 'state': STATE_READY, 'adapters': {}}
-            for model in settings.models
+            model: {'version': version, 'state': STATE_READY, 'adapters': {}}
+            for model, version in settings.models.items()
         }
 
     def view(self) -> dict[str, Any]:
         """Return the answer of `GET /v1/engine`."""
+        ready = {
+            name: entry
+            for name, entry in self.models_by_name.items()
+            if entry['state'] == STATE_READY
+        }
+        adapters = {
+            name: [
+                adapter
+                for adapter, state in entry['adapters'].items()
+                if state == STATE_READY
+            ]
+            for name, entry in ready.items()
+        }
         return {
             'role': self.role,
-            'models_by_name': self.models_by_name,
-            'fencing_number': self.fencing_number,
-            'checks_fencing': self._settings.checks_fencing,
+            'models': {name: entry['version'] for name, entry in ready.items()},
+            'adapters': adapters,
+            'loading': sorted(self._loading()),
+            'fencing': self.fencing_number,
         }
 
     def take(self, order: OrderBody) -> tuple[int, dict[str, Any]]:
@@ -56,11 +71,11 @@
         known = self._answers_by_order.get(order['order_id'])
         if known is not None:
             return known
-        number = order.get('fencing_number', 0)
+        number = order.get('fencing', 0)
         if self._settings.checks_fencing and number < self.fencing_number:
             return _HTTP_CONFLICT, {
                 'reason': 'stale_fencing_number',
-                'fencing_number': self.fencing_number,
+                'fencing': self.fencing_number,
             }
         reason = self._apply(order)
         if reason:
@@ -70,6 +85,14 @@
         self._answers_by_order[order['order_id']] = answer
         return answer
 
+    def _loading(self) -> Iterator[str]:
+        for name, entry in self.models_by_name.items():
+            if entry['state'] == STATE_LOADING:
+                yield name
+            for adapter, state in entry['adapters'].items():
+                if state == STATE_LOADING:
+                    yield adapter
+
     def _apply(self, order: OrderBody) -> str:
         model = order.get('model', '')
         match order['action']:
--- a/hornbeamline/standins/_settings.py
+++ b/hornbeamline/standins/_settings.py
@@ -61,7 +61,8 @@
     event_delay_s: float = 0.5
     event_loss: float = 0.05
     role: str = 'serve'
-    models: list[str] = []
+    # Versions of the models that are ready at start, by name.
+    models: dict[str, str] = {}
     load_model_s: float = 2
     load_adapter_s: float = 0.5
     checks_fencing: bool = True
