--- a/tests/replog/test_store.py
+++ b/tests/replog/test_store.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from hornbeamline.replog import LogStoppedError
+from hornbeamline.helpers.clock import SystemClock
+from hornbeamline.replog import LogStoppedError, RaftLog
 from hornbeamline.replog._disk import Disk
 from hornbeamline.replog._entries import (
     Entry,
@@ -20,7 +21,14 @@
 from hornbeamline.replog._records import pack
 from hornbeamline.replog._store import Recovered, Store
 from hornbeamline.replog.const import ENTRY_COMMAND
-from tests.replog.group import FaultyDisk
+from tests.local_network import LocalNetwork
+from tests.replog.group import (
+    MACHINE,
+    FaultyDisk,
+    ListMachine,
+    control_settings,
+    eventually,
+)
 
 
 def entry(text: str, term: int = 1) -> Entry:
@@ -245,3 +253,24 @@
     store.close()
     old.write_bytes(old_bytes)
     assert recovered_texts(tmp_path) == ['new']
+
+
+async def test_log_runs_on_threads_and_the_real_disk(tmp_path) -> None:
+    """Guards against a log that works with the test's file operations only."""
+    settings = control_settings('control-1', ['control-1'], tmp_path)
+    for expected in ([b'a'], [b'a', b'b']):
+        network = LocalNetwork(random.Random(1))
+        machine = ListMachine()
+        log = RaftLog(
+            settings,
+            network.endpoint('control-1'),
+            SystemClock(),
+            random.Random(1),
+        )
+        log.register_machine(MACHINE, machine)
+        await log.start()
+        await eventually(lambda log=log: log.is_leader)
+        await log.propose(MACHINE, expected[-1])
+        await log.read_barrier()
+        assert [command for _, command in machine.commands] == expected
+        await log.stop()
