Name all refusals of a proposal in the interface of the log

The interface did not mention LogBusyError and CommandTooLargeError, which the log raises before anything is proposed.

Only a doc comment changes.

--- a/hornbeamline/replog/_interface.py
+++ b/hornbeamline/replog/_interface.py
@@ -44,9 +44,9 @@
     async def propose(self, machine: str, command: bytes) -> bytes:
         """Commit a command and return the result of its `apply`.
 
-        Raises `NotLeaderError` (nothing was proposed),
-        `ProposalUnknownError` (it may still be applied) and
-        `LogStoppedError`.
+        Raises `NotLeaderError`, `LogBusyError`, `CommandTooLargeError`
+        and `LogStoppedError` (nothing was proposed), and
+        `ProposalUnknownError` (it may still be applied).
         """
 
     async def read_barrier(self) -> None:
