Count ledger and configuration results; replace a voter by the operator

Cause: refusals of the ledger and of changes had no counters, a new leader refused commands until its next tick, and no test used `/v1/voters` on processes. Change: counters of operations, proposals, expired sessions, changes and renewals, a gauge of the revision in force. A new leader catches up at once instead of at its next tick. A process test empties the data folder of a voter and replaces it through the operator interface. Conclusion: the operator interface covers the repair of a lost voter.

--- a/hornbeamline/configuration/_client.py
+++ b/hornbeamline/configuration/_client.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 from hornbeamline.configuration._messages import RenewReply, RenewRequest
+from hornbeamline.configuration._metrics import RENEWALS, REVISION
 from hornbeamline.configuration.errors import (
     NoConfigurationError,
     RefusedRevisionError,
@@ -96,10 +97,12 @@
             try:
                 await self._renew(sent_at_s)
             except LeaderUnavailableError as error:
+                RENEWALS.labels('unavailable').inc()
                 log_event('configuration.renewal_failed', error=str(error))
             except Exception as error:
                 # Includes a failing observer: without a lease no new work
                 # starts, and the next renewal tries again.
+                RENEWALS.labels('refused').inc()
                 log_event(
                     'configuration.revision_refused',
                     revision=self.revision,
@@ -126,6 +129,7 @@
         self._take(reply)
         lease_s = min(reply.lease_s, self._settings.lease_s)
         self._lease_until_s = max(self._lease_until_s, sent_at_s + lease_s)
+        RENEWALS.labels('granted').inc()
 
     def _take(self, reply: RenewReply) -> None:
         if reply.revision < self.revision:
@@ -176,4 +180,5 @@
         self._fleet = fleet
         self.revision = reply.revision
         self._wants_whole = False
+        REVISION.set(reply.revision)
         log_event('configuration.in_force', revision=reply.revision)
--- a/hornbeamline/configuration/_service.py
+++ b/hornbeamline/configuration/_service.py
@@ -11,6 +11,7 @@
     ConfigurationMachine,
 )
 from hornbeamline.configuration._messages import RenewReply, RenewRequest
+from hornbeamline.configuration._metrics import CHANGES
 from hornbeamline.configuration._types import (
     Accepted,
     Change,
@@ -146,6 +147,7 @@
             try:
                 digest = self._digest_after(change)
             except InvalidDocumentError as error:
+                CHANGES.labels(STATUS_INVALID).inc()
                 return ChangeResponse(
                     STATUS_INVALID,
                     self.machine.accepted.revision,
@@ -155,6 +157,7 @@
             command = ChangeCommand(change, self._clock.wall_ms(), digest)
             answer = await self._log.propose(MACHINE_NAME, encode(command))
         response = decode(answer, ChangeResponse)
+        CHANGES.labels(response.status).inc()
         log_event(
             'configuration.change',
             change=change.change_id,
--- a/hornbeamline/ledger/_service.py
+++ b/hornbeamline/ledger/_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Sequence
 
 from hornbeamline.control_link import LeaderServer
@@ -19,8 +20,14 @@
     RenewReply,
     RenewSession,
 )
+from hornbeamline.ledger._metrics import (
+    OPERATIONS,
+    PROPOSALS,
+    SESSIONS_EXPIRED,
+)
 from hornbeamline.ledger._operations import (
     KIND_CLOSE,
+    STATUS_INVALID,
     Batch,
     CloseSession,
     Operation,
@@ -65,6 +72,7 @@
         # Ledger time and own clock at the start of this leadership; None
         # while this host has not caught up as the leader.
         self._time_base: tuple[int, float] | None = None
+        self._leader_changed = asyncio.Event()
         log.register_machine(MACHINE_NAME, self.machine)
         log.on_leadership(self._on_leadership)
         self.machine.on_ended(self._wake_waiters)
@@ -80,9 +88,10 @@
         """Stop watching sessions."""
         await self._tasks.cancel_all()
 
-    def _on_leadership(self, is_leader: bool) -> None:
+    def _on_leadership(self, _is_leader: bool) -> None:
         self._time_base = None
         self._renewed_at.clear()
+        self._leader_changed.set()
 
     def _now_ms(self) -> int:
         # Ledger time advances with the leader's monotonic clock from where
@@ -99,8 +108,15 @@
         operations: list[Operation],
     ) -> Sequence[OperationResult]:
         command = encode(Batch(self._now_ms(), operations))
+        PROPOSALS.inc()
         answer = await self._log.propose(MACHINE_NAME, command)
-        return decode(answer, list[OperationResult])
+        results = decode(answer, list[OperationResult])
+        for entry, ended in zip(operations, results, strict=True):
+            # Only known kinds become labels, whatever a caller sends.
+            is_known = ended.status != STATUS_INVALID
+            kind = entry.kind if is_known else STATUS_INVALID
+            OPERATIONS.labels(kind, ended.status).inc()
+        return results
 
     async def _pass_barrier(self, waiting: list[None]) -> Sequence[None]:
         await self._log.read_barrier()
@@ -152,7 +168,7 @@
     async def _watch(self) -> None:
         last_s = self._clock.monotonic()
         while True:
-            await asyncio.sleep(TICK_INTERVAL_S)
+            await self._pause()
             now_s = self._clock.monotonic()
             if now_s - last_s > MAX_TICK_GAP_S:
                 # This process was suspended and may hold unread renewals.
@@ -164,6 +180,13 @@
                 except ReplicatedLogError as error:
                     log_event('ledger.watch_failed', error=str(error))
 
+    async def _pause(self) -> None:
+        # A new leader begins at once: until then it refuses all commands.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TICK_INTERVAL_S):
+                await self._leader_changed.wait()
+        self._leader_changed.clear()
+
     async def _watch_once(self) -> None:
         if self._time_base is None:
             # Commands of earlier leaders must be applied before this host
@@ -176,6 +199,7 @@
             await self._propose([])
         for epoch in silent:
             log_event('ledger.session_expired', epoch=epoch)
+            SESSIONS_EXPIRED.inc()
             await self._commands.submit(
                 operation(KIND_CLOSE, CloseSession(epoch)),
             )
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 
+from hornbeamline.cli._operator import OperatorAccess, OperatorClient
 from hornbeamline.local_fleet import (
     FleetPlan,
     ProcessGroup,
@@ -193,6 +194,16 @@
         ):
             return await answer.json()
 
+    async def change_voter(self, change: dict[str, str]) -> Answer:
+        """Send a change of voters to the leader."""
+        access = OperatorAccess(
+            list(self.plan.addresses.operators_by_control.values()),
+            OPERATOR_CREDENTIAL,
+            20,
+        )
+        client = OperatorClient(access)
+        return Answer(*await client.request('POST', '/v1/voters', change))
+
     async def _call(
         self,
         method: str,
--- a/tests/process/test_control.py
+++ b/tests/process/test_control.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import copy
+import shutil
 from collections.abc import Iterator
 from typing import Any
 
@@ -175,6 +176,30 @@
     assert fleet.status()['revision'] == revision
 
 
+async def test_emptied_voter_is_replaced_through_the_log(
+    fleet: Fleet,
+) -> None:
+    """Guards against a voter that votes again after it lost its data."""
+    leader = fleet.leader()
+    lost = next(name for name in fleet.controls if name != leader)
+    before = {voter['name']: voter for voter in fleet.status()['voters']}
+    fleet.group.kill(lost)
+    shutil.rmtree(fleet.folder / f'data-{lost}')
+    fleet.start(lost)
+    refused = await fleet.change_voter({'action': 'none', 'name': lost})
+    assert (refused.status, refused.body['reason']) == (409, 'refused')
+
+    async def is_replaced() -> bool:
+        change = {'action': 'replace', 'name': lost}
+        return (await fleet.change_voter(change)).status == 200
+
+    await eventually(is_replaced)
+    after = {voter['name']: voter for voter in fleet.status()['voters']}
+    assert after[lost]['is_voter']
+    assert after[lost]['identity'] != before[lost]['identity']
+    assert after.keys() == before.keys()
+
+
 async def test_config_commands(fleet: Fleet) -> None:
     """Guards against wrong exit codes and partial changes."""
     revision = fleet.apply(with_rule(fleet, 17))['revision']
