Wait for conditions instead of fixed times in the tests

Cause: test_cancelled_request_frees_its_target failed once in a full run on busy processors. It slept 0.1 s for the cancel to arrive, and a failed write of the engine could end the work before the cancel did. Change: tests wait for the state they check, with a bound. The cancelled request is checked with targets so slow that only the cancel can end the work, and in mid-stream by the engine's work itself.

--- a/benchmarks/entry.py
+++ b/benchmarks/entry.py
@@ -54,7 +54,9 @@
 
     completed: int = 0
     failed: int = 0
+    # Within the job's time, and with those of streams that ended later.
     tokens: int = 0
+    all_tokens: int = 0
     latencies_ms: list[float] = []
     gaps_ms: list[float] = []
 
@@ -97,6 +99,7 @@
         self.completed = 0
         self.failed = 0
         self.tokens = 0
+        self.all_tokens = 0
 
     async def run(self) -> Figures:
         """Send for the job's time."""
@@ -110,6 +113,7 @@
             completed=self.completed,
             failed=self.failed,
             tokens=self.tokens,
+            all_tokens=self.all_tokens,
         )
 
     async def _closed_loop(self, session: aiohttp.ClientSession) -> None:
@@ -168,6 +172,7 @@
         async for chunk in response.content.iter_any():
             count = chunk.count(b'event: token')
             now = time.monotonic()
+            self.all_tokens += count
             if not count or now > until:
                 continue
             self.tokens += count
@@ -193,6 +198,7 @@
         sum(part.completed for part in parts),
         sum(part.failed for part in parts),
         sum(part.tokens for part in parts),
+        sum(part.all_tokens for part in parts),
         [each for part in parts for each in part.latencies_ms],
         [each for part in parts for each in part.gaps_ms],
     )
@@ -418,7 +424,10 @@
         'tokens_per_s': round(through.tokens / seconds),
         'direct_tokens_per_s': round(direct.tokens / seconds),
         'failed': through.failed,
-        'processor_us_per_token': round(spent_s / through.tokens * 1e6, 1),
+        'processor_us_per_token': round(
+            spent_s / through.all_tokens * 1e6,
+            1,
+        ),
         'entry_gap_p50_p99_ms': entry_ms,
         'direct_gap_p50_p99_ms': direct_ms,
         'added_gap_p50_ms': round(entry_ms[0] - direct_ms[0], 2),
--- a/hornbeamline/standins/_target.py
+++ b/hornbeamline/standins/_target.py
@@ -49,6 +49,7 @@
             maxlen=_LOAD_SAMPLES_KEPT,
         )
         self._runner: web.AppRunner | None = None
+        self.is_listening = False
         self.batch: Batch | None = None
         self.state = EngineState(settings.engine, self.tasks)
 
@@ -80,11 +81,13 @@
         await self._runner.setup()
         listener = bind_listener(self.settings.address)
         await web.SockSite(self._runner, listener, backlog=_BACKLOG).start()
+        self.is_listening = True
 
     async def close_listener(self) -> None:
         """Refuse connections and close the open ones."""
         if self._runner is not None:
             await self._runner.cleanup()
+        self.is_listening = False
 
     def set_faults(self, faults: Faults, keep: Any = None) -> None:
         """Put other faults in force."""
--- a/tests/caller_api/test_caller_api.py
+++ b/tests/caller_api/test_caller_api.py
@@ -21,7 +21,7 @@
 from hornbeamline.telemetry import configure_logs
 from tests.common import ROOT, free_address
 from tests.pipeline.support import CLOCK, Bench, bench_for
-from tests.serving import expected_tokens, fleet_with, serving
+from tests.serving import expected_tokens, fleet_with, serving, until
 
 HEADERS = {'Authorization': 'Bearer cement-credential'}
 
@@ -123,13 +123,6 @@
     return json.loads(path.read_text(encoding='utf-8'))
 
 
-async def until(condition: Any, timeout_s: float = 3) -> None:
-    """Wait until a condition holds."""
-    async with asyncio.timeout(timeout_s):
-        while not condition():  # noqa: ASYNC110 - conditions are counters
-            await asyncio.sleep(0.01)
-
-
 async def test_stream_has_tokens_then_the_answer(site: Site) -> None:
     """Guards against missing tokens, or an answer before the last one."""
     events = await site.events({'input': {'prompt': 'levy'}})
@@ -315,7 +308,9 @@
 async def test_gone_caller_cancels_repeatable_work(stream: bool) -> None:
     """Guards against engines that work for callers that are gone."""
     async with open_site() as site:
-        site.engine.set_faults(Faults(slow=200))
+        # Slow enough that no token is written before the cancel arrives:
+        # a failed write would end the work as well.
+        site.engine.set_faults(Faults(slow=2000))
         body = {'input': {'prompt': 'levy'}, 'stream': stream}
         caller = asyncio.create_task(site.post('draft', body))
         await until(lambda: site.engine.work_by_id)
--- a/tests/pipeline/test_non_repeatable.py
+++ b/tests/pipeline/test_non_repeatable.py
@@ -12,7 +12,7 @@
 from hornbeamline.pipeline import OutcomeKind
 from hornbeamline.standins import Faults
 from tests.pipeline.support import bench_for, request
-from tests.serving import fleet_with, serving
+from tests.serving import fleet_with, serving, until
 
 
 @contextlib.asynccontextmanager
@@ -144,7 +144,7 @@
         running = asyncio.create_task(
             bench.executor.run(request('file', key='k')),
         )
-        await asyncio.sleep(0.1)
+        await until(lambda: desk.executions_by_key)
         running.cancel()
         assert await bench.executor.wait_idle(2)
         found = await bench.executor.lookup('cement', 'k')
@@ -155,14 +155,14 @@
 
 async def test_concurrent_resends_share_one_execution() -> None:
     """Guards against two executions when a caller resends too early."""
-    async with filing_desk(service_ms=100) as (bench, desk):
+    async with filing_desk(service_ms=400) as (bench, desk):
         outcomes = await asyncio.gather(
             *(bench.executor.run(request('file', key='k')) for _ in range(5)),
         )
         late = asyncio.create_task(
             bench.executor.run(request('file', key='other')),
         )
-        await asyncio.sleep(0.05)
+        await until(lambda: 'other' in desk.executions_by_key)
         impatient = await bench.executor.run(
             request('file', key='other', deadline_s=0.01),
         )
--- a/tests/pipeline/test_repeatable.py
+++ b/tests/pipeline/test_repeatable.py
@@ -12,7 +12,7 @@
 from hornbeamline.pipeline import OutcomeKind, TokenEvents
 from hornbeamline.standins import Faults
 from tests.pipeline.support import bench_for, request
-from tests.serving import expected_tokens, fleet_with, serving
+from tests.serving import expected_tokens, fleet_with, serving, until
 
 GENERATION = ServiceKind.generation
 
@@ -85,11 +85,10 @@
         bench.decisions.hedge_after_s = 0.05
         events = TokenEvents()
         outcome = await bench.executor.run(request('report'), events)
-        await asyncio.sleep(0.1)
         assert outcome.kind is OutcomeKind.answered
-        assert slow.cancelled == ['r-1.1']
+        await until(lambda: slow.cancelled == ['r-1.1'])
+        await until(lambda: not slow.work_by_id)
         assert sound.cancelled == []
-        assert slow.work_by_id == {}
     assert outcome.costs[0].target == 'b-sound'
     assert outcome.costs[0].wasted_ms >= 40
     assert sorted(bench.decisions.results(), key=str) == [
@@ -141,21 +140,35 @@
     assert len(bench.decisions.reports) == 4
 
 
-async def test_cancelled_request_frees_its_target() -> None:
+@pytest.mark.parametrize('kind', [ServiceKind.plain, GENERATION])
+async def test_cancelled_request_frees_its_target(kind) -> None:
     """Guards against work for a caller that is gone."""
-    async with two_targets(GENERATION, Faults(slow=50)) as (bench, slow, _):
+    # So slow that the work ends by the cancel, and not by a failed write.
+    async with two_targets(kind, Faults(slow=2000)) as (bench, slow, _):
         running = asyncio.create_task(bench.executor.run(request('report')))
-        await asyncio.sleep(0.3)
+        await until(lambda: slow.work_by_id)
+        running.cancel()
+        await until(lambda: slow.cancelled == ['r-1.1'])
+        await until(lambda: not slow.work_by_id)
+    assert bench.decisions.results() == [CallResult.cancelled]
+
+
+async def test_cancelled_stream_frees_its_engine() -> None:
+    """Guards against tokens for a caller that left in mid-stream."""
+    async with two_targets(GENERATION, Faults(slow=50)) as (bench, slow, _):
+        events = TokenEvents()
+        running = asyncio.create_task(
+            bench.executor.run(request('report'), events),
+        )
+        await events.wait_ready()
         running.cancel()
-        await asyncio.sleep(0.1)
-        assert slow.cancelled == ['r-1.1']
-        assert slow.work_by_id == {}
+        await until(lambda: not slow.work_by_id, 1)
     assert bench.decisions.results() == [CallResult.cancelled]
 
 
 async def test_stalled_caller_ends_the_request() -> None:
     """Guards against an engine that is held by a caller that reads nothing."""
-    async with two_targets(GENERATION, Faults(slow=20)) as (
+    async with two_targets(GENERATION, Faults(slow=60)) as (
         bench,
         engine,
         _,
@@ -164,8 +177,7 @@
         outcome = await bench.executor.run(request('report'), events)
         assert outcome.reason == 'caller_stalled'
         assert events.closed
-        await asyncio.sleep(0.1)
-        assert engine.cancelled == ['r-1.1']
+        await until(lambda: engine.cancelled == ['r-1.1'])
 
 
 async def test_each_request_gets_its_own_answer() -> None:
@@ -217,7 +229,7 @@
                 running = asyncio.create_task(
                     bench.executor.run(request('report')),
                 )
-                await asyncio.sleep(0.05)
+                await until(lambda: one.work_by_id)
                 bench.source.fleet = newer
                 bench.decisions.update_fleet(newer)
                 outcome = await running
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
-import socket
-import struct
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 from hornbeamline.inventory import Fleet, ServiceKind, Target, validate
@@ -121,7 +120,8 @@
     )
 
 
-def reset_on_close(connection: socket.socket) -> None:
-    """Let a close of the socket reset the connection."""
-    linger = struct.pack('ii', 1, 0)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+async def until(condition: Callable[[], Any], timeout_s: float = 10) -> None:
+    """Wait until a condition holds; fails after the time."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():  # noqa: ASYNC110 - conditions are counters
+            await asyncio.sleep(0.005)
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -11,7 +11,7 @@
 from hornbeamline.inventory import ServiceKind
 from hornbeamline.standins import EngineSettings, StandinTarget
 from hornbeamline.standins._batch import Sequence
-from tests.serving import expected_tokens, serving
+from tests.serving import expected_tokens, serving, until
 
 
 async def ask(
@@ -145,9 +145,9 @@
 async def test_dead_target_refuses_connections_and_returns() -> None:
     """Guards against a dead target that still accepts."""
     async with serving() as standin:
-        assert (await ask(standin, 'POST', 'faults', {'dead_s': 0.3}))[0] == 200
-        await asyncio.sleep(0.15)
+        assert (await ask(standin, 'POST', 'faults', {'dead_s': 1}))[0] == 200
+        await until(lambda: not standin.is_listening)
         with pytest.raises(aiohttp.ClientConnectorError):
             await ask(standin, 'GET', 'load')
-        await asyncio.sleep(0.4)
+        await until(lambda: standin.is_listening)
         assert (await ask(standin, 'GET', 'load'))[0] == 200
--- a/tests/targets/test_pollers.py
+++ b/tests/targets/test_pollers.py
@@ -8,7 +8,7 @@
 from hornbeamline.decisions import LoadReport
 from hornbeamline.inventory import ServiceKind
 from hornbeamline.targets import TargetClient, TargetPoller, prefix_digest
-from tests.serving import fleet_with, serving
+from tests.serving import fleet_with, serving, until
 
 
 class Recorder:
@@ -53,6 +53,8 @@
             random.Random(1),
         )
         await poller.start()
+        await until(lambda: recorder.loads and recorder.prefixes)
+        # Three more polls, which must not replay the event.
         await asyncio.sleep(0.9)
         await poller.stop()
         await client.stop()
