Make the scripted decisions of the tests independent of the engine

Cause: the scripted engine overrode a private method of the first decision engine. Change: the scripted engine implements the public operations itself, and a second report of a dispatch now fails a test.

--- a/tests/pipeline/support.py
+++ b/tests/pipeline/support.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 from collections.abc import AsyncIterator
 from typing import Any
@@ -39,35 +40,61 @@
 
 
 class ScriptedDecisions(DecisionEngine):
-    """Routes to the first usable target and allows what a test sets."""
+    """Dispatches to the first usable target and allows what a test sets."""
 
     def __init__(self, fleet: Fleet) -> None:
         """Take the fleet in force."""
         place = DecisionSettings('entry-1', 'dc-a')
         super().__init__(place, CLOCK, random.Random(1))
-        self.update_fleet(fleet)
         self.retries = 0
         self.hedge_after_s: float | None = None
         self.attempt_timeout_s: float | None = None
         self.reports: list[tuple[str, CallReport]] = []
         self.prefixes: list[str] = []
+        self._newest = fleet
+        self._dispatched: dict[int, str] = {}
+        self._ids = itertools.count(1)
+
+    def update_fleet(self, fleet: Fleet) -> None:
+        """Take a new revision."""
+        self._newest = fleet
+
+    def admit(self, request: RequestInfo) -> Refusal | None:
+        """Admit every request."""
+
+    def finish_request(self, request: RequestInfo) -> None:
+        """Keep no record of requests."""
 
     def submit(self, call, decided) -> None:
         """Dispatch to the first usable target by name."""
         self.prefixes.append(call.prefix)
-
-        def shortened(answer: Dispatch | Refusal) -> None:
-            if isinstance(answer, Dispatch) and self.attempt_timeout_s:
-                answer = answer._replace(timeout_s=self.attempt_timeout_s)
-            decided(answer)
-
-        super().submit(call, shortened)
+        pipeline = self._newest.pipelines_by_name[call.request.pipeline]
+        service = pipeline.stages[call.stage_index].service
+        names = sorted(self._newest.targets_of(service).keys() - call.excluded)
+        if not names:
+            decided(Refusal('no_target', 1))
+            return
+        dispatch_id = next(self._ids)
+        self._dispatched[dispatch_id] = names[0]
+        remaining_s = call.request.deadline_at - CLOCK.monotonic()
+        timeout_s = self.attempt_timeout_s or remaining_s
+        decided(Dispatch(dispatch_id, call, names[0], timeout_s))
+
+    def withdraw(self, call) -> None:
+        """Keep no queue."""
+
+    def first_token(self, dispatch: Dispatch, duration_s: float) -> None:
+        """Keep no estimates."""
 
     def finished(self, dispatch: Dispatch, report: CallReport) -> None:
-        """Record each report."""
-        super().finished(dispatch, report)
+        """Record each report; a second one of a dispatch fails."""
+        self._dispatched.pop(dispatch.dispatch_id)
         self.reports.append((dispatch.target, report))
 
+    def in_flight(self, target: str) -> int:
+        """Return the dispatches without a report."""
+        return list(self._dispatched.values()).count(target)
+
     def hedge_delay_s(self, dispatch: Dispatch) -> float | None:
         """Return the delay that the test set."""
         return self.hedge_after_s
@@ -87,12 +114,6 @@
         """Return the ends of all attempts."""
         return [report.result for _, report in self.reports]
 
-    def _choose(self, call) -> str | None:
-        pipeline = self._fleet.pipelines_by_name[call.request.pipeline]
-        service = pipeline.stages[call.stage_index].service
-        names = sorted(self._fleet.targets_of(service).keys() - call.excluded)
-        return names[0] if names else None
-
 
 class MemoryClaims:
     """Ledger in memory, with the interface of the ledger client."""
