Say unknown without the ledger, and one order format for both sides

Before: the fencing test over HTTP failed, and a silent ledger gave not_run. After: both tests pass.

--- a/hornbeamline/caller_api/_problems.py
+++ b/hornbeamline/caller_api/_problems.py
@@ -84,7 +84,7 @@
         ATTR_REQUEST_ID: request_id,
         'costs': [cost._asdict() for cost in outcome.costs],
     }
-    if outcome.kind is OutcomeKind.not_run:
+    if outcome.retry_after_s or outcome.kind is OutcomeKind.not_run:
         body['retry_after_s'] = outcome.retry_after_s
     if outcome.output is not None:
         body['output'] = outcome.output
@@ -106,7 +106,7 @@
         resp.content_type = falcon.MEDIA_JSON
         resp.data = encode_json(answer_body(request_id, outcome))
         return
-    if resp.status in _RETRY_STATUSES:
+    if resp.status in _RETRY_STATUSES or outcome.retry_after_s:
         wait_s = max(1, math.ceil(outcome.retry_after_s))
         resp.set_header('Retry-After', str(wait_s))
     resp.content_type = MEDIA_PROBLEM
--- a/hornbeamline/pipeline/_executor.py
+++ b/hornbeamline/pipeline/_executor.py
@@ -36,8 +36,12 @@
 REASON_KEY_REQUIRED: Final = 'key_required'
 REASON_NO_LEASE: Final = 'no_lease'
 REASON_NO_LEDGER: Final = 'ledger_unavailable'
+REASON_NO_SESSION: Final = 'no_session'
 REASON_UNKNOWN_PIPELINE: Final = 'unknown_pipeline'
 _RETRY_AFTER_S: Final = 1.0
+# Bound of asking the ledger before a request is refused.
+_KNOWN_TIMEOUT_S: Final = 0.5
+_LEDGER_SILENT: Final = frozenset((REASON_NO_LEDGER, REASON_NO_SESSION))
 
 
 def _ignore_leaving(_target: str) -> None:
@@ -116,7 +120,11 @@
         false when the first request of this key ran.
         """
         if request.request_key:
-            known = await self._known(request)
+            try:
+                async with asyncio.timeout(_KNOWN_TIMEOUT_S):
+                    known = await self._known(request)
+            except (LedgerError, TimeoutError):
+                return _refused_claim(REASON_NO_LEDGER)
             if known is not None and known.kind is not OutcomeKind.not_run:
                 return known
         return Outcome(OutcomeKind.not_run, None, *refusal)
@@ -139,11 +147,12 @@
         return not self._lasting
 
     async def _known(self, request: PipelineRequest) -> Outcome | None:
-        try:
-            return await self.lookup(request.info.account, request.request_key)
-        except LedgerError:
-            # The ledger is out of reach; this attempt was not run.
+        pipelines = self._source.fleet.pipelines_by_name
+        is_known = request.info.pipeline in pipelines
+        if is_known and self._repeatable(request):
+            # Repeatable requests leave no record under their key.
             return None
+        return await self.lookup(request.info.account, request.request_key)
 
     def _repeatable(self, request: PipelineRequest) -> bool:
         fleet = self._source.fleet
@@ -192,7 +201,13 @@
             # The pipeline became non-repeatable after the request came in.
             return _refused_claim(REASON_KEY_REQUIRED)
         if self._claims is None:
-            return _refused_claim(REASON_NO_LEDGER)
+            # No host of a fleet without a ledger runs such requests.
+            return Outcome(
+                OutcomeKind.not_run,
+                None,
+                REASON_NO_LEDGER,
+                _RETRY_AFTER_S,
+            )
         decision = await self._claims.claim(
             request.info.account,
             request.request_key,
@@ -267,4 +282,8 @@
 def _refused_claim(reason: str) -> Outcome:
     if reason == REASON_KEY_EXPIRED:
         return Outcome(OutcomeKind.unknown, None, reason)
+    if reason in _LEDGER_SILENT:
+        # An earlier request with this key may have run at another host, so
+        # "not run" cannot be proved without the ledger.
+        return Outcome(OutcomeKind.unknown, None, reason, _RETRY_AFTER_S)
     return Outcome(OutcomeKind.not_run, None, reason, _RETRY_AFTER_S)
--- a/tests/pipeline/test_non_repeatable.py
+++ b/tests/pipeline/test_non_repeatable.py
@@ -8,12 +8,17 @@
 
 import pytest
 
+from hornbeamline.decisions import Refusal
+from hornbeamline.exceptions import LedgerError
 from hornbeamline.ledger import ClaimState
 from hornbeamline.pipeline import OutcomeKind
 from hornbeamline.standins import Faults
 from tests.pipeline.support import bench_for, request
 from tests.serving import fleet_with, serving, until
 
+NOT_RUN = OutcomeKind.not_run
+UNKNOWN = OutcomeKind.unknown
+
 
 @contextlib.asynccontextmanager
 async def filing_desk(
@@ -107,28 +112,51 @@
 
 
 @pytest.mark.parametrize(
-    ('attribute', 'value', 'reason'),
+    ('attribute', 'value', 'kind', 'reason'),
     [
-        ('marking_fails', True, 'sending_not_recorded'),
-        ('sending_allowed', False, 'send_by_passed'),
-        ('refusal', 'ledger_unavailable', 'ledger_unavailable'),
-        ('refusal', 'key_reused', 'key_reused'),
+        ('marking_fails', True, NOT_RUN, 'sending_not_recorded'),
+        ('sending_allowed', False, NOT_RUN, 'send_by_passed'),
+        # Another host may have run an earlier request with this key.
+        ('refusal', 'ledger_unavailable', UNKNOWN, 'ledger_unavailable'),
+        ('refusal', 'no_session', UNKNOWN, 'no_session'),
+        ('refusal', 'key_reused', NOT_RUN, 'key_reused'),
     ],
 )
 async def test_nothing_is_sent_without_the_ledger(
     attribute: str,
     value: Any,
+    kind: OutcomeKind,
     reason: str,
 ) -> None:
-    """Guards against a filing sent without its mark in the ledger."""
+    """Guards against a filing sent without its mark in the ledger.
+
+    It also guards against "not run" without proof.
+    """
     async with filing_desk() as (bench, desk):
         setattr(bench.claims, attribute, value)
         outcome = await bench.executor.run(request('file', key='k'))
         assert desk.executions_by_key == {}
-    assert outcome.kind is OutcomeKind.not_run
+    assert outcome.kind is kind
     assert outcome.reason == reason
 
 
+async def test_silent_ledger_is_no_proof_of_not_run() -> None:
+    """Guards against "not run" for a key that ran at another host."""
+    async with filing_desk() as (bench, _):
+        await bench.executor.run(request('file', key='k'))
+
+        async def silent(account: str, key: str) -> None:
+            raise LedgerError(f'no quorum for {account} {key}')
+
+        bench.claims.lookup = silent
+        refusal = Refusal('stopping', 1)
+        outcome = await bench.executor.refuse(request('file', key='k'), refusal)
+        other = await bench.executor.refuse(request('text'), refusal)
+    assert outcome.kind is OutcomeKind.unknown
+    assert outcome.retry_after_s > 0
+    assert other.kind is OutcomeKind.not_run
+
+
 async def test_reused_key_with_another_body_is_refused() -> None:
     """Guards against the answer of another request under the same key."""
     async with filing_desk() as (bench, desk):
@@ -162,7 +190,7 @@
         late = asyncio.create_task(
             bench.executor.run(request('file', key='other')),
         )
-        await until(lambda: 'other' in desk.executions_by_key)
+        await until(lambda: 'cement/other/desk' in desk.executions_by_key)
         impatient = await bench.executor.run(
             request('file', key='other', deadline_s=0.01),
         )
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -35,7 +35,7 @@
     return {
         'order_id': f'{number}-{action}',
         'action': action,
-        'fencing_number': number,
+        'fencing': number,
         **fields,
     }
 
@@ -120,14 +120,14 @@
         load = order(7, 'load_model', model='m')
         assert (await ask(standin, 'POST', 'orders', load))[0] == 202
         _, view = await ask(standin, 'GET', 'engine')
-        assert view['models_by_name']['m']['state'] == 'loading'
+        assert (view['models'], view['loading']) == ({}, ['m'])
         stale = order(6, 'unload_model', model='m')
         status, _ = await ask(standin, 'POST', 'orders', stale)
         assert status == (409 if checks else 202)
         await asyncio.sleep(0.1)
         _, view = await ask(standin, 'GET', 'engine')
-        assert ('m' in view['models_by_name']) is checks
-        assert view['fencing_number'] == 7
+        assert ('m' in view['models']) is checks
+        assert view['fencing'] == 7
 
 
 async def test_repeated_order_runs_once() -> None:
@@ -139,7 +139,7 @@
         await asyncio.sleep(0.1)
         await ask(standin, 'POST', 'orders', load)
         _, view = await ask(standin, 'GET', 'engine')
-        assert view['models_by_name']['m']['state'] == 'ready'
+        assert view['models'] == {'m': ''}
 
 
 async def test_dead_target_refuses_connections_and_returns() -> None:
