--- a/benchmarks/entry.py
+++ b/benchmarks/entry.py
@@ -18,6 +18,7 @@
 import sys
 import tempfile
 import time
+import urllib.request
 from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
 from multiprocessing import get_context
@@ -294,6 +295,18 @@
     raise SystemExit(f'{address} does not accept connections')
 
 
+def wait_ready(address: str) -> None:
+    """Wait until an entry process holds a configuration lease."""
+    for _ in range(500):
+        with contextlib.suppress(OSError):
+            urllib.request.urlopen(
+                f'http://{address}/readyz', timeout=1
+            ).close()
+            return
+        time.sleep(0.02)
+    raise SystemExit(f'{address} is not ready')
+
+
 @contextlib.contextmanager
 def open_site(folder: Path, token_ms: float) -> Iterator[Site]:
     """Run the targets and one entry process."""
@@ -331,6 +344,26 @@
             }
             path = write(f'{kind}-{number}', settings)
             processes.append(start(folder, 'target', 'run', '--settings', path))
+    control = free_address()
+    controls = {'control-1': control}
+    host = {'data_centre': 'dc-a', 'fleet': 'bench'}
+    control_file = write(
+        'control',
+        {
+            'host': {'name': 'control-1', **host},
+            'peering': {'address': control},
+            'operator': {
+                'address': free_address(),
+                'credential_sha256': '0' * 64,
+            },
+            'storage': {'data_folder': str(folder / 'data')},
+            'controls_by_name': controls,
+            'initial_documents': [write('fleet', fleet_document(site))],
+        },
+    )
+    processes.append(
+        start(folder, 'control', 'run', '--settings', control_file)
+    )
     entry = start(
         folder,
         'entry',
@@ -339,19 +372,18 @@
         write(
             'entry',
             {
-                'host': {'name': 'e', 'data_centre': 'dc-a', 'fleet': 'bench'},
+                'host': {'name': 'e', **host},
                 'caller': {'address': site.entry},
                 'peering': {'address': free_address()},
-                'controls_by_name': {'control-1': free_address()},
+                'controls_by_name': controls,
                 'stop': {'balancer_wait_s': 0},
             },
         ),
-        '--fleet',
-        write('fleet', fleet_document(site)),
     )
     try:
         for address in (site.entry, *site.services, *site.engines):
             wait_listening(address)
+        wait_ready(site.entry)
         yield site._replace(entry_pid=entry.pid)
     finally:
         for process in (entry, *processes):
