--- a/hornbeamline/local_fleet/_processes.py
+++ b/hornbeamline/local_fleet/_processes.py
@@ -48,6 +48,14 @@
                 env={**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path)},
             )
 
+    def names(self) -> tuple[str, ...]:
+        """Return the names of all started processes."""
+        return tuple(self._processes_by_name)
+
+    def pid(self, name: str) -> int:
+        """Return the process id of a process."""
+        return self._processes_by_name[name].pid
+
     def kill(self, name: str) -> None:
         """Kill a process without a chance to clean up."""
         process = self._processes_by_name[name]
--- a/hornbeamline/pipeline/_ticker.py
+++ b/hornbeamline/pipeline/_ticker.py
@@ -10,7 +10,7 @@
 
 # The engine never sleeps by itself. A call that is queued after a tick is
 # looked at after this time at the latest, which delays its refusal.
-_MAX_PAUSE_S: Final = 0.02
+_MAX_PAUSE_S: Final = 0.05
 _MIN_PAUSE_S: Final = 0.001
 
 
--- a/hornbeamline/targets/_pollers.py
+++ b/hornbeamline/targets/_pollers.py
@@ -16,7 +16,10 @@
 
 # The load figures are older than this anyway, so polling faster than five
 # times a second only costs processor time.
+# A target is not asked more often than this.
 _POLL_INTERVAL_S: Final = 0.2
+# Bounds the cost of all polls of a host: one takes about 0.5 ms.
+_POLLS_PER_S: Final = 20
 _RECONCILE_INTERVAL_S: Final = 1.0
 
 
@@ -77,7 +80,9 @@
         after = 0
         while True:
             # Jitter keeps the hosts from polling a target in step.
-            await asyncio.sleep(_POLL_INTERVAL_S * self._rng.uniform(0.5, 1.5))
+            await asyncio.sleep(
+                self._interval_s() * self._rng.uniform(0.5, 1.5)
+            )
             # Calls notice a dead target by themselves; without reports the
             # last figures lose weight with their age.
             with contextlib.suppress(TargetError):
@@ -85,6 +90,10 @@
                 if kind is ServiceKind.generation:
                     after = await self._poll_cache(name, target, after)
 
+    def _interval_s(self) -> float:
+        count = len(self._polls_by_target)
+        return max(_POLL_INTERVAL_S, count / _POLLS_PER_S)
+
     async def _poll_load(self, name: str, target: Target) -> None:
         load = await self._client.load(name, target)
         report = LoadReport(load['in_progress'], load['queued'], load['age_s'])
