--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -140,28 +140,28 @@
             await self.send(rng.choice(entries), key)
 
     async def _mark(self, number: int, rng: random.Random) -> None:
-        """Send requests whose answers show the host's revision."""
+        """Send requests whose answers show the host's revision.
+
+        No request waits for the one before: a frozen host then finds
+        requests that were sent at any time of the freeze.
+        """
         entry = self._soak.entries[number % len(self._soak.entries)]
+        async with asyncio.TaskGroup() as group:
+            while not self._stopping.is_set():
+                group.create_task(self._mark_once(entry))
+                await asyncio.sleep(rng.uniform(0.05, 0.25))
+
+    async def _mark_once(self, entry: str) -> None:
+        began_s = time.monotonic()
         url = f'{self._url(entry)}/v1/pipelines/mark/requests'
-        while not self._stopping.is_set():
-            began_s = time.monotonic()
-            status, body = await self._soak.http(
-                'POST',
-                url,
-                CREDENTIAL,
-                {'input': {}},
+        body = {'input': {}}
+        status, answer = await self._soak.http('POST', url, CREDENTIAL, body)
+        if status == 200:
+            revision = int(answer['output']['stage'].removeprefix('r'))
+            ended_s = time.monotonic()
+            self.served.append(
+                RevisionObservation(entry, revision, began_s, ended_s),
             )
-            if status == 200:
-                revision = int(body['output']['stage'].removeprefix('r'))
-                self.served.append(
-                    RevisionObservation(
-                        entry,
-                        revision,
-                        began_s,
-                        time.monotonic(),
-                    ),
-                )
-            await asyncio.sleep(rng.uniform(0.02, 0.1))
 
     async def _operate(self, number: int, rng: random.Random) -> None:
         turn = 0
