Update only the pools that a changed target belongs to

Cause: each revision rebuilt every pool and recomputed the models of a service once per target. Change: a fleet that shares all tables but some targets updates these records and their pools only; models are computed once per service.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -30,6 +30,7 @@
 from hornbeamline.helpers.codec import encode, encode_json
 from hornbeamline.inventory import (
     Document,
+    Fleet,
     Operation,
     apply_operations,
     digest_after,
@@ -234,11 +235,29 @@
             'engine update',
             size,
             'us',
-            processor_time_us(lambda: engine.update_fleet(fleet)),
+            processor_time_us(lambda: engine.update_fleet(fleet_of(document)))
+            - processor_time_us(lambda: fleet_of(document)),
+        ),
+        Figure(
+            'engine update, one target changed',
+            size,
+            'us',
+            processor_time_us(lambda: take_change(engine, fleet, changed)),
         ),
     ]
 
 
+def take_change(
+    engine: DecisionEngine,
+    fleet: Fleet,
+    changed: Document,
+) -> None:
+    """Give an engine a fleet that differs in one target."""
+    table = changed['targets_by_name']['target-0']
+    change = [Operation('put', 'targets_by_name', 'target-0', table)]
+    engine.update_fleet(fleet_after(fleet, changed, change))
+
+
 def main(
     json_file: Annotated[
         Path | None,
--- a/hornbeamline/decisions/_fleet.py
+++ b/hornbeamline/decisions/_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from typing import Final
 
 from hornbeamline.decisions._health import HealthReview
@@ -10,9 +11,16 @@
 from hornbeamline.decisions._pool import Pool
 from hornbeamline.decisions._targets import TargetRecord, entry_host_count
 from hornbeamline.decisions._types import DecisionSettings, StageCall
-from hornbeamline.inventory import Fleet, Stage
+from hornbeamline.inventory import Fleet, Stage, Target
 
-_NOWHERE: Final = ''
+# Sections of a fleet, besides the targets, that pools depend on.
+_POOL_SECTIONS: Final = (
+    'rules',
+    'hosts_by_name',
+    'services_by_name',
+    'models_by_name',
+    'pipelines_by_name',
+)
 
 
 class FleetState:
@@ -30,8 +38,12 @@
 
     def update(self, fleet: Fleet, now: float) -> list[Pool]:
         """Take a new revision; return the pools of removed services."""
-        changed_models = _changed_models(self.fleet, fleet)
+        old_fleet = self.fleet
         self.fleet = fleet
+        if old_fleet is not None and _differs_in_targets_only(old_fleet, fleet):
+            self._update_changed(old_fleet, fleet, now)
+            return []
+        changed_models = _changed_models(old_fleet, fleet)
         removed = [
             pool
             for name, pool in self.pools_by_name.items()
@@ -42,13 +54,9 @@
             old = self.pools_by_name.get(service)
             pools_by_name[service] = old or Pool(service, fleet, self._rng)
         self.pools_by_name = pools_by_name
-        self._update_records(fleet, changed_models)
+        self._update_records(fleet, fleet.targets_by_name, changed_models)
         for service, pool in pools_by_name.items():
-            members = {
-                name: self.records_by_name[name]
-                for name in fleet.targets_of(service)
-            }
-            pool.update(fleet, members, now)
+            self._update_pool(pool, fleet, now)
             if _models_of(fleet, service) & changed_models:
                 pool.forget()
         self.planner = DeadlinePlanner(fleet, pools_by_name)
@@ -115,9 +123,42 @@
             for name, record in pool.records_by_name.items()
         )
 
-    def _update_records(self, fleet: Fleet, changed_models: set[str]) -> None:
+    def _update_changed(self, old: Fleet, new: Fleet, now: float) -> None:
+        """Take a revision that shares all tables but some targets."""
+        before = old.targets_by_name
+        after = new.targets_by_name
+        changed = {
+            name: entry
+            for name, entry in after.items()
+            if before.get(name) is not entry
+        }
+        services = {entry.service for entry in changed.values()}
+        for name, known in before.items():
+            if after.get(name) is not known:
+                services.add(known.service)
+        self._update_records(new, changed, set())
+        for service in services:
+            self._update_pool(self.pools_by_name[service], new, now)
+
+    def _update_pool(self, pool: Pool, fleet: Fleet, now: float) -> None:
+        members = {
+            name: self.records_by_name[name]
+            for name in fleet.targets_of(pool.name)
+        }
+        pool.update(fleet, members, now)
+
+    def _update_records(
+        self,
+        fleet: Fleet,
+        entries: Mapping[str, Target],
+        changed_models: set[str],
+    ) -> None:
         host_count = entry_host_count(fleet)
-        for name, entry in fleet.targets_by_name.items():
+        models_by_service = {
+            service: _models_of(fleet, service)
+            for service in fleet.services_by_name
+        }
+        for name, entry in entries.items():
             is_own = entry.data_centre == self._settings.data_centre
             record = self.records_by_name.get(name)
             if record is None:
@@ -137,7 +178,7 @@
                 entry.address,
                 entry.service,
             )
-            models = {*entry.engine.models, *_models_of(fleet, entry.service)}
+            models = {*entry.engine.models, *models_by_service[entry.service]}
             if is_other or models & changed_models:
                 record.forget()
         for name, record in list(self.records_by_name.items()):
@@ -145,6 +186,17 @@
                 self.records_by_name.pop(name)
 
 
+def _differs_in_targets_only(old: Fleet, new: Fleet) -> bool:
+    """Return whether all tables that pools depend on are the same objects.
+
+    A fleet made by `fleet_after` shares the sections that did not change.
+    """
+    return all(
+        getattr(old, section) is getattr(new, section)
+        for section in _POOL_SECTIONS
+    )
+
+
 def _models_of(fleet: Fleet, service: str) -> set[str]:
     return {
         stage.model
