End bad addresses and data folders with exit code 2

Cause: a taken peering port and an unusable data folder ended with exit code 1, unlike other invalid settings.

--- a/hornbeamline/cli/_app.py
+++ b/hornbeamline/cli/_app.py
@@ -13,9 +13,18 @@
 from hornbeamline.cli._demo import demo
 from hornbeamline.exceptions import HornbeamlineError, InventoryError
 from hornbeamline.helpers.http_server import AddressInUseError
+from hornbeamline.peering import ListenError
+from hornbeamline.replog import DataFolderError
 
 EXIT_USAGE: Final = 2
 EXIT_FAILED: Final = 1
+# Errors that an operator mends in settings or on the host.
+_USAGE_ERRORS: Final = (
+    InventoryError,
+    AddressInUseError,
+    ListenError,
+    DataFolderError,
+)
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -53,7 +62,7 @@
     """Run the command line."""
     try:
         app()
-    except (InventoryError, AddressInUseError) as error:
+    except _USAGE_ERRORS as error:
         sys.stderr.write(f'hornbeamline: {error}\n')
         sys.exit(EXIT_USAGE)
     except HornbeamlineError as error:
--- a/hornbeamline/replog/__init__.py
+++ b/hornbeamline/replog/__init__.py
@@ -9,6 +9,7 @@
 from hornbeamline.replog._voters import VoterChange
 from hornbeamline.replog.errors import (
     CommandTooLargeError,
+    DataFolderError,
     LogBusyError,
     LogStoppedError,
     NotLeaderError,
@@ -18,6 +19,7 @@
 
 __all__ = (
     'CommandTooLargeError',
+    'DataFolderError',
     'Disk',
     'LogBusyError',
     'LogStoppedError',
--- a/hornbeamline/replog/_store.py
+++ b/hornbeamline/replog/_store.py
@@ -9,7 +9,7 @@
 from hornbeamline.replog._disk import Disk
 from hornbeamline.replog._entries import Entry, Run, Snapshot, VoteState
 from hornbeamline.replog._records import Record, pack, runs_of, scan, unpack
-from hornbeamline.replog.errors import LogStoppedError
+from hornbeamline.replog.errors import DataFolderError, LogStoppedError
 
 _FOLDER: Final = 'replog'
 _LOCK_FILE: Final = 'lock'
@@ -51,7 +51,7 @@
             return self._open()
         except OSError as error:
             self.close()
-            raise LogStoppedError(
+            raise DataFolderError(
                 f'data folder {self._folder} cannot be used: {error}',
             ) from error
         except LogStoppedError:
--- a/hornbeamline/replog/errors.py
+++ b/hornbeamline/replog/errors.py
@@ -22,6 +22,10 @@
     """Storage failed or the log is shutting down."""
 
 
+class DataFolderError(LogStoppedError):
+    """The data folder cannot be created, locked or written at start."""
+
+
 class LogBusyError(ReplicatedLogError):
     """Too many proposals are pending; nothing was proposed."""
 
