Make room in the ledger by ageing the oldest outcomes

Cause: with 50,000 outcomes of the last 24 h new keys were refused, which 30 keyed requests a second reach in 28 minutes. Change: the oldest outcomes become tombstones early; no key is forgotten. Before: the new test ended in ledger_full.

--- a/hornbeamline/ledger/_machine.py
+++ b/hornbeamline/ledger/_machine.py
@@ -86,6 +86,8 @@
         self._records = RecordTable()
         self._tombstones = TombstoneTable()
         self._due: list[tuple[int, Reference]] = []
+        # Records with an outcome, oldest first.
+        self._ended: list[tuple[int, Reference]] = []
         self._observers: list[Callable[[str, str], None]] = []
         self._handlers: Mapping[str, tuple[type[Any], _Handler]] = {
             KIND_OPEN: (OpenSession, self._open),
@@ -163,6 +165,12 @@
             for account, request_key, record in state.records
         ]
         heapq.heapify(self._due)
+        self._ended = [
+            (record.due_ms, (account, request_key))
+            for account, request_key, record in state.records
+            if record.state.is_end
+        ]
+        heapq.heapify(self._ended)
 
     def _apply_one(self, index: int, entry: Operation) -> OperationResult:
         if entry.kind not in self._handlers:
@@ -238,7 +246,20 @@
         view = self._records.view(body.account, body.request_key)
         return OperationResult(STATUS_EXISTING, claim=view)
 
+    def _make_room(self) -> None:
+        """Turn the oldest outcomes into tombstones above the bound.
+
+        The heap orders by time and name, so that a voter that was restored
+        from a snapshot picks the same records as the others.
+        """
+        while self._ended and len(self._records) >= MAX_RECORDS:
+            due_ms, reference = heapq.heappop(self._ended)
+            record = self._records.get(reference)
+            if record is not None and record.is_ended_until(due_ms):
+                self._add_tombstone(reference, record)
+
     def _room_refusal(self) -> OperationResult | None:
+        self._make_room()
         keys = len(self._records) + len(self._tombstones)
         if len(self._records) < MAX_RECORDS and keys < MAX_KEYS:
             return None
@@ -298,6 +319,8 @@
             due_ms=due_ms,
         )
         self._put(reference, ended)
+        if not is_same:
+            heapq.heappush(self._ended, (due_ms, reference))
         self._records.keep_body(reference, outcome.body)
         for observer in self._observers:
             observer(*reference)
@@ -308,6 +331,8 @@
 
     def _change_due_records(self) -> None:
         self._tombstones.forget_due(self.now_ms)
+        while self._ended and self._ended[0][0] <= self.now_ms:
+            heapq.heappop(self._ended)
         for _ in range(MAX_DUE_PER_COMMAND):
             if not self._due or self._due[0][0] > self.now_ms:
                 return
@@ -323,18 +348,22 @@
         elif record.state is ClaimState.sending:
             self._end_without_owner(reference, REASON_RESULT_WAIT)
         else:
-            self._records.remove(reference)
-            # Records become due in the order of time, so that the due times
-            # of tombstones do not decrease.
-            self._tombstones.add(
-                *reference,
-                Tombstone(
-                    record.due_ms + KEY_KEPT_MS - OUTCOME_KEPT_MS,
-                    record.attempt,
-                    record.state,
-                    body_mark(record.body_digest),
-                ),
-            )
+            self._add_tombstone(reference, record)
+
+    def _add_tombstone(self, reference: Reference, record: ClaimRecord) -> None:
+        """Replace an ended record by a tombstone."""
+        self._records.remove(reference)
+        # Records end in the order of time and are replaced in that order,
+        # so that the due times of tombstones do not decrease.
+        self._tombstones.add(
+            *reference,
+            Tombstone(
+                record.due_ms + KEY_KEPT_MS - OUTCOME_KEPT_MS,
+                record.attempt,
+                record.state,
+                body_mark(record.body_digest),
+            ),
+        )
 
 
 def _tombstone_refusal(
--- a/hornbeamline/ledger/_records.py
+++ b/hornbeamline/ledger/_records.py
@@ -25,6 +25,10 @@
     reason: str = ''
     answer_digest: str = ''
 
+    def is_ended_until(self, due_ms: int) -> bool:
+        """Return whether the outcome is the one kept until a time."""
+        return self.state.is_end and self.due_ms == due_ms
+
     def belongs_to(self, epoch: int, number: int) -> bool:
         """Return whether an attempt owns the claim."""
         return self.epoch == epoch and self.number == number
--- a/tests/ledger/test_machine.py
+++ b/tests/ledger/test_machine.py
@@ -402,6 +402,36 @@
     assert statuses == ['granted', 'ledger_full', 'granted', 'key_expired']
 
 
+def test_oldest_outcomes_make_room_for_new_keys(monkeypatch: Any) -> None:
+    """Guards against refusals while old outcomes fill the table.
+
+    A voter that was restored meanwhile must drop the same ones.
+    """
+    monkeypatch.setattr(machine_module, 'MAX_RECORDS', 3)
+    ledger = Ledger()
+    epoch = ledger.open()
+    ended = ClaimOutcome(ClaimState.answered, '')
+    for key in ('b', 'a', 'open'):
+        ledger.one('claim', ClaimKey(epoch, 1, 'acc', key, 'd', 4000))
+    for key in ('b', 'a'):
+        ledger.one('finish', FinishClaim(epoch, 1, 'acc', key, ended))
+    restored = LedgerMachine()
+    restored.restore(ledger.machine.snapshot())
+    new = ClaimKey(epoch, 2, 'acc', 'new', 'd', 4000)
+    command = encode(Batch(ledger.now_ms, [operation('claim', new)]))
+    for machine in (ledger.machine, restored):
+        machine.apply(99, command)
+        views = {
+            key: machine.view('acc', key) for key in ('a', 'b', 'open', 'new')
+        }
+        assert {key for key, view in views.items() if view.is_tombstone} == {
+            'a',
+        }
+    assert restored.snapshot() == ledger.machine.snapshot()
+    late = ClaimKey(epoch, 3, 'acc', 'a', 'd', 4000)
+    assert ledger.one('claim', late).status == 'key_expired'
+
+
 def test_due_records_are_spread_over_commands(monkeypatch: Any) -> None:
     """Guards against a voter that stalls when many records are due."""
     monkeypatch.setattr(machine_module, 'MAX_DUE_PER_COMMAND', 1)
