Give problems an outcome only when it is proved

Cause: errors of look-ups and of keyed requests refused early carried the outcome not_run, also when an earlier request with the key had run; before the first configuration every credential was called unknown. Change: such problems have no outcome; without a configuration the answer is 503 no_lease with Retry-After.

--- a/hornbeamline/caller_api/_accounts.py
+++ b/hornbeamline/caller_api/_accounts.py
@@ -31,7 +31,10 @@
         authorization: str | None,
     ) -> tuple[str, Account]:
         """Return name and account; raises `ProblemError`."""
-        if fleet is not None and fleet is not self._fleet:
+        if fleet is None:
+            # Before the first configuration no credential is known.
+            raise ProblemError(falcon.HTTP_503, 'no_lease')
+        if fleet is not self._fleet:
             self._fleet = fleet
             self._accounts_by_digest = {
                 account.credential_sha256: (name, account)
--- a/hornbeamline/caller_api/_asgi.py
+++ b/hornbeamline/caller_api/_asgi.py
@@ -8,6 +8,7 @@
 
 from hornbeamline.caller_api._problems import error_body
 from hornbeamline.caller_api.const import (
+    ATTR_OUTCOME,
     MAX_HEADER_BYTES,
     MEDIA_PROBLEM,
 )
@@ -70,7 +71,10 @@
 
 
 async def _refuse_headers(send: Send) -> None:
-    body = encode_json(error_body(_HEADERS_TOO_LARGE, 'headers_too_large'))
+    problem = error_body(_HEADERS_TOO_LARGE, 'headers_too_large')
+    # The headers were not read, so a request key may be among them.
+    problem.pop(ATTR_OUTCOME)
+    body = encode_json(problem)
     await send(
         {
             'type': 'http.response.start',
--- a/hornbeamline/caller_api/_problems.py
+++ b/hornbeamline/caller_api/_problems.py
@@ -13,6 +13,7 @@
     ATTR_OUTCOME,
     ATTR_REASON,
     ATTR_REQUEST_ID,
+    HEADER_REQUEST_KEY,
     MEDIA_PROBLEM,
 )
 from hornbeamline.helpers.codec import encode_json
@@ -52,11 +53,14 @@
         `closes` ends the connection, because a part of the body was left
         unread.
         """
+        headers = {'Connection': 'close'} if closes else {}
+        if status == falcon.HTTP_503:
+            headers['Retry-After'] = '1'
         super().__init__(
             status,
             title=reason,
             description=detail,
-            headers={'Connection': 'close'} if closes else None,
+            headers=headers,
         )
 
 
@@ -114,7 +118,7 @@
 
 
 def serialize_error(
-    _req: Request,
+    req: Request,
     resp: Response,
     error: falcon.HTTPError,
 ) -> None:
@@ -123,7 +127,12 @@
     if not isinstance(error, ProblemError):
         reason = reason.split(' ', 1)[-1].lower().replace(' ', '_')
     resp.content_type = MEDIA_PROBLEM
-    resp.data = encode_json(error_body(error.status_code, reason, error))
+    body = error_body(error.status_code, reason, error)
+    if req.method != 'POST' or req.get_header(HEADER_REQUEST_KEY):
+        # A look-up is no request, and an earlier request with the same key
+        # may have run.
+        body.pop(ATTR_OUTCOME)
+    resp.data = encode_json(body)
 
 
 def error_body(
@@ -131,7 +140,10 @@
     reason: str,
     error: falcon.HTTPError | None = None,
 ) -> dict[str, Any]:
-    """Return the problem JSON of a request that was not started."""
+    """Return the problem JSON of a request that was not started.
+
+    It says "not run"; whoever cannot prove that drops the outcome.
+    """
     detail = None if error is None else error.description
     return {
         'type': 'urn:hornbeamline:refused',
--- a/hornbeamline/caller_api/_resources.py
+++ b/hornbeamline/caller_api/_resources.py
@@ -128,7 +128,9 @@
         """Run a request and answer with its outcome."""
         account, _ = self._api.authenticate(req)
         fleet = self._api.fleet_of()
-        if fleet is None or pipeline not in fleet.pipelines_by_name:
+        if fleet is None:
+            raise ProblemError(falcon.HTTP_503, 'no_lease')
+        if pipeline not in fleet.pipelines_by_name:
             raise ProblemError(falcon.HTTP_404, 'unknown_pipeline')
         _close_when_draining(self._api, resp)
         refusal = self._api.refusal()
