--- a/benchmarks/peering.py
+++ b/benchmarks/peering.py
@@ -174,7 +174,7 @@
 async def left_ready(left: PynngPeering) -> None:
     """Wait until heartbeats arrive."""
     # Liveness has no awaitable form.
-    while not left.is_alive('right'):  # noqa: ASYNC110
+    while not left.is_alive('right'):  # noqa: ASYNC110 - no event is set.
         await asyncio.sleep(0.01)
 
 
--- a/tests/membership/test_poller.py
+++ b/tests/membership/test_poller.py
@@ -133,7 +133,7 @@
         seen = platform.requests
         async with asyncio.timeout(WAIT_S):
             # The stand-in counts requests and sets no event.
-            while platform.requests < seen + 3:  # noqa: ASYNC110
+            while platform.requests < seen + 3:  # noqa: ASYNC110 - no event is set.
                 await asyncio.sleep(0.01)
         assert view.unavailable() == {'t1'}
     platform.content = listed(9, t2='leaving')
--- a/tests/peering/conftest.py
+++ b/tests/peering/conftest.py
@@ -57,7 +57,7 @@
     """Wait until a condition holds."""
     async with asyncio.timeout(timeout_s):
         # The conditions depend on sockets and threads and set no event.
-        while not condition():  # noqa: ASYNC110
+        while not condition():  # noqa: ASYNC110 - no event is set.
             await asyncio.sleep(0.005)
 
 
