Test that a target's own leaving report ends

Cause: the expiry of own reports had no test. Change: one test; a report that a list confirms does not end.

--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -194,3 +194,21 @@
     view.update_fleet(fleet(t1=TargetState.draining))
     view.update_fleet(fleet(t1=TargetState.live))
     assert not view.accepts_new_work('t1')
+
+
+def test_own_report_ends_where_no_list_confirms_it() -> None:
+    """Guards against a restarted target that is never asked again."""
+    clock = ManualClock()
+    view = MembershipView(lambda: RULES, clock)
+    view.note_leaving('t1')
+    clock.advance(59)
+    view.expire()
+    assert not view.accepts_new_work('t1')
+    view.apply_list(1, {'t2': 'leaving'})
+    view.note_leaving('t2')
+    clock.advance(2)
+    view.expire()
+    assert view.unavailable() == {'t2'}
+    clock.advance(100)
+    view.expire()
+    assert view.unavailable() == {'t2'}
