--- a/hornbeamline/caller_api/_problems.py
+++ b/hornbeamline/caller_api/_problems.py
@@ -34,6 +34,7 @@
         'rate_limited': falcon.HTTP_429,
     }
 )
+_SERVER_ERRORS: Final = 500
 _RETRY_STATUSES: Final = frozenset((falcon.HTTP_429, falcon.HTTP_503))
 
 
@@ -132,6 +133,8 @@
         # A look-up is no request, and an earlier request with the same key
         # may have run.
         body.pop(ATTR_OUTCOME)
+        if req.method == 'POST' and error.status_code >= _SERVER_ERRORS:
+            body[ATTR_OUTCOME] = OutcomeKind.unknown.value
     resp.data = encode_json(body)
 
 
