--- /dev/null
+++ b/hornbeamline/batching/__init__.py
@@ -0,0 +1,27 @@
+"""Pieces of stages that targets compute in batches."""
+
+from __future__ import annotations
+
+from hornbeamline.batching._queue import BatchQueue, QueuedPiece
+from hornbeamline.batching._service import BatchingService
+from hornbeamline.batching._types import Piece, PieceResult, PieceTimes
+from hornbeamline.batching._worker import BatchTarget, BatchTimes
+from hornbeamline.batching.errors import (
+    CallLostError,
+    CallRefusedError,
+    PiecesFailedError,
+)
+
+__all__ = (
+    'BatchTarget',
+    'BatchTimes',
+    'BatchQueue',
+    'BatchingService',
+    'CallLostError',
+    'CallRefusedError',
+    'Piece',
+    'PieceResult',
+    'PieceTimes',
+    'PiecesFailedError',
+    'QueuedPiece',
+)
--- /dev/null
+++ b/hornbeamline/batching/_messages.py
@@ -0,0 +1,32 @@
+"""Messages between entry hosts about pieces of stages."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from hornbeamline.batching._types import Piece, PieceResult, PieceTimes
+from hornbeamline.peering import message
+
+
+@message('batching.submit')
+class SubmitPieces(NamedTuple):
+    """Asks the owner of a service to have pieces computed."""
+
+    service: str
+    pieces: list[Piece]
+    times: PieceTimes
+
+
+@message('batching.submit_reply')
+class PiecesDone(NamedTuple):
+    """Results in the order of the pieces."""
+
+    outcomes: list[PieceResult]
+
+
+@message('batching.cancel')
+class CancelRequest(NamedTuple):
+    """Nobody waits for the pieces of a request any more."""
+
+    service: str
+    request_id: str
--- /dev/null
+++ b/hornbeamline/batching/_service.py
@@ -0,0 +1,270 @@
+"""Queues that this host owns, and the way to those of other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from typing import Final
+
+from hornbeamline.batching._messages import (
+    CancelRequest,
+    PiecesDone,
+    SubmitPieces,
+)
+from hornbeamline.batching._ownership import owners_of
+from hornbeamline.batching._queue import QueuedPiece
+from hornbeamline.batching._types import Piece, PieceResult, PieceTimes
+from hornbeamline.batching._worker import (
+    FAILURE_GONE,
+    BatchTarget,
+    BatchTimes,
+    BatchWorker,
+    CallTarget,
+)
+from hornbeamline.batching.const import LINK_GRACE_S, OWNER_CHECK_S
+from hornbeamline.batching.errors import PiecesFailedError
+from hornbeamline.core import TaskSet
+from hornbeamline.exceptions import PeeringError
+from hornbeamline.helpers.clock import Clock
+from hornbeamline.peering import Peering
+from hornbeamline.telemetry import log_event
+
+_LINK_INTERVAL_S: Final = 0.5
+# Hosts to which a link is kept for each service: owner and successor.
+_LINKED_OWNERS: Final = 2
+_MAX_OWNERS_TRIED: Final = 3
+
+
+class BatchingService:
+    """Computes pieces through the queue of the owner of their service."""
+
+    def __init__(
+        self,
+        peering: Peering,
+        clock: Clock,
+        hosts: Callable[[], Mapping[str, str]],
+        targets: Callable[[str], Sequence[BatchTarget]],
+        call: CallTarget,
+        take_repeats: Callable[[str, int], bool],
+    ) -> None:
+        """Take the network, present hosts with addresses, and targets."""
+        self._peering = peering
+        self._clock = clock
+        self._hosts = hosts
+        self._targets = targets
+        self._call = call
+        self._take_repeats = take_repeats
+        self._times_by_service: dict[str, BatchTimes] = {}
+        self._workers_by_service: dict[str, BatchWorker] = {}
+        self._tasks = TaskSet()
+        peering.on(SubmitPieces, self._on_submit)
+        peering.on(CancelRequest, self._on_cancel)
+
+    async def start(self) -> None:
+        """Keep links to the owners."""
+        self._tasks.spawn(self._keep_links(), 'batching links')
+
+    async def stop(self) -> None:
+        """Drop all queues."""
+        await self._tasks.cancel_all()
+        for worker in self._workers_by_service.values():
+            await worker.stop()
+
+    def update(self, times_by_service: Mapping[str, BatchTimes]) -> None:
+        """Take the services of a newer configuration."""
+        self._times_by_service = dict(times_by_service)
+        for service, worker in self._workers_by_service.items():
+            times = times_by_service.get(service)
+            if times is not None:
+                worker.update_times(times)
+
+    async def compute(
+        self,
+        service: str,
+        pieces: list[Piece],
+        times: PieceTimes,
+    ) -> list[str]:
+        """Return the handles of the results, in the order of the pieces.
+
+        Raises `PiecesFailedError`. An owner that falls silent is replaced
+        by the next one: pieces may be computed again.
+        """
+        started = self._clock.monotonic()
+        outcomes: list[PieceResult] | None = None
+        for owner in self._owners(service)[:_MAX_OWNERS_TRIED]:
+            spent_s = self._clock.monotonic() - started
+            left = times._replace(
+                due_s=times.due_s - spent_s,
+                expires_s=times.expires_s - spent_s,
+            )
+            if left.expires_s <= 0:
+                break
+            outcomes = await self._ask(owner, service, pieces, left)
+            if outcomes is not None:
+                break
+        if outcomes is None:
+            raise PiecesFailedError(f'{service}: no owner answered')
+        return _handles(service, outcomes)
+
+    async def _ask(
+        self,
+        owner: str,
+        service: str,
+        pieces: list[Piece],
+        times: PieceTimes,
+    ) -> list[PieceResult] | None:
+        try:
+            if owner == self._peering.name:
+                return await self._compute_here(service, pieces, times)
+            return await self._ask_other(
+                owner,
+                SubmitPieces(service, pieces, times),
+            )
+        except asyncio.CancelledError:
+            self._cancel(owner, service, pieces[0].request_id)
+            raise
+
+    async def _ask_other(
+        self,
+        owner: str,
+        request: SubmitPieces,
+    ) -> list[PieceResult] | None:
+        self._peering.add_peer(owner, self._hosts()[owner])
+        call = asyncio.ensure_future(
+            self._peering.call(
+                owner,
+                request,
+                PiecesDone,
+                request.times.expires_s,
+            ),
+        )
+        began = self._clock.monotonic()
+        try:
+            while not call.done():
+                await asyncio.wait({call}, timeout=OWNER_CHECK_S)
+                age_s = self._clock.monotonic() - began
+                if age_s > LINK_GRACE_S and not self._peering.is_alive(owner):
+                    break
+            if call.done():
+                return call.result().outcomes
+        except PeeringError as error:
+            self._log_lost_owner(owner, request, str(error))
+            return None
+        finally:
+            call.cancel()
+        self._log_lost_owner(owner, request, 'silent')
+        return None
+
+    def _log_lost_owner(
+        self,
+        owner: str,
+        request: SubmitPieces,
+        reason: str,
+    ) -> None:
+        log_event(
+            'batching.owner_lost',
+            request=request.pieces[0].request_id,
+            service=request.service,
+            owner=owner,
+            reason=reason,
+        )
+
+    async def _compute_here(
+        self,
+        service: str,
+        pieces: list[Piece],
+        times: PieceTimes,
+    ) -> list[PieceResult]:
+        worker = self._worker(service)
+        if worker is None:
+            return [PieceResult(failure='unknown service') for _ in pieces]
+        now = self._clock.monotonic()
+        loop = asyncio.get_running_loop()
+        queued = [
+            QueuedPiece(
+                piece,
+                now + times.due_s,
+                now + times.expires_s,
+                times.rank,
+            )
+            for piece in pieces
+        ]
+        for entry in queued:
+            entry.outcome = loop.create_future()
+        worker.submit(queued)
+        return list(
+            await asyncio.gather(
+                *(entry.outcome for entry in queued if entry.outcome),
+            ),
+        )
+
+    def _worker(self, service: str) -> BatchWorker | None:
+        worker = self._workers_by_service.get(service)
+        if worker is not None:
+            return worker
+        times = self._times_by_service.get(service)
+        if times is None:
+            return None
+        worker = BatchWorker(
+            service,
+            times,
+            lambda: self._targets(service),
+            self._call,
+            self._take_repeats,
+            self._clock,
+        )
+        worker.start()
+        self._workers_by_service[service] = worker
+        log_event('batching.owns', service=service)
+        return worker
+
+    def _cancel(self, owner: str, service: str, request_id: str) -> None:
+        if owner != self._peering.name:
+            self._peering.send(owner, CancelRequest(service, request_id))
+            return
+        worker = self._workers_by_service.get(service)
+        if worker is not None:
+            worker.cancel(request_id)
+
+    def _owners(self, service: str) -> list[str]:
+        return owners_of(service, {*self._hosts(), self._peering.name})
+
+    async def _keep_links(self) -> None:
+        while True:
+            addresses = self._hosts()
+            for service in self._times_by_service:
+                for owner in self._owners(service)[:_LINKED_OWNERS]:
+                    if owner in addresses and owner != self._peering.name:
+                        self._peering.add_peer(owner, addresses[owner])
+            await asyncio.sleep(_LINK_INTERVAL_S)
+
+    async def _on_submit(
+        self,
+        _sender: str,
+        request: SubmitPieces,
+    ) -> PiecesDone:
+        return PiecesDone(
+            await self._compute_here(
+                request.service,
+                request.pieces,
+                request.times,
+            ),
+        )
+
+    async def _on_cancel(self, _sender: str, request: CancelRequest) -> None:
+        self._cancel(
+            self._peering.name,
+            request.service,
+            request.request_id,
+        )
+
+
+def _handles(service: str, outcomes: list[PieceResult]) -> list[str]:
+    failures = {outcome.failure for outcome in outcomes if outcome.failure}
+    if failures:
+        reasons = ', '.join(sorted(failures))
+        raise PiecesFailedError(
+            f'{service}: {reasons}',
+            gone=failures == {FAILURE_GONE},
+        )
+    return [outcome.handle for outcome in outcomes]
--- /dev/null
+++ b/hornbeamline/batching/_types.py
@@ -0,0 +1,36 @@
+"""Pieces of stages and their results."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Piece(NamedTuple):
+    """One piece of a stage of a request."""
+
+    request_id: str
+    stage: int
+    number: int
+    # Names the caller's data; for stages without inputs.
+    key: str
+    # Handles of all results of the stages before; empty in first stages.
+    inputs: list[str]
+
+
+class PieceResult(NamedTuple):
+    """Where the result of a piece lies, or why there is none."""
+
+    handle: str = ''
+    # `late`, `gone` (an input is gone), `room`, `error` or `lost`.
+    failure: str = ''
+
+
+class PieceTimes(NamedTuple):
+    """Until when pieces are needed, in seconds from now, and their rank."""
+
+    # Later than this, the request misses its aim.
+    due_s: float
+    # Later than this, nobody waits for the request.
+    expires_s: float
+    # 0 is the most urgent.
+    rank: int
--- /dev/null
+++ b/hornbeamline/batching/const.py
@@ -0,0 +1,23 @@
+"""Bounds of batched stage calls."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# Pieces that arrive within it share a call; far below the time of a call.
+GATHER_S: Final = 0.004
+# A call that takes longer than this multiple of its expected time is given
+# up: targets slow down to a fourth of their speed, and then others are
+# faster even when the work is done again.
+CALL_PATIENCE: Final = 2.2
+CALL_PATIENCE_MIN_S: Final = 0.25
+# A target that failed or was too slow rests before it is used again.
+REST_S: Final = 2.0
+# Calls that may include a piece before it counts as failed.
+MAX_PIECE_ATTEMPTS: Final = 3
+# An owner that is silent for this long is taken for dead.
+OWNER_CHECK_S: Final = 0.1
+# Time in which a new link must prove itself.
+LINK_GRACE_S: Final = 0.8
+# Smoothing of the speed of a target.
+SPEED_WEIGHT: Final = 0.3
--- /dev/null
+++ b/hornbeamline/batching/errors.py
@@ -0,0 +1,34 @@
+"""Errors of batched stage calls."""
+
+from __future__ import annotations
+
+from hornbeamline.exceptions import BatchingError
+
+
+class CallRefusedError(BatchingError):
+    """The target did not run a call.
+
+    `free` says that nothing reached the service.
+    """
+
+    def __init__(self, reason: str, *, free: bool) -> None:
+        """Take the reason."""
+        super().__init__(reason)
+        self.free = free
+
+
+class CallLostError(BatchingError):
+    """The outcome of a call is not known."""
+
+
+class PiecesFailedError(BatchingError):
+    """Pieces could not be computed.
+
+    `gone` says that their inputs are gone, so that the stages before have
+    to be computed again.
+    """
+
+    def __init__(self, reason: str, *, gone: bool = False) -> None:
+        """Take the reason."""
+        super().__init__(reason)
+        self.gone = gone
--- a/hornbeamline/control_link/_server.py
+++ b/hornbeamline/control_link/_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import Any, TypeVar
+from typing import Any, TypeAlias, TypeVar
 
 from hornbeamline.control_link._messages import ControlReply
 from hornbeamline.control_link.const import (
@@ -18,6 +18,7 @@
 from hornbeamline.replog import NotLeaderError, ReplicatedLog
 
 _RequestT = TypeVar('_RequestT', bound=tuple[Any, ...])
+_Handler: TypeAlias = Callable[[Any], Awaitable[tuple[Any, ...]]]
 
 
 class LeaderServer:
@@ -32,6 +33,14 @@
         """Take the network and the log that knows the leader."""
         self._peering = peering
         self._log = log
+        self._handlers_by_kind: dict[type[Any], _Handler] = {}
+
+    async def submit(self, request: tuple[Any, ...]) -> ControlReply:
+        """Execute a request of this process, here or at the leader."""
+        if self._log.is_leader:
+            handler = self._handlers_by_kind[type(request)]
+            return await self._handle(request, handler)
+        return await self._forward(request)
 
     def serve(
         self,
@@ -49,6 +58,7 @@
                 return await self._handle(request, handler)
             return await self._forward(request)
 
+        self._handlers_by_kind[kind] = handler
         self._peering.on(kind, on_request)
 
     async def _handle(
--- a/hornbeamline/core/_kernel.py
+++ b/hornbeamline/core/_kernel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
 from typing import Final, Protocol, TypeVar
 
 from hornbeamline.exceptions import KernelError
@@ -41,6 +42,17 @@
         self._stop_requested = asyncio.Event()
         self._forced = asyncio.Event()
         self._failure: BaseException | None = None
+        self._reload_callbacks: list[Callable[[], None]] = []
+
+    def on_reload(self, reload: Callable[[], None]) -> None:
+        """Call back when the process is told to read its settings again."""
+        self._reload_callbacks.append(reload)
+
+    def request_reload(self) -> None:
+        """Tell all services that settings may have changed."""
+        log_event('kernel.reload')
+        for reload in self._reload_callbacks:
+            reload()
 
     def register(self, name: str, service: Service) -> None:
         """Add a service under a unique name; raises `KernelError`."""
@@ -100,6 +112,7 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.request_stop)
+        loop.add_signal_handler(signal.SIGHUP, self.request_reload)
 
     async def _stop_bounded(self) -> int:
         stopping = asyncio.create_task(self._stop_services())
--- /dev/null
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -0,0 +1,192 @@
+"""Services of an entry process around the gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Any, Final, Protocol
+
+from hornbeamline.batching import (
+    BatchTarget,
+    CallLostError,
+    CallRefusedError,
+    Piece,
+    PieceResult,
+)
+from hornbeamline.core import TaskSet
+from hornbeamline.exceptions import GatewayError
+from hornbeamline.gateway import (
+    GatewayApp,
+    MayHaveRunError,
+    NotRunError,
+    Target,
+    TargetDirectory,
+    TargetHttp,
+    Wire,
+)
+from hornbeamline.telemetry import log_event
+
+_LIST_TIMEOUT_S: Final = 0.9
+_FIRST_READS_S: Final = 0.25
+# The balancer needs two failed checks, one a second.
+BALANCER_WAIT_S: Final = 2.3
+_DRAIN_POLL_S: Final = 0.1
+# Time that is left for closing connections and files.
+_STOP_MARGIN_S: Final = 0.6
+_HTTP_OK: Final = 200
+
+
+class ReadTargets(Protocol):
+    """The platform's list of targets."""
+
+    async def read(self) -> list[Target]:
+        """Return the whole list; raises `GatewayError`."""
+
+
+class ListPoller:
+    """Reads the list again and again."""
+
+    def __init__(
+        self,
+        source: ReadTargets,
+        targets: TargetDirectory,
+        interval_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Take the list, what follows it, and the pause between reads."""
+        self._source = source
+        self._targets = targets
+        self._interval_s = interval_s
+        self._rng = rng
+        self._tasks = TaskSet()
+        self._works = False
+
+    async def start(self) -> None:
+        """Begin to read."""
+        self._tasks.spawn(self._run(), 'target list')
+
+    async def stop(self) -> None:
+        """Stop reading."""
+        await self._tasks.cancel_all()
+
+    async def _run(self) -> None:
+        while True:
+            await self._read()
+            pause_s = self._interval_s if self._works else _FIRST_READS_S
+            # Hosts that start together must not read together.
+            await asyncio.sleep(pause_s * self._rng.uniform(0.9, 1.1))
+
+    async def _read(self) -> None:
+        try:
+            async with asyncio.timeout(_LIST_TIMEOUT_S):
+                targets = await self._source.read()
+        except (GatewayError, TimeoutError) as error:
+            if self._works:
+                log_event('targets.list_lost', error=repr(error))
+            self._works = False
+            return
+        if not self._works:
+            log_event('targets.list_regained', entries=len(targets))
+        self._works = True
+        self._targets.take_list(targets)
+
+
+class StageCaller:
+    """Calls a target with pieces."""
+
+    def __init__(
+        self,
+        http: TargetHttp,
+        wire: Wire,
+        targets: TargetDirectory,
+    ) -> None:
+        """Take client, translation and the list of targets."""
+        self._http = http
+        self._wire = wire
+        self._targets = targets
+
+    async def __call__(
+        self,
+        target: BatchTarget,
+        pieces: Sequence[Piece],
+        left_s: Sequence[float],
+    ) -> list[PieceResult]:
+        """Return the results; `CallRefusedError`, `CallLostError`."""
+        assert isinstance(target, Target)
+        path, headers, body = self._wire.stage_call(target, pieces, left_s)
+        try:
+            response, answer = await self._http.fetch(
+                target.address,
+                'POST',
+                path,
+                headers,
+                body,
+            )
+        except NotRunError as error:
+            raise CallRefusedError(str(error), free=True) from error
+        except MayHaveRunError as error:
+            raise CallLostError(str(error)) from error
+        head = self._wire.read_answer(response.status, response.headers)
+        if head.not_run or head.wrong_target:
+            raise CallRefusedError(f'status {head.status}', free=False)
+        if head.status != _HTTP_OK:
+            raise CallLostError(f'status {head.status}')
+        return self._wire.read_stage_results(answer, len(pieces))
+
+
+class GatewayDrain:
+    """Ends an entry process without cutting a request."""
+
+    def __init__(self, app: GatewayApp, stop_timeout_s: float) -> None:
+        """Take the application and the time until the process is killed."""
+        self._app = app
+        self._stop_timeout_s = stop_timeout_s
+        self.is_draining = False
+
+    async def start(self) -> None:
+        """Acquire nothing."""
+
+    async def stop(self) -> None:
+        """Fail readiness, wait for the balancer, finish all requests."""
+        self.is_draining = True
+        self._app.closes_connections = True
+        log_event('entry.draining', in_progress=self._app.in_progress)
+        await asyncio.sleep(BALANCER_WAIT_S)
+        left_s = self._stop_timeout_s - BALANCER_WAIT_S - _STOP_MARGIN_S
+        while left_s > 0 and self._app.in_progress:
+            await asyncio.sleep(_DRAIN_POLL_S)
+            left_s -= _DRAIN_POLL_S
+        log_event('entry.drained', in_progress=self._app.in_progress)
+
+
+class ReadyApp:
+    """Answers the balancer's checks."""
+
+    def __init__(self, app: GatewayApp, drain: GatewayDrain) -> None:
+        """Take what decides whether requests can be served."""
+        self._app = app
+        self._drain = drain
+        self._was_ready = False
+
+    async def __call__(
+        self,
+        scope: Mapping[str, Any],
+        _receive: Callable[[], Awaitable[Any]],
+        send: Callable[[Any], Awaitable[None]],
+    ) -> None:
+        """Answer 200 while this host takes requests, 503 otherwise."""
+        if scope['type'] != 'http':
+            return
+        ready = self._app.is_ready and not self._drain.is_draining
+        if ready != self._was_ready:
+            self._was_ready = ready
+            log_event('entry.readiness', ready=ready)
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': _HTTP_OK if ready else 503,
+                'headers': [(b'content-length', b'0')],
+            },
+        )
+        await send({'type': 'http.response.body'})
--- /dev/null
+++ b/hornbeamline/daemons/_settings_watch.py
@@ -0,0 +1,57 @@
+"""Follows changes of the settings file while a process runs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Final
+
+from hornbeamline.core import TaskSet
+from hornbeamline.directory import DirectoryMember
+from hornbeamline.exceptions import HornbeamlineError
+from hornbeamline.telemetry import log_event
+
+# The file may change without a signal.
+WATCH_INTERVAL_S: Final = 2.0
+
+
+class SettingsWatch:
+    """Takes over control processes that the settings newly name."""
+
+    def __init__(
+        self,
+        read_controls: Callable[[], Mapping[str, str]],
+        member: DirectoryMember,
+    ) -> None:
+        """Take the reader of the settings and what follows them."""
+        self._read_controls = read_controls
+        self._member = member
+        self._known: Mapping[str, str] = {}
+        self._tasks = TaskSet()
+
+    async def start(self) -> None:
+        """Begin to look at the file."""
+        self._known = self._read_controls()
+        self._tasks.spawn(self._watch(), 'settings watch')
+
+    async def stop(self) -> None:
+        """Stop looking."""
+        await self._tasks.cancel_all()
+
+    def reload(self) -> None:
+        """Read the file; one that cannot be used changes nothing."""
+        try:
+            controls = self._read_controls()
+        except HornbeamlineError as error:
+            log_event('settings.unreadable', error=str(error))
+            return
+        if controls == self._known:
+            return
+        log_event('settings.changed', controls=','.join(controls))
+        self._known = controls
+        self._member.add_controls(controls)
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            self.reload()
--- /dev/null
+++ b/hornbeamline/daemons/gateway.py
@@ -0,0 +1,213 @@
+"""The entry process that serves requests by host name and path."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from hornbeamline.batching import BatchingService
+from hornbeamline.core import Kernel
+from hornbeamline.daemons._gateway_services import (
+    GatewayDrain,
+    ListPoller,
+    ReadTargets,
+    ReadyApp,
+    StageCaller,
+)
+from hornbeamline.daemons._memory import CollectorService
+from hornbeamline.daemons._settings_watch import SettingsWatch
+from hornbeamline.directory import DirectoryMember, Presence
+from hornbeamline.directory.const import ROLE_ENTRY
+from hornbeamline.documents import InvalidDocumentError, StoredDocument
+from hornbeamline.gateway import (
+    BudgetSettings,
+    Forwarder,
+    GatewayApp,
+    RepeatBudget,
+    ResultReleaser,
+    RoutingTable,
+    StageRunner,
+    TargetDirectory,
+    TargetHttp,
+    TargetPicker,
+    Wire,
+)
+from hornbeamline.helpers.clock import SystemClock
+from hornbeamline.helpers.http_server import HttpServer
+from hornbeamline.inventory import PeeringSettings
+from hornbeamline.peering import PynngPeering
+from hornbeamline.telemetry import log_event, metrics_app
+
+
+class GatewaySettings(NamedTuple):
+    """Settings of an entry process that serves routes."""
+
+    name: str
+    host: str
+    data_centre: str
+    fleet: str
+    peering: PeeringSettings
+    controls_by_name: dict[str, str]
+    caller_address: str
+    readiness_address: str
+    metrics_address: str
+    list_interval_s: float
+    stop_timeout_s: float
+    budget: BudgetSettings
+
+
+class GatewayDaemon:
+    """Builds the kernel of an entry process that serves routes."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        wire: Wire,
+        open_list: Callable[[TargetHttp], ReadTargets],
+        read_table: Callable[[bytes], RoutingTable],
+        read_controls: Callable[[], Mapping[str, str]],
+    ) -> None:
+        """Take settings and the adapter of the platform."""
+        self.host = settings.host
+        self._settings = settings
+        self._read_table = read_table
+        self._clock = SystemClock()
+        self.kernel = Kernel(settings.stop_timeout_s)
+        rng = random.Random(secrets.randbits(64))
+        self._peering = PynngPeering(
+            settings.name,
+            settings.fleet,
+            settings.peering,
+            self._clock,
+        )
+        self._picker = TargetPicker(settings.data_centre, self._clock, rng)
+        self._targets = TargetDirectory(self._clock)
+        self._budget = RepeatBudget(settings.budget, self._clock)
+        self._member = DirectoryMember(
+            self._peering,
+            self._clock,
+            settings.controls_by_name,
+            self._describe,
+        )
+        self._member.on_document = self._take_document
+        http = TargetHttp()
+        self._batching = BatchingService(
+            self._peering,
+            self._clock,
+            self._other_hosts,
+            self._targets.of_service,
+            StageCaller(http, wire, self._targets),
+            self._budget.take,
+        )
+        releaser = ResultReleaser(http, wire)
+        forwarder = Forwarder(
+            http,
+            wire,
+            self._picker,
+            self._targets,
+            self._budget,
+            self._clock,
+        )
+        self._app = GatewayApp(
+            wire,
+            self._targets,
+            forwarder,
+            StageRunner(self._batching, self._clock),
+            releaser,
+            self._budget,
+            self._clock,
+            rng,
+        )
+        watch = SettingsWatch(read_controls, self._member)
+        self.kernel.on_reload(watch.reload)
+        poller = ListPoller(
+            open_list(http),
+            self._targets,
+            settings.list_interval_s,
+            rng,
+        )
+        self.kernel.register('peering', self._peering)
+        self.kernel.register('http', http)
+        self.kernel.register('directory', self._member)
+        self.kernel.register('settings', watch)
+        self.kernel.register('targets', poller)
+        self.kernel.register('batching', self._batching)
+        self.kernel.register('releaser', releaser)
+        self.kernel.register('collector', CollectorService())
+        self._register_listeners()
+
+    async def run(self) -> int:
+        """Serve until a stop signal; return the exit code."""
+        settings = self._settings
+        log_event(
+            'entry.starting',
+            address=settings.caller_address,
+            controls=','.join(settings.controls_by_name),
+        )
+        code = await self.kernel.run()
+        log_event('entry.stopped', code=code)
+        return code
+
+    def _register_listeners(self) -> None:
+        settings = self._settings
+        drain = GatewayDrain(self._app, settings.stop_timeout_s)
+        self._drain = drain
+        self.kernel.register(
+            'metrics',
+            HttpServer(metrics_app, settings.metrics_address),
+        )
+        self.kernel.register(
+            'callers',
+            HttpServer(self._app, settings.caller_address, stop_timeout_s=1),
+        )
+        self.kernel.register(
+            'readiness',
+            HttpServer(
+                ReadyApp(self._app, drain),
+                settings.readiness_address,
+                stop_timeout_s=0,
+            ),
+        )
+        self.kernel.register('drain', drain)
+
+    def _describe(self) -> Presence:
+        settings = self._settings
+        return Presence(
+            settings.name,
+            settings.peering.address,
+            ROLE_ENTRY,
+            settings.data_centre,
+            self._picker.in_flight_by_target,
+            self._drain.is_draining,
+        )
+
+    def _other_hosts(self) -> dict[str, str]:
+        return {
+            presence.name: presence.address
+            for presence in self._member.present()
+            if presence.role == ROLE_ENTRY
+            and not presence.is_leaving
+            and presence.name != self._settings.name
+        }
+
+    def _take_document(self, document: StoredDocument) -> None:
+        try:
+            table = self._read_table(document.content)
+        except InvalidDocumentError as error:
+            # Control processes of another version may accept more.
+            log_event(
+                'documents.unusable',
+                number=document.number,
+                error=str(error),
+            )
+            return
+        self._batching.update(
+            {
+                service.name: service.batch
+                for service in table.services_by_name.values()
+                if service.batch is not None
+            },
+        )
+        self._app.take_table(table)
--- /dev/null
+++ b/hornbeamline/daemons/keeper.py
@@ -0,0 +1,147 @@
+"""The control process that keeps numbered documents."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from hornbeamline.control_link import LeaderServer
+from hornbeamline.core import Kernel
+from hornbeamline.daemons._settings_watch import SettingsWatch
+from hornbeamline.directory import (
+    DirectoryMember,
+    DirectoryRegistry,
+    Presence,
+)
+from hornbeamline.directory.const import ROLE_CONTROL
+from hornbeamline.documents import DocumentMachine, DocumentService
+from hornbeamline.helpers.clock import SystemClock
+from hornbeamline.helpers.http_server import HttpServer
+from hornbeamline.inventory import (
+    ControlSettings,
+    HostSettings,
+    OperatorSettings,
+    PeeringSettings,
+    StorageSettings,
+)
+from hornbeamline.peering import PynngPeering
+from hornbeamline.replog import RaftLog
+from hornbeamline.telemetry import log_event, metrics_app
+
+
+class KeeperSettings(NamedTuple):
+    """Settings of a control process with numbered documents."""
+
+    name: str
+    host: str
+    data_centre: str
+    fleet: str
+    peering: PeeringSettings
+    # Peering addresses of the first voters, or of any control processes.
+    controls_by_name: dict[str, str]
+    is_first_start: bool
+    storage: StorageSettings
+    voters: int
+    operator_address: str
+    metrics_address: str
+    stop_timeout_s: float
+
+
+class KeeperDaemon:
+    """Builds the kernel of a control process with numbered documents."""
+
+    def __init__(
+        self,
+        settings: KeeperSettings,
+        number_of: Callable[[bytes], int],
+        operator_app: Callable[[DocumentService], Any],
+        read_controls: Callable[[], Mapping[str, str]],
+    ) -> None:
+        """Take settings, validation and the operator's interface."""
+        clock = SystemClock()
+        self.host = settings.host
+        self._settings = settings
+        self.kernel = Kernel(settings.stop_timeout_s)
+        peering = PynngPeering(
+            settings.name,
+            settings.fleet,
+            settings.peering,
+            clock,
+        )
+        # Election timeouts must differ between voters, so no fixed seed.
+        log = RaftLog(
+            _log_settings(settings),
+            peering,
+            clock,
+            random.Random(),
+        )
+        log.on_stopped(self.kernel.fail)
+        machine = DocumentMachine()
+        documents = DocumentService(
+            log,
+            LeaderServer(peering, log),
+            machine,
+            number_of,
+        )
+        own = Presence(
+            settings.name,
+            settings.peering.address,
+            ROLE_CONTROL,
+            settings.data_centre,
+        )
+        registry = DirectoryRegistry(peering, machine, own, clock)
+        log.keep_voters(registry.controls, settings.voters)
+        member = DirectoryMember(
+            peering,
+            clock,
+            settings.controls_by_name,
+            lambda: own,
+        )
+        watch = SettingsWatch(read_controls, member)
+        self.kernel.on_reload(watch.reload)
+        self.kernel.register('peering', peering)
+        self.kernel.register('replog', log)
+        self.kernel.register('directory', member)
+        self.kernel.register('settings', watch)
+        self.kernel.register(
+            'metrics',
+            HttpServer(metrics_app, settings.metrics_address),
+        )
+        self.kernel.register(
+            'operator_api',
+            HttpServer(operator_app(documents), settings.operator_address),
+        )
+
+    async def run(self) -> int:
+        """Serve until a stop signal; return the exit code."""
+        settings = self._settings
+        log_event(
+            'control.starting',
+            operator=settings.operator_address,
+            peering=settings.peering.address,
+            controls=','.join(settings.controls_by_name),
+            first_start=settings.is_first_start,
+        )
+        code = await self.kernel.run()
+        log_event('control.stopped', code=code)
+        return code
+
+
+def _log_settings(settings: KeeperSettings) -> ControlSettings:
+    return ControlSettings(
+        host=HostSettings(
+            name=settings.name,
+            data_centre=settings.data_centre,
+            fleet=settings.fleet,
+        ),
+        peering=settings.peering,
+        # Operators of this daemon have no credential.
+        operator=OperatorSettings(
+            address=settings.operator_address,
+            credential_sha256='',
+        ),
+        storage=settings.storage,
+        controls_by_name=settings.controls_by_name,
+        join=not settings.is_first_start,
+    )
--- /dev/null
+++ b/hornbeamline/directory/_member.py
@@ -0,0 +1,148 @@
+"""Every process's side: enrols with all control processes it knows."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from hornbeamline.core import TaskSet
+from hornbeamline.directory._messages import (
+    DocumentPush,
+    Enrol,
+    EnrolReply,
+    Presence,
+)
+from hornbeamline.directory.const import (
+    ENROL_INTERVAL_S,
+    ENROL_TIMEOUT_S,
+    PRESENCE_SILENCE_S,
+    ROLE_CONTROL,
+)
+from hornbeamline.documents import StoredDocument
+from hornbeamline.exceptions import PeeringError
+from hornbeamline.helpers.clock import Clock
+from hornbeamline.peering import Peering
+from hornbeamline.telemetry import log_event
+
+
+class _Seen(NamedTuple):
+    presence: Presence
+    at: float
+
+
+class DirectoryMember:
+    """Service that tells the control processes about this process.
+
+    It learns in return which other processes are present and takes the
+    newest document, from replies and from pushes. Every control process
+    hands out committed documents only, so the highest number counts.
+    """
+
+    def __init__(
+        self,
+        peering: Peering,
+        clock: Clock,
+        controls_by_name: Mapping[str, str],
+        describe: Callable[[], Presence],
+    ) -> None:
+        """Take the network and the control processes known at start.
+
+        `describe` returns the presence of this process.
+        """
+        self._peering = peering
+        self._clock = clock
+        self._controls_by_name = dict(controls_by_name)
+        self._describe = describe
+        self._seen_by_name: dict[str, _Seen] = {}
+        self._tasks = TaskSet()
+        self._tasks_by_control: dict[str, asyncio.Task[None]] = {}
+        self._answering: set[str] = set()
+        self.document = StoredDocument(0, b'')
+        self.document_at = clock.monotonic()
+        self.on_document: Callable[[StoredDocument], None] | None = None
+        peering.on(DocumentPush, self._on_push)
+
+    async def start(self) -> None:
+        """Begin to enrol."""
+        for name, address in tuple(self._controls_by_name.items()):
+            self._follow(name, address)
+
+    async def stop(self) -> None:
+        """Stop enrolling."""
+        await self._tasks.cancel_all()
+
+    def add_controls(self, controls_by_name: Mapping[str, str]) -> None:
+        """Enrol with further control processes."""
+        for name, address in controls_by_name.items():
+            self._follow(name, address)
+
+    def present(self) -> list[Presence]:
+        """Return the processes that were heard of recently."""
+        oldest = self._clock.monotonic() - PRESENCE_SILENCE_S
+        return [
+            seen.presence
+            for seen in self._seen_by_name.values()
+            if seen.at >= oldest
+        ]
+
+    def _follow(self, name: str, address: str) -> None:
+        if name in self._tasks_by_control or name == self._describe().name:
+            return
+        self._peering.add_peer(name, address)
+        self._tasks_by_control[name] = self._tasks.spawn(
+            self._enrol_forever(name),
+            f'directory {name}',
+        )
+
+    async def _enrol_forever(self, control: str) -> None:
+        while True:
+            began = self._clock.monotonic()
+            try:
+                reply = await self._peering.call(
+                    control,
+                    Enrol(self._describe(), self.document.number),
+                    EnrolReply,
+                    ENROL_TIMEOUT_S,
+                )
+            except PeeringError as error:
+                self._note_answer(control, str(error))
+            else:
+                self._note_answer(control, '')
+                self._take_reply(reply)
+            spent_s = self._clock.monotonic() - began
+            await asyncio.sleep(max(ENROL_INTERVAL_S - spent_s, 0))
+
+    def _note_answer(self, control: str, error: str) -> None:
+        if not error and control not in self._answering:
+            self._answering.add(control)
+            log_event('directory.control_regained', control=control)
+        elif error and control in self._answering:
+            self._answering.discard(control)
+            log_event('directory.control_lost', control=control, error=error)
+
+    def _take_reply(self, reply: EnrolReply) -> None:
+        now = self._clock.monotonic()
+        for presence in reply.present:
+            self._seen_by_name[presence.name] = _Seen(presence, now)
+            if presence.role == ROLE_CONTROL:
+                self._follow(presence.name, presence.address)
+        if reply.document is not None:
+            self._take_document(reply.document, 'enrol')
+
+    async def _on_push(self, _sender: str, push: DocumentPush) -> None:
+        self._take_document(push.document, 'push')
+
+    def _take_document(self, document: StoredDocument, source: str) -> None:
+        if document.number <= self.document.number:
+            return
+        log_event(
+            'documents.in_force',
+            number=document.number,
+            previous=self.document.number,
+            source=source,
+        )
+        self.document = document
+        self.document_at = self._clock.monotonic()
+        if self.on_document is not None:
+            self.on_document(document)
--- /dev/null
+++ b/hornbeamline/directory/_messages.py
@@ -0,0 +1,44 @@
+"""Messages of the directory."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from hornbeamline.documents import StoredDocument
+from hornbeamline.peering import message
+
+
+class Presence(NamedTuple):
+    """A process as it describes itself."""
+
+    name: str
+    address: str
+    role: str
+    data_centre: str
+    # Requests in progress at targets, by target id.
+    in_flight_by_target: dict[str, int] = {}
+    # The process stops; it takes over no shared work any more.
+    is_leaving: bool = False
+
+
+@message('directory.enrol')
+class Enrol(NamedTuple):
+    """Tells a control process that the sender is there."""
+
+    presence: Presence
+    document_number: int
+
+
+@message('directory.enrol_reply')
+class EnrolReply(NamedTuple):
+    """Present processes, and the document if the sender's is older."""
+
+    present: list[Presence]
+    document: StoredDocument | None
+
+
+@message('directory.document')
+class DocumentPush(NamedTuple):
+    """A document that has just been committed."""
+
+    document: StoredDocument
--- /dev/null
+++ b/hornbeamline/directory/_registry.py
@@ -0,0 +1,89 @@
+"""Control process's side: who enrolled, and pushes of the document."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from hornbeamline.directory._messages import (
+    DocumentPush,
+    Enrol,
+    EnrolReply,
+    Presence,
+)
+from hornbeamline.directory.const import (
+    PRESENCE_SILENCE_S,
+    ROLE_CONTROL,
+)
+from hornbeamline.documents import DocumentMachine
+from hornbeamline.helpers.clock import Clock
+from hornbeamline.peering import Peering
+from hornbeamline.telemetry import log_event
+
+
+class _Seen(NamedTuple):
+    presence: Presence
+    at: float
+
+
+class DirectoryRegistry:
+    """Processes that enrolled with this control process."""
+
+    def __init__(
+        self,
+        peering: Peering,
+        machine: DocumentMachine,
+        own: Presence,
+        clock: Clock,
+    ) -> None:
+        """Take the network, the document and this process's presence."""
+        self._peering = peering
+        self._machine = machine
+        self._own = own
+        self._clock = clock
+        self._seen_by_name: dict[str, _Seen] = {}
+        machine.on_change = self._push
+        peering.on(Enrol, self._on_enrol)
+
+    def present(self) -> list[Presence]:
+        """Return this process and all that enrolled recently."""
+        oldest = self._clock.monotonic() - PRESENCE_SILENCE_S
+        for name, seen in tuple(self._seen_by_name.items()):
+            if seen.at < oldest:
+                self._seen_by_name.pop(name)
+                log_event('directory.lost', peer=name, role=seen.presence.role)
+        return [
+            self._own,
+            *(seen.presence for seen in self._seen_by_name.values()),
+        ]
+
+    def controls(self) -> dict[str, str]:
+        """Return the peering addresses of present control processes."""
+        return {
+            presence.name: presence.address
+            for presence in self.present()
+            if presence.role == ROLE_CONTROL
+        }
+
+    async def _on_enrol(self, _sender: str, request: Enrol) -> EnrolReply:
+        presence = request.presence
+        if presence.name not in self._seen_by_name:
+            log_event(
+                'directory.enrolled',
+                peer=presence.name,
+                role=presence.role,
+            )
+        self._peering.add_peer(presence.name, presence.address)
+        self._seen_by_name[presence.name] = _Seen(
+            presence,
+            self._clock.monotonic(),
+        )
+        document = self._machine.current
+        is_newer = document.number > request.document_number
+        return EnrolReply(self.present(), document if is_newer else None)
+
+    def _push(self) -> None:
+        document = self._machine.current
+        log_event('documents.applied', number=document.number)
+        for presence in self.present():
+            if presence.role != ROLE_CONTROL:
+                self._peering.send(presence.name, DocumentPush(document))
--- /dev/null
+++ b/hornbeamline/directory/const.py
@@ -0,0 +1,14 @@
+"""Times of the directory."""
+
+from __future__ import annotations
+
+from typing import Final
+
+ROLE_CONTROL: Final = 'control'
+ROLE_ENTRY: Final = 'entry'
+
+# A change must be in force within 2 s also when its push was lost.
+ENROL_INTERVAL_S: Final = 0.4
+ENROL_TIMEOUT_S: Final = 0.8
+# Four lost enrolments; a host beyond it gets no new shared work.
+PRESENCE_SILENCE_S: Final = 1.6
--- a/hornbeamline/exceptions.py
+++ b/hornbeamline/exceptions.py
@@ -41,3 +41,15 @@
 
 class OrderError(HornbeamlineError):
     """An order to a model engine failed."""
+
+
+class DocumentError(HornbeamlineError):
+    """A configuration document is invalid or could not be stored."""
+
+
+class GatewayError(HornbeamlineError):
+    """A request could not be passed on."""
+
+
+class BatchingError(HornbeamlineError):
+    """Pieces of a stage could not be computed."""
--- /dev/null
+++ b/hornbeamline/gateway/__init__.py
@@ -0,0 +1,68 @@
+"""Serves requests by host name and path prefix, through stages."""
+
+from __future__ import annotations
+
+from hornbeamline.gateway._app import GatewayApp
+from hornbeamline.gateway._budget import BudgetSettings, RepeatBudget
+from hornbeamline.gateway._forwarder import Forwarder
+from hornbeamline.gateway._http import TargetHttp
+from hornbeamline.gateway._picker import TargetPicker
+from hornbeamline.gateway._release import ResultReleaser
+from hornbeamline.gateway._stages import StageRunner
+from hornbeamline.gateway._table import RoutingTable, group_by_host
+from hornbeamline.gateway._targets import TargetDirectory
+from hornbeamline.gateway._types import (
+    Account,
+    AnswerHead,
+    BatchLimits,
+    CallerRequest,
+    EngineLimits,
+    PromptPart,
+    Refusal,
+    Route,
+    RouteKind,
+    Service,
+    Stage,
+    Target,
+    TargetLoad,
+)
+from hornbeamline.gateway._wire import Answer, Headers, TargetHeaders, Wire
+from hornbeamline.gateway.errors import (
+    MayHaveRunError,
+    NotRunError,
+    RefusedError,
+)
+
+__all__ = (
+    'Account',
+    'Answer',
+    'AnswerHead',
+    'BatchLimits',
+    'BudgetSettings',
+    'CallerRequest',
+    'EngineLimits',
+    'Forwarder',
+    'GatewayApp',
+    'Headers',
+    'MayHaveRunError',
+    'NotRunError',
+    'PromptPart',
+    'Refusal',
+    'RefusedError',
+    'RepeatBudget',
+    'ResultReleaser',
+    'Route',
+    'RouteKind',
+    'RoutingTable',
+    'Service',
+    'Stage',
+    'StageRunner',
+    'Target',
+    'TargetDirectory',
+    'TargetHeaders',
+    'TargetHttp',
+    'TargetLoad',
+    'TargetPicker',
+    'Wire',
+    'group_by_host',
+)
--- /dev/null
+++ b/hornbeamline/gateway/_app.py
@@ -0,0 +1,396 @@
+"""ASGI application that serves requests by host name and path."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Final
+
+from hornbeamline.batching import PiecesFailedError
+from hornbeamline.gateway._budget import RepeatBudget
+from hornbeamline.gateway._forwarder import Forwarder, Job
+from hornbeamline.gateway._metrics import ANSWERS, IN_PROGRESS, LATENCY
+from hornbeamline.gateway._release import ResultReleaser
+from hornbeamline.gateway._reply import Reply
+from hornbeamline.gateway._stages import (
+    StageResults,
+    StageRunner,
+    stages_time_s,
+)
+from hornbeamline.gateway._table import RoutingTable
+from hornbeamline.gateway._targets import TargetDirectory
+from hornbeamline.gateway._types import (
+    Account,
+    CallerRequest,
+    Refusal,
+    Route,
+)
+from hornbeamline.gateway._wire import Wire
+from hornbeamline.gateway.errors import (
+    AnswerBrokenError,
+    InputsGoneError,
+    RefusedError,
+)
+from hornbeamline.helpers.clock import Clock
+from hornbeamline.telemetry import log_event
+
+Scope = Mapping[str, Any]
+Receive = Callable[[], Awaitable[Any]]
+Send = Callable[[Any], Awaitable[None]]
+
+MAX_BODY_BYTES: Final = 4_194_304
+# Times that the stages of a request are run when their results are lost.
+_MAX_STAGE_RUNS: Final = 2
+_RETRY_AFTER_S: Final = 1.0
+
+_UNAUTHORIZED: Final = 401
+_NOT_FOUND: Final = 404
+_TOO_LARGE: Final = 413
+_UNAVAILABLE: Final = 503
+_TIMED_OUT: Final = 504
+
+
+class _CallerLeftError(Exception):
+    """The caller closed its connection before the request was read."""
+
+
+class GatewayApp:
+    """Serves every request of the callers."""
+
+    def __init__(
+        self,
+        wire: Wire,
+        targets: TargetDirectory,
+        forwarder: Forwarder,
+        stages: StageRunner,
+        releaser: ResultReleaser,
+        budget: RepeatBudget,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Take the translation, the way to the targets and time."""
+        self._wire = wire
+        self._targets = targets
+        self._forwarder = forwarder
+        self._stages = stages
+        self._releaser = releaser
+        self._budget = budget
+        self._clock = clock
+        self._rng = rng
+        self._table: RoutingTable | None = None
+        self.in_progress = 0
+        # Connections end with their next answer.
+        self.closes_connections = False
+        # New requests are refused.
+        self.refuses = False
+
+    def take_table(self, table: RoutingTable) -> None:
+        """Serve new requests by a newer configuration."""
+        self._table = table
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether requests can be served."""
+        return self._table is not None and self._targets.is_known
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Serve one ASGI connection event."""
+        if scope['type'] != 'http':
+            return
+        received_at = self._clock.monotonic()
+        reply = Reply(send, closes=lambda: self.closes_connections)
+        self.in_progress += 1
+        IN_PROGRESS.set(self.in_progress)
+        try:
+            await self._serve(scope, receive, reply, received_at)
+        finally:
+            self.in_progress -= 1
+            IN_PROGRESS.set(self.in_progress)
+
+    async def _serve(
+        self,
+        scope: Scope,
+        receive: Receive,
+        reply: Reply,
+        received_at: float,
+    ) -> None:
+        request: CallerRequest | None = None
+        try:
+            request = self._wire.read_request(scope, received_at)
+            body = await _read_body(receive)
+            await self._work(request, body, receive, reply)
+        except RefusedError as error:
+            await self._refuse(request, error.refusal, reply)
+        except _CallerLeftError:
+            log_event('request.caller_left', request=_id_of(request))
+            return
+        except AnswerBrokenError as error:
+            self._log_end(request, reply, f'broken: {error}')
+            raise
+        self._log_end(request, reply, 'ended')
+
+    async def _work(
+        self,
+        request: CallerRequest,
+        body: bytes,
+        receive: Receive,
+        reply: Reply,
+    ) -> None:
+        """Answer, but stop as soon as the caller leaves."""
+        answering = asyncio.ensure_future(self._answer(request, body, reply))
+        watching = asyncio.ensure_future(_wait_for_leave(receive))
+        try:
+            await asyncio.wait(
+                {answering, watching},
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not answering.done() and not reply.is_complete:
+                answering.cancel()
+                await asyncio.wait({answering})
+                raise _CallerLeftError
+            await answering
+        finally:
+            watching.cancel()
+            answering.cancel()
+
+    async def _answer(
+        self,
+        request: CallerRequest,
+        body: bytes,
+        reply: Reply,
+    ) -> None:
+        table = self._table
+        if table is None or not self._targets.is_known:
+            raise RefusedError(
+                Refusal(_UNAVAILABLE, 'no configuration yet', _RETRY_AFTER_S),
+            )
+        if self.refuses:
+            raise RefusedError(Refusal(_UNAVAILABLE, 'host stops', 0))
+        route = table.find_route(request.host, request.path)
+        if route is None:
+            raise RefusedError(Refusal(_NOT_FOUND, 'no route'))
+        account = _account_of(table, route, request)
+        deadline_at = _deadline_of(request, route)
+        try:
+            async with asyncio.timeout(deadline_at - self._clock.monotonic()):
+                await self._run(
+                    request,
+                    body,
+                    table,
+                    route,
+                    account,
+                    deadline_at,
+                    reply,
+                )
+        except TimeoutError as error:
+            if reply.has_begun:
+                raise AnswerBrokenError('out of time') from error
+            raise RefusedError(Refusal(_TIMED_OUT, 'out of time')) from error
+
+    async def _run(
+        self,
+        request: CallerRequest,
+        body: bytes,
+        table: RoutingTable,
+        route: Route,
+        account: Account | None,
+        deadline_at: float,
+        reply: Reply,
+    ) -> None:
+        rank = route.rank
+        if account is not None and account.rank is not None:
+            rank = account.rank
+        service = self._choose_service(route)
+        self._budget.note_first(service)
+        for stage in route.stages:
+            self._budget.note_first(stage.service)
+        job = Job(
+            request,
+            body,
+            route,
+            service,
+            account,
+            rank,
+            deadline_at,
+            [],
+            {},
+        )
+        for run in range(_MAX_STAGE_RUNS):
+            is_last = run == _MAX_STAGE_RUNS - 1
+            try:
+                await self._run_once(job, table, reply)
+            except (InputsGoneError, PiecesFailedError) as error:
+                gone = getattr(error, 'gone', True)
+                if is_last or not gone or reply.has_begun:
+                    raise RefusedError(
+                        Refusal(
+                            _UNAVAILABLE,
+                            f'stages: {error}',
+                            _RETRY_AFTER_S,
+                        ),
+                    ) from error
+                log_event(
+                    'request.stages_again',
+                    request=request.id,
+                    reason=str(error),
+                )
+            else:
+                return
+
+    async def _run_once(
+        self,
+        job: Job,
+        table: RoutingTable,
+        reply: Reply,
+    ) -> None:
+        results = StageResults()
+        try:
+            if any(job.request.pieces_by_stage):
+                results = await self._run_stages(job, table)
+            inputs = results.last_handles(job.route)
+            await self._forwarder.forward(
+                job._replace(
+                    inputs=inputs,
+                    input_bytes_by_data_centre=self._bytes_by_data_centre(
+                        job.route,
+                        results,
+                        set(inputs),
+                    ),
+                ),
+                reply,
+            )
+        finally:
+            self._releaser.release(results.all_handles())
+
+    async def _run_stages(self, job: Job, table: RoutingTable) -> StageResults:
+        left_s = job.deadline_at - self._clock.monotonic()
+        needed_s = stages_time_s(job.request, job.route, table)
+        if needed_s > left_s:
+            raise RefusedError(
+                Refusal(
+                    _UNAVAILABLE,
+                    'stages take longer than the deadline',
+                    _RETRY_AFTER_S,
+                ),
+            )
+        return await self._stages.run(
+            job.request,
+            job.route,
+            table,
+            job.deadline_at,
+            job.rank,
+        )
+
+    def _bytes_by_data_centre(
+        self,
+        route: Route,
+        results: StageResults,
+        inputs: set[str],
+    ) -> dict[str, int]:
+        total: dict[str, int] = {}
+        for number, handles in results.handles_by_stage.items():
+            size = route.stages[number].result_bytes
+            for handle in inputs.intersection(handles):
+                address = self._wire.address_of(handle)
+                target = self._targets.at_address(address)
+                if target is not None:
+                    place = target.data_centre
+                    total[place] = total.get(place, 0) + size
+        return total
+
+    def _choose_service(self, route: Route) -> str:
+        services = list(route.weight_by_service)
+        if len(services) == 1:
+            return services[0]
+        weights = list(route.weight_by_service.values())
+        return self._rng.choices(services, weights)[0]
+
+    async def _refuse(
+        self,
+        request: CallerRequest | None,
+        refusal: Refusal,
+        reply: Reply,
+    ) -> None:
+        if reply.has_begun:
+            raise AnswerBrokenError(refusal.reason)
+        log_event(
+            'request.refused',
+            request=_id_of(request),
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after_s=refusal.retry_after_s,
+            document=0 if self._table is None else self._table.number,
+            list_age_s=self._targets.age_s,
+        )
+        await reply.send(self._wire.refusal_answer(request, refusal))
+
+    def _log_end(
+        self,
+        request: CallerRequest | None,
+        reply: Reply,
+        outcome: str,
+    ) -> None:
+        if request is None:
+            return
+        took_s = self._clock.monotonic() - request.received_at
+        ANSWERS.labels(str(reply.status)).inc()
+        LATENCY.observe(took_s)
+        log_event(
+            'request.end',
+            request=request.id,
+            status=reply.status,
+            outcome=outcome,
+            took_s=took_s,
+            document=0 if self._table is None else self._table.number,
+        )
+
+
+def _id_of(request: CallerRequest | None) -> str:
+    return '' if request is None else request.id
+
+
+def _account_of(
+    table: RoutingTable,
+    route: Route,
+    request: CallerRequest,
+) -> Account | None:
+    accounts = table.accounts_by_credential
+    if accounts is None:
+        return None
+    account = accounts.get(request.credential or '')
+    if account is None and route.needs_account:
+        raise RefusedError(Refusal(_UNAUTHORIZED, 'unknown credential'))
+    return account
+
+
+def _deadline_of(request: CallerRequest, route: Route) -> float:
+    bounds = [route.timeout_s]
+    if request.patience_s is not None:
+        bounds.append(request.patience_s)
+    return request.received_at + min(bounds)
+
+
+async def _read_body(receive: Receive) -> bytes:
+    collected = bytearray()
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise _CallerLeftError
+        collected += message.get('body', b'')
+        if len(collected) > MAX_BODY_BYTES:
+            raise RefusedError(Refusal(_TOO_LARGE, 'body is too large'))
+        if not message.get('more_body', False):
+            return bytes(collected)
+
+
+async def _wait_for_leave(receive: Receive) -> None:
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            return
--- /dev/null
+++ b/hornbeamline/gateway/_budget.py
@@ -0,0 +1,73 @@
+"""Budget of repeated attempts, summed over all hosts."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Final, NamedTuple
+
+from hornbeamline.helpers.clock import Clock
+
+# Share of the allowed ratio that hosts use: the windows of the check
+# slide and a host counts its own requests only.
+_RATIO_SHARE: Final = 0.7
+
+
+class BudgetSettings(NamedTuple):
+    """Repeats that all hosts together may send to one service."""
+
+    # Per first attempt.
+    ratio: float
+    window_s: float
+    # Independent of the number of requests, for all hosts together.
+    slack: float
+
+
+class RepeatBudget:
+    """Own share of the budget of every service."""
+
+    def __init__(self, settings: BudgetSettings, clock: Clock) -> None:
+        """Take the bounds and the time source."""
+        self._settings = settings
+        self._clock = clock
+        self._firsts_by_service: dict[str, deque[float]] = {}
+        self._repeats_by_service: dict[str, deque[float]] = {}
+        self.hosts = 1
+
+    def note_first(self, service: str, count: int = 1) -> None:
+        """Count first attempts."""
+        self._note(self._firsts_by_service, service, count)
+
+    def take(self, service: str, count: int = 1) -> bool:
+        """Reserve repeats; return False when the budget is spent."""
+        firsts = self._count(self._firsts_by_service, service)
+        repeats = self._count(self._repeats_by_service, service)
+        settings = self._settings
+        slack = settings.slack * _RATIO_SHARE / max(self.hosts, 1)
+        allowed = settings.ratio * _RATIO_SHARE * firsts + slack
+        if repeats + count > allowed:
+            return False
+        self._note(self._repeats_by_service, service, count)
+        return True
+
+    def _note(
+        self,
+        times_by_service: dict[str, deque[float]],
+        service: str,
+        count: int,
+    ) -> None:
+        now = self._clock.monotonic()
+        times = times_by_service.setdefault(service, deque())
+        times.extend([now] * count)
+
+    def _count(
+        self,
+        times_by_service: dict[str, deque[float]],
+        service: str,
+    ) -> int:
+        times = times_by_service.get(service)
+        if times is None:
+            return 0
+        oldest = self._clock.monotonic() - self._settings.window_s
+        while times and times[0] < oldest:
+            times.popleft()
+        return len(times)
--- /dev/null
+++ b/hornbeamline/gateway/_events.py
@@ -0,0 +1,46 @@
+"""Splits a stream of server-sent events into whole events."""
+
+from __future__ import annotations
+
+import re
+from typing import Final, NamedTuple
+
+_END: Final = b'\n\n'
+_ID: Final = re.compile(rb'^id:[ ]?(\d+)[ \r]*$', re.MULTILINE)
+# No event of a stream of tokens comes near this size.
+MAX_EVENT_BYTES: Final = 1_048_576
+
+
+class StreamEvent(NamedTuple):
+    """One whole event with its terminator."""
+
+    raw: bytes
+    id: int | None
+
+
+class EventSplitter:
+    """Collects bytes and returns the events that are complete."""
+
+    def __init__(self) -> None:
+        """Start at the beginning of a stream."""
+        self._rest = b''
+
+    @property
+    def has_partial(self) -> bool:
+        """Return whether an event has begun and is not complete."""
+        return bool(self._rest)
+
+    def feed(self, chunk: bytes) -> list[StreamEvent]:
+        """Return the events that `chunk` completes.
+
+        Raises `ValueError` when an event exceeds `MAX_EVENT_BYTES`.
+        """
+        *whole, self._rest = (self._rest + chunk).split(_END)
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise ValueError('event is too large')
+        return [StreamEvent(raw + _END, _id_of(raw)) for raw in whole]
+
+
+def _id_of(raw: bytes) -> int | None:
+    match = _ID.search(raw)
+    return None if match is None else int(match.group(1))
--- /dev/null
+++ b/hornbeamline/gateway/_http.py
@@ -0,0 +1,168 @@
+"""HTTP client for targets: one connection an attempt, nothing repeated."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+from collections.abc import AsyncIterator, Sequence
+from typing import Any, Final
+
+import aiohttp
+import yarl
+from aiohttp.client_proto import ResponseHandler
+
+from hornbeamline.gateway.errors import MayHaveRunError, NotRunError
+from hornbeamline.targets import GuardedConnector, SendProgress, sending
+
+# Covers a lost packet of the handshake, which is sent again after 1 s only
+# on a path that is worse than any other target's.
+CONNECT_TIMEOUT_S: Final = 0.9
+MAX_ANSWER_BYTES: Final = 8_388_608
+_SKIPPED_HEADERS: Final = (
+    'User-Agent',
+    'Accept',
+    'Accept-Encoding',
+    'Content-Type',
+)
+
+
+class _CarefulHandler(ResponseHandler):
+    """Remembers whether the connection ended by an error.
+
+    aiohttp takes a reset for the end of an answer that has no length.
+    """
+
+    lost_error: BaseException | None = None
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note the error, then go on as usual."""
+        self.lost_error = exc
+        super().connection_lost(exc)
+
+
+class TargetResponse:
+    """Answer of a target while it is read."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        """Take the response, whose head has been read."""
+        self._response = response
+        connection = response.connection
+        self._protocol = None if connection is None else connection.protocol
+        self.status = response.status
+        self.headers: Sequence[tuple[bytes, bytes]] = response.raw_headers
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives; raises `MayHaveRunError`."""
+        try:
+            async for chunk in self._response.content.iter_any():
+                yield chunk
+        except (aiohttp.ClientError, OSError) as error:
+            raise MayHaveRunError(f'answer broke off: {error!r}') from error
+        self._check_end()
+
+    async def body(self) -> bytes:
+        """Return the whole body; raises `MayHaveRunError`."""
+        collected = bytearray()
+        async for chunk in self.chunks():
+            collected += chunk
+            if len(collected) > MAX_ANSWER_BYTES:
+                raise MayHaveRunError('answer is too large')
+        return bytes(collected)
+
+    def _check_end(self) -> None:
+        lost = getattr(self._protocol, 'lost_error', None)
+        if lost is not None:
+            raise MayHaveRunError(f'connection was reset: {lost!r}')
+
+
+class TargetHttp:
+    """Opens a connection for every call and closes it afterwards.
+
+    A connection that is used once can hold neither a late answer to an
+    earlier request nor one that its other end has forgotten, and aiohttp
+    has no reason to send anything again.
+    """
+
+    def __init__(self) -> None:
+        """Create a client without a session."""
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the session."""
+        connector = GuardedConnector(limit=0, force_close=True)
+        handler: Any = functools.partial(
+            _CarefulHandler,
+            loop=asyncio.get_running_loop(),
+        )
+        connector._factory = handler
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=_SKIPPED_HEADERS,
+        )
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        address: str,
+        method: str,
+        raw_target: str,
+        headers: Sequence[tuple[str, str]],
+        body: bytes | None = None,
+    ) -> AsyncIterator[TargetResponse]:
+        """Send a request and yield the answer once its head is there.
+
+        Raises `NotRunError` when nothing was sent, `MayHaveRunError`
+        otherwise. The caller bounds the time.
+        """
+        assert self._session is not None
+        progress = SendProgress(None)
+        url = yarl.URL(f'http://{address}{raw_target}', encoded=True)
+        try:
+            with sending(progress):
+                response = await self._session.request(
+                    method,
+                    url,
+                    headers=headers,
+                    data=body,
+                    allow_redirects=False,
+                    timeout=_TIMEOUT,
+                )
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise _converted(error, progress) from error
+        try:
+            yield TargetResponse(response)
+        finally:
+            response.close()
+
+    async def fetch(
+        self,
+        address: str,
+        method: str,
+        raw_target: str,
+        headers: Sequence[tuple[str, str]] = (),
+        body: bytes | None = None,
+    ) -> tuple[TargetResponse, bytes]:
+        """Return a whole answer; raises as `send` does."""
+        sent = self.send(address, method, raw_target, headers, body)
+        async with sent as response:
+            return response, await response.body()
+
+
+_TIMEOUT: Final = aiohttp.ClientTimeout(
+    total=None,
+    sock_connect=CONNECT_TIMEOUT_S,
+)
+
+
+def _converted(error: Exception, progress: SendProgress) -> Exception:
+    if progress.may_be_sent:
+        return MayHaveRunError(repr(error))
+    return NotRunError(repr(error))
--- /dev/null
+++ b/hornbeamline/gateway/_reply.py
@@ -0,0 +1,63 @@
+"""Answer to a caller over ASGI."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, Final
+
+from hornbeamline.gateway._wire import Answer
+
+Send = Callable[[Any], Awaitable[None]]
+_CLOSE: Final = ('Connection', 'close')
+
+
+class Reply:
+    """Sends one answer and knows how far it is."""
+
+    def __init__(self, send: Send, *, closes: Callable[[], bool]) -> None:
+        """Take the ASGI send call and whether connections are to end."""
+        self._send = send
+        self._closes = closes
+        self.status = 0
+        self.is_complete = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the head has been sent."""
+        return bool(self.status)
+
+    async def begin(
+        self,
+        status: int,
+        headers: Sequence[tuple[str, str]],
+    ) -> None:
+        """Send status and headers."""
+        self.status = status
+        all_headers = [*headers, _CLOSE] if self._closes() else headers
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': [
+                    (name.encode('latin-1'), text.encode('latin-1'))
+                    for name, text in all_headers
+                ],
+            },
+        )
+
+    async def add(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(
+            {'type': 'http.response.body', 'body': chunk, 'more_body': True},
+        )
+
+    async def end(self, chunk: bytes = b'') -> None:
+        """Send the last part of the body."""
+        await self._send({'type': 'http.response.body', 'body': chunk})
+        self.is_complete = True
+
+    async def send(self, answer: Answer) -> None:
+        """Send a whole answer."""
+        length = ('Content-Length', str(len(answer.body)))
+        await self.begin(answer.status, [*answer.headers, length])
+        await self.end(answer.body)
--- /dev/null
+++ b/hornbeamline/gateway/_stages.py
@@ -0,0 +1,166 @@
+"""Runs the stages of a request in the order of their inputs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from hornbeamline.batching import (
+    BatchingService,
+    Piece,
+    PiecesFailedError,
+    PieceTimes,
+)
+from hornbeamline.gateway._table import RoutingTable
+from hornbeamline.gateway._types import BatchLimits, CallerRequest, Route
+from hornbeamline.helpers.clock import Clock
+
+# Typical fill of a call and wait for a target, as a multiple of the time
+# of a half-filled call.
+_TYPICAL_LOAD: Final = 1.3
+
+
+class StageResults:
+    """Handles of the results of each stage."""
+
+    def __init__(self) -> None:
+        """Start without results."""
+        self.handles_by_stage: dict[int, list[str]] = {}
+
+    def all_handles(self) -> list[str]:
+        """Return every handle."""
+        return [
+            handle
+            for handles in self.handles_by_stage.values()
+            for handle in handles
+        ]
+
+    def last_handles(self, route: Route) -> list[str]:
+        """Return the handles of the stages that no other stage follows."""
+        followed = {
+            earlier
+            for number, stage in enumerate(route.stages)
+            if self.handles_by_stage.get(number)
+            for earlier in stage.after
+        }
+        return [
+            handle
+            for number in sorted(self.handles_by_stage)
+            if number not in followed
+            for handle in self.handles_by_stage[number]
+        ]
+
+
+class StageRunner:
+    """Drives the stages of requests through the batching service."""
+
+    def __init__(self, batching: BatchingService, clock: Clock) -> None:
+        """Take the batching service and the time source."""
+        self._batching = batching
+        self._clock = clock
+
+    async def run(
+        self,
+        request: CallerRequest,
+        route: Route,
+        table: RoutingTable,
+        deadline_at: float,
+        rank: int,
+    ) -> StageResults:
+        """Return the results of all stages; raises `PiecesFailedError`."""
+        outcome = StageResults()
+        tasks: dict[int, asyncio.Task[None]] = {}
+        after_s = _time_after_stages(route, table)
+
+        async def run_stage(number: int) -> None:
+            stage = route.stages[number]
+            for earlier in stage.after:
+                if earlier in tasks:
+                    await tasks[earlier]
+            inputs = [
+                handle
+                for earlier in stage.after
+                for handle in outcome.handles_by_stage.get(earlier, ())
+            ]
+            now = self._clock.monotonic()
+            due_at = request.received_at + route.aim_s - after_s[number]
+            outcome.handles_by_stage[number] = await self._batching.compute(
+                stage.service,
+                _pieces(request, number, inputs, is_first=not stage.after),
+                PieceTimes(due_at - now, deadline_at - now, rank),
+            )
+
+        try:
+            async with asyncio.TaskGroup() as group:
+                for number, _ in enumerate(route.stages):
+                    if _count(request, number):
+                        tasks[number] = group.create_task(run_stage(number))
+        except* PiecesFailedError as failures:
+            raise _first(failures) from failures
+        return outcome
+
+
+def stages_time_s(
+    request: CallerRequest,
+    route: Route,
+    table: RoutingTable,
+) -> float:
+    """Return the shortest time that the stages of a request can take."""
+    ends_at: dict[int, float] = {}
+    for number, stage in enumerate(route.stages):
+        start = max((ends_at.get(early, 0) for early in stage.after), default=0)
+        limits = _limits(table, stage.service)
+        pieces = _count(request, number)
+        spent = 0.0
+        if limits is not None and pieces:
+            spent = limits.call_s + limits.piece_s
+        ends_at[number] = start + spent
+    return max(ends_at.values(), default=0)
+
+
+def _count(request: CallerRequest, stage: int) -> int:
+    counts = request.pieces_by_stage
+    return counts[stage] if stage < len(counts) else 0
+
+
+def _pieces(
+    request: CallerRequest,
+    stage: int,
+    inputs: list[str],
+    *,
+    is_first: bool,
+) -> list[Piece]:
+    key = request.piece_key if is_first else ''
+    return [
+        Piece(request.id, stage, number, key, inputs)
+        for number in range(_count(request, stage))
+    ]
+
+
+def _limits(table: RoutingTable, service: str) -> BatchLimits | None:
+    found = table.services_by_name.get(service)
+    return None if found is None else found.batch
+
+
+def _time_after_stages(route: Route, table: RoutingTable) -> list[float]:
+    """Return for each stage the typical time that later stages take."""
+    after_s = [0.0] * len(route.stages)
+    for number in reversed(range(len(route.stages))):
+        stage = route.stages[number]
+        limits = _limits(table, stage.service)
+        own_s = 0.0
+        if limits is not None:
+            filled = limits.pieces_per_call / 2
+            own_s = limits.call_s + filled * limits.piece_s
+        for earlier in stage.after:
+            total_s = after_s[number] + own_s * _TYPICAL_LOAD
+            after_s[earlier] = max(after_s[earlier], total_s)
+    return after_s
+
+
+def _first(failures: BaseExceptionGroup[PiecesFailedError]) -> Exception:
+    error: BaseException = failures
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    assert isinstance(error, PiecesFailedError)
+    return error
--- /dev/null
+++ b/hornbeamline/gateway/_table.py
@@ -0,0 +1,39 @@
+"""Routing table of one configuration document."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from hornbeamline.gateway._types import Account, Route, Service
+
+
+class RoutingTable(NamedTuple):
+    """Everything that a document says, ready to be looked up."""
+
+    number: int
+    # Longest prefix first.
+    routes_by_host: Mapping[str, tuple[Route, ...]]
+    services_by_name: Mapping[str, Service]
+    # None when requests carry no credentials.
+    accounts_by_credential: Mapping[str, Account] | None
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def group_by_host(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
+    """Return the routes of each host, longest prefix first."""
+    grouped: dict[str, list[Route]] = {}
+    for route in routes:
+        grouped.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(
+            sorted(group, key=lambda route: -len(route.path_prefix)),
+        )
+        for host, group in grouped.items()
+    }
--- a/hornbeamline/helpers/http_server.py
+++ b/hornbeamline/helpers/http_server.py
@@ -90,6 +90,10 @@
             timeout_keep_alive=30,
             timeout_graceful_shutdown=int(self._stop_timeout_s),
             server_header=False,
+            # A target's answer carries its own date.
+            date_header=False,
+            proxy_headers=False,
+            ws='none',
         )
         self._server = _QuietServer(config)
         self._task = asyncio.create_task(
--- /dev/null
+++ b/hornbeamline/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Adapter: runs hornbeamline on the municipal platform."""
+
+from __future__ import annotations
--- /dev/null
+++ b/hornbeamline/platform/_document.py
@@ -0,0 +1,222 @@
+"""Configuration document of the platform's operator."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Annotated, Final
+
+import msgspec
+from msgspec import Meta
+
+from hornbeamline.documents import InvalidDocumentError
+from hornbeamline.gateway import (
+    Account,
+    BatchLimits,
+    EngineLimits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    Stage,
+    group_by_host,
+)
+
+_MS_PER_S: Final = 1000
+_Positive = Annotated[float, Meta(gt=0)]
+_Weight = Annotated[float, Meta(ge=0)]
+
+_kinds_by_word: Final = {
+    'idempotent': RouteKind.IDEMPOTENT,
+    'non_idempotent': RouteKind.NON_IDEMPOTENT,
+    'streaming': RouteKind.STREAM,
+}
+
+
+class _Table(msgspec.Struct, frozen=True, kw_only=True, rename='kebab'):
+    """Base of a table of the document."""
+
+
+class _Split(_Table, frozen=True, kw_only=True):
+    service: str
+    weight: _Weight
+
+
+class _Stage(_Table, frozen=True, kw_only=True):
+    service: str
+    after: list[int] = []
+    bytes: float = 0
+
+
+class _Route(_Table, frozen=True, kw_only=True):
+    name: str
+    host: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: _Positive
+    target_latency_ms: float = 1000
+    priority: int = 0
+    traffic_split: list[_Split] = []
+    service: str = ''
+    max_attempts: int = 1
+    stages: list[_Stage] = []
+    allow_anonymous: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: float = 1000
+
+
+class _Pieces(_Table, frozen=True, kw_only=True):
+    slots: int = 1
+    queue: int = 0
+    batch: int = 1
+    call_ms: float = 0
+    item_ms: float = 0
+    headroom_mb: float = 0
+    handle_s: float = 1
+
+
+class _Engine(_Table, frozen=True, kw_only=True):
+    slots: int = 1
+    kv_capacity: int = 0
+
+
+class _Service(_Table, frozen=True, kw_only=True):
+    name: str
+    health_path: str = '/'
+    max_connections: int = 1
+    pieces: _Pieces | None = None
+    engine: _Engine | None = None
+
+
+class _Tenant(_Table, frozen=True, kw_only=True):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Document(_Table, frozen=True, kw_only=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    tenants: list[_Tenant] | None = None
+
+
+_decoder = msgspec.json.Decoder(_Document)
+
+
+def number_of(content: bytes) -> int:
+    """Return the number of a valid document; `InvalidDocumentError`."""
+    return read_table(content).number
+
+
+def read_table(content: bytes) -> RoutingTable:
+    """Return the routing table; raises `InvalidDocumentError`."""
+    try:
+        document = _decoder.decode(content)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise InvalidDocumentError(str(error)) from error
+    services = {service.name: service for service in document.services}
+    _check_places(document.routes)
+    return RoutingTable(
+        number=document.version,
+        routes_by_host=group_by_host(
+            _read_route(route, services) for route in document.routes
+        ),
+        services_by_name={
+            name: _read_service(service) for name, service in services.items()
+        },
+        accounts_by_credential=_read_accounts(document.tenants),
+    )
+
+
+def _check_places(routes: Iterable[_Route]) -> None:
+    taken: set[tuple[str, str]] = set()
+    for route in routes:
+        place = (route.host, route.path_prefix)
+        if place in taken:
+            raise InvalidDocumentError(
+                f'routes: {route.name}: host and prefix are taken',
+            )
+        taken.add(place)
+
+
+def _read_route(route: _Route, services: dict[str, _Service]) -> Route:
+    kind = _kinds_by_word.get(route.route_type)
+    if kind is None:
+        raise InvalidDocumentError(
+            f'routes: {route.name}: unknown type {route.route_type}',
+        )
+    weights = {split.service: split.weight for split in route.traffic_split}
+    if not weights:
+        weights = {route.service: 1}
+    named = [*weights, *(stage.service for stage in route.stages)]
+    for name in named:
+        if name not in services:
+            raise InvalidDocumentError(
+                f'routes: {route.name}: unknown service {name}',
+            )
+    if sum(weights.values()) <= 0:
+        raise InvalidDocumentError(
+            f'routes: {route.name}: the weights add up to 0',
+        )
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        kind=kind,
+        timeout_s=route.timeout_ms / _MS_PER_S,
+        aim_s=route.target_latency_ms / _MS_PER_S,
+        rank=route.priority,
+        weight_by_service={
+            name: weight for name, weight in weights.items() if weight
+        },
+        max_attempts=max(route.max_attempts, 1),
+        stages=tuple(
+            Stage(stage.service, tuple(stage.after), int(stage.bytes))
+            for stage in route.stages
+        ),
+        needs_account=not route.allow_anonymous,
+        can_resume=route.stream_resume,
+        max_pause_s=route.gap_aim_ms / _MS_PER_S,
+    )
+
+
+def _read_service(service: _Service) -> Service:
+    pieces = service.pieces
+    engine = service.engine
+    batch = None
+    if pieces is not None:
+        batch = BatchLimits(
+            calls_running=pieces.slots,
+            calls_waiting=pieces.queue,
+            pieces_per_call=max(pieces.batch, 1),
+            call_s=pieces.call_ms / _MS_PER_S,
+            piece_s=pieces.item_ms / _MS_PER_S,
+            results_mb=pieces.headroom_mb,
+            result_ttl_s=pieces.handle_s,
+        )
+    return Service(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_connections,
+        batch=batch,
+        engine=None
+        if engine is None
+        else EngineLimits(engine.slots, engine.kv_capacity),
+    )
+
+
+def _read_accounts(
+    tenants: list[_Tenant] | None,
+) -> dict[str, Account] | None:
+    if tenants is None:
+        return None
+    accounts: dict[str, Account] = {}
+    for tenant in tenants:
+        account = Account(tenant.name, tenant.priority)
+        for key in tenant.api_keys:
+            if key in accounts:
+                raise InvalidDocumentError(
+                    f'tenants: {tenant.name} shares a key',
+                )
+            accounts[key] = account
+    return accounts
--- /dev/null
+++ b/hornbeamline/platform/_list.py
@@ -0,0 +1,103 @@
+"""The platform's list of servers."""
+
+from __future__ import annotations
+
+from typing import Final
+from urllib.parse import urlencode
+
+import msgspec
+
+from hornbeamline.exceptions import GatewayError
+from hornbeamline.gateway import Target, TargetHttp
+from hornbeamline.telemetry import log_event
+
+_MS_PER_S: Final = 1000
+_HTTP_OK: Final = 200
+_MAX_PAGES: Final = 400
+_states: Final = {'ready': False, 'draining': True}
+
+
+class ListUnavailableError(GatewayError):
+    """The list could not be read."""
+
+
+class _Entry(msgspec.Struct, frozen=True, kw_only=True, rename='kebab'):
+    id: str
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    warmup_left_ms: float = 0
+
+
+class _PageBody(msgspec.Struct, frozen=True, kw_only=True):
+    instances: list[msgspec.Raw]
+    next: str | None = None
+
+
+class ServerList:
+    """Reads the whole list, page by page."""
+
+    def __init__(self, http: TargetHttp, address: str) -> None:
+        """Take the client and the address of the list."""
+        self._http = http
+        self._address = address
+        self._unreadable = 0
+
+    async def read(self) -> list[Target]:
+        """Return all readable entries; raises `ListUnavailableError`."""
+        targets: list[Target] = []
+        unreadable = 0
+        token: str | None = None
+        for _ in range(_MAX_PAGES):
+            page = await self._read_page(token)
+            for raw in page.instances:
+                target = _read_entry(raw)
+                if target is None:
+                    unreadable += 1
+                else:
+                    targets.append(target)
+            token = page.next
+            if not token:
+                break
+        if unreadable != self._unreadable:
+            self._unreadable = unreadable
+            log_event('targets.unreadable_entries', count=unreadable)
+        return targets
+
+    async def _read_page(self, token: str | None) -> _PageBody:
+        query = f'?{urlencode({"page-token": token})}' if token else ''
+        try:
+            response, body = await self._http.fetch(
+                self._address,
+                'GET',
+                f'/instances{query}',
+            )
+        except GatewayError as error:
+            raise ListUnavailableError(str(error)) from error
+        if response.status != _HTTP_OK:
+            raise ListUnavailableError(f'status {response.status}')
+        try:
+            return msgspec.json.decode(body, type=_PageBody)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise ListUnavailableError(str(error)) from error
+
+
+def _read_entry(raw: msgspec.Raw) -> Target | None:
+    """Return the target of an entry, or None for one without meaning."""
+    try:
+        entry = msgspec.json.decode(raw, type=_Entry)
+    except (msgspec.DecodeError, ValueError):
+        return None
+    if entry.state not in _states:
+        return None
+    return Target(
+        id=entry.id,
+        service=entry.service,
+        address=entry.address,
+        data_centre=entry.zone,
+        slots=entry.slots,
+        is_leaving=_states[entry.state],
+        warmup_s=entry.warmup_left_ms / _MS_PER_S,
+    )
--- /dev/null
+++ b/hornbeamline/platform/_operator.py
@@ -0,0 +1,83 @@
+"""The operator's calls with configuration documents."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import falcon
+import falcon.asgi
+
+from hornbeamline.documents import (
+    DocumentService,
+    DocumentUnavailableError,
+    InvalidDocumentError,
+)
+from hornbeamline.telemetry import log_event
+
+_RETRY_AFTER_S: Final = '0.3'
+
+
+class _Put:
+    """Stores a whole document."""
+
+    def __init__(self, documents: DocumentService) -> None:
+        self._documents = documents
+
+    async def on_post(
+        self,
+        request: falcon.asgi.Request,
+        response: falcon.asgi.Response,
+    ) -> None:
+        """Acknowledge a document, or refuse it as a whole."""
+        content = await request.stream.read()
+        try:
+            number = await self._documents.put(content)
+        except InvalidDocumentError as error:
+            log_event('documents.refused', reason=str(error))
+            response.status = falcon.HTTP_400
+            response.media = {'error': str(error)}
+        except DocumentUnavailableError as error:
+            _unavailable(response, error)
+        else:
+            response.media = {'version': number}
+
+
+class _Get:
+    """Returns the newest document."""
+
+    def __init__(self, documents: DocumentService) -> None:
+        self._documents = documents
+
+    async def on_get(
+        self,
+        _request: falcon.asgi.Request,
+        response: falcon.asgi.Response,
+    ) -> None:
+        """Return the document as it was sent."""
+        try:
+            document = await self._documents.read()
+        except DocumentUnavailableError as error:
+            _unavailable(response, error)
+            return
+        if not document.number:
+            _unavailable(response, DocumentUnavailableError('no document'))
+            return
+        response.content_type = falcon.MEDIA_JSON
+        response.data = document.content
+
+
+def operator_app(documents: DocumentService) -> Any:
+    """Return the ASGI application of the operator's calls."""
+    app = falcon.asgi.App()
+    app.add_route('/config/put', _Put(documents))
+    app.add_route('/config/get', _Get(documents))
+    return app
+
+
+def _unavailable(
+    response: falcon.asgi.Response,
+    error: DocumentUnavailableError,
+) -> None:
+    response.status = falcon.HTTP_503
+    response.set_header('Retry-After', _RETRY_AFTER_S)
+    response.media = {'error': str(error)}
--- /dev/null
+++ b/hornbeamline/platform/_settings.py
@@ -0,0 +1,116 @@
+"""Settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+from hornbeamline.exceptions import InventoryError
+
+SETTINGS_VARIABLE: Final = 'HORNBEAMLINE_SETTINGS'
+
+
+class _Table(msgspec.Struct, frozen=True, kw_only=True, rename='kebab'):
+    """Base of a table; unknown fields are ignored, as the platform asks."""
+
+
+class _Listen(_Table, frozen=True, kw_only=True):
+    front: str = ''
+    readiness_addr: str = ''
+    control: str = ''
+
+
+class _FaultTolerance(_Table, frozen=True, kw_only=True):
+    machines: int = 1
+
+
+class _Bounds(_Table, frozen=True, kw_only=True):
+    grace_s: float = 8
+    drain_ms: float = 3000
+    config_apply_ms: float = 2000
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 64
+
+
+class _CloudApi(_Table, frozen=True, kw_only=True):
+    address: str
+    rate_per_s: float = 40
+    max_lag_ms: float = 1000
+
+
+class _File(_Table, frozen=True, kw_only=True):
+    node: str
+    ip: str
+    zone: str
+    internal_ports: tuple[int, int]
+    seeds: list[str]
+    bootstrap: bool = False
+    data_dir: str = ''
+    listen: _Listen
+    fault_tolerance: _FaultTolerance = _FaultTolerance()
+    bounds: _Bounds = _Bounds()
+    cloud_api: _CloudApi
+
+
+class ProcessSettings(NamedTuple):
+    """What a process learns from the platform, in the project's terms."""
+
+    host: str
+    ip: str
+    data_centre: str
+    # First and last port for messages between hornbeamline processes.
+    peer_ports: tuple[int, int]
+    # IP numbers of control hosts known when the file was written.
+    control_ips: list[str]
+    # The whole fleet starts for the first time, with empty disks.
+    is_first_start: bool
+    data_folder: str
+    caller_address: str
+    readiness_address: str
+    operator_address: str
+    # Control hosts that may be lost at the same time.
+    tolerated_losses: int
+    stop_timeout_s: float
+    repeat_ratio: float
+    repeat_window_s: float
+    repeat_slack: float
+    list_address: str
+    # Calls a second to the list from all hosts together.
+    list_rate_per_s: float
+    # A target that is leaving must get nothing after this time.
+    leave_bound_s: float
+
+
+def read_settings(path: Path) -> ProcessSettings:
+    """Read the platform's file; raises `InventoryError` naming the key."""
+    try:
+        raw: dict[str, Any] = tomllib.loads(path.read_text())
+        table = msgspec.convert(raw, _File)
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise InventoryError(f'{path}: {error}') from error
+    except msgspec.ValidationError as error:
+        raise InventoryError(f'{path}: {error}') from error
+    return ProcessSettings(
+        host=table.node,
+        ip=table.ip,
+        data_centre=table.zone,
+        peer_ports=table.internal_ports,
+        control_ips=[seed.rpartition(':')[0] for seed in table.seeds],
+        is_first_start=table.bootstrap,
+        data_folder=table.data_dir,
+        caller_address=table.listen.front,
+        readiness_address=table.listen.readiness_addr,
+        operator_address=table.listen.control,
+        tolerated_losses=table.fault_tolerance.machines,
+        stop_timeout_s=table.bounds.grace_s,
+        repeat_ratio=table.bounds.retry_ratio,
+        repeat_window_s=table.bounds.retry_window_s,
+        repeat_slack=table.bounds.retry_slack,
+        list_address=table.cloud_api.address,
+        list_rate_per_s=table.cloud_api.rate_per_s,
+        leave_bound_s=table.bounds.drain_ms / 1000,
+    )
--- a/hornbeamline/replog/_replica.py
+++ b/hornbeamline/replog/_replica.py
@@ -10,6 +10,7 @@
 from hornbeamline.inventory import ControlSettings
 from hornbeamline.peering import Peering
 from hornbeamline.replog._bootstrap import Bootstrap
+from hornbeamline.replog._caretaker import Caretaker, ControlsSource
 from hornbeamline.replog._disk import Disk
 from hornbeamline.replog._election import Election
 from hornbeamline.replog._entries import Entry, Members
@@ -76,6 +77,7 @@
         self._election = Election(self._node)
         self._bootstrap = Bootstrap(self._node, self._election)
         self._changes = VoterChanges(self._node)
+        self._caretaker: Caretaker | None = None
 
     @property
     def is_leader(self) -> bool:
@@ -130,6 +132,19 @@
         """
         self._node.on_stopped = stopped
 
+    def keep_voters(self, controls: ControlsSource, voters: int) -> None:
+        """Change voters without an operator; call before `start`.
+
+        `controls` returns the peering addresses of the control processes
+        that are present, by name; `voters` is the wished number.
+        """
+        self._caretaker = Caretaker(
+            self._node,
+            self._changes,
+            controls,
+            voters,
+        )
+
     async def start(self) -> None:
         """Recover the data folder and take part; `LogStoppedError`."""
         node = self._node
@@ -147,6 +162,8 @@
         node.tasks.spawn(self._snapshots.run(), 'replog applier')
         node.tasks.spawn(self._election.run(), 'replog election')
         node.tasks.spawn(self._bootstrap.run(), 'replog first start')
+        if self._caretaker is not None:
+            node.tasks.spawn(self._caretaker.run(), 'replog caretaker')
 
     async def stop(self) -> None:
         """Hand over leadership, then end all activity."""
--- a/hornbeamline/targets/__init__.py
+++ b/hornbeamline/targets/__init__.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 from hornbeamline.targets._client import TargetClient
+from hornbeamline.targets._connections import (
+    GuardedConnector,
+    SendProgress,
+    sending,
+)
 from hornbeamline.targets._messages import (
     CompletionPayload,
     StageAnswer,
@@ -24,6 +29,8 @@
 
 __all__ = (
     'CompletionPayload',
+    'GuardedConnector',
+    'SendProgress',
     'StageAnswer',
     'StagePayload',
     'TargetCall',
@@ -38,4 +45,5 @@
     'TokenBatch',
     'Usage',
     'prefix_digest',
+    'sending',
 )
--- a/hornbeamline/targets/_connections.py
+++ b/hornbeamline/targets/_connections.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import contextvars
+from collections.abc import Iterator
 from typing import Any, Final
 
 import aiohttp
@@ -32,6 +34,17 @@
 current_progress = contextvars.ContextVar('current_progress', default=None)
 
 
+@contextlib.contextmanager
+def sending(progress: SendProgress) -> Iterator[None]:
+    """Let connections of this task report to `progress`."""
+    current_progress.set(progress)
+    try:
+        yield
+    finally:
+        # A later call of this task must not meet the hook of this one.
+        current_progress.set(None)
+
+
 class GuardedConnector(aiohttp.TCPConnector):
     """Connector that runs the hook once the connection is there.
 
--- a/hornbeamline/telemetry/__init__.py
+++ b/hornbeamline/telemetry/__init__.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 from hornbeamline.telemetry._logs import configure_logs, log_event
-from hornbeamline.telemetry._metrics import metrics_page, registry
+from hornbeamline.telemetry._metrics import metrics_app, metrics_page, registry
 
-__all__ = ('configure_logs', 'log_event', 'metrics_page', 'registry')
+__all__ = (
+    'configure_logs',
+    'log_event',
+    'metrics_app',
+    'metrics_page',
+    'registry',
+)
