Admit by stage queues, keep results within the room of their targets

Cause: targets refused 4,435 pieces for want of room, since results were freed late and calls took no account of the space; requests then waited until their deadline. Ruled out: load of the stage targets (4 servers at about half). Change: the owner of a service tracks the room of each target, computes whole stages of a request in one call, and publishes its waiting time, by which entry hosts refuse at once what cannot be served.

--- a/hornbeamline/batching/__init__.py
+++ b/hornbeamline/batching/__init__.py
@@ -4,7 +4,7 @@
 
 from hornbeamline.batching._queue import BatchQueue, QueuedPiece
 from hornbeamline.batching._service import BatchingService
-from hornbeamline.batching._types import Piece, PieceResult, PieceTimes
+from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
 from hornbeamline.batching._worker import BatchTarget, BatchTimes
 from hornbeamline.batching.errors import (
     CallLostError,
@@ -21,7 +21,7 @@
     'CallRefusedError',
     'Piece',
     'PieceResult',
-    'PieceTimes',
+    'PieceTerms',
     'PiecesFailedError',
     'QueuedPiece',
 )
--- a/hornbeamline/batching/_messages.py
+++ b/hornbeamline/batching/_messages.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from hornbeamline.batching._types import Piece, PieceResult, PieceTimes
+from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
 from hornbeamline.peering import message
 
 
@@ -14,7 +14,7 @@
 
     service: str
     pieces: list[Piece]
-    times: PieceTimes
+    terms: PieceTerms
 
 
 @message('batching.submit_reply')
@@ -24,6 +24,14 @@
     outcomes: list[PieceResult]
 
 
+@message('batching.release')
+class ReleaseResults(NamedTuple):
+    """Nobody needs these results any more."""
+
+    service: str
+    handles: list[str]
+
+
 @message('batching.cancel')
 class CancelRequest(NamedTuple):
     """Nobody waits for the pieces of a request any more."""
--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -3,26 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Iterable
 
-from hornbeamline.batching._types import Piece, PieceResult
+from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
+from hornbeamline.batching.const import RANK_DELAY_S
 
 
 class QueuedPiece:
     """A piece that waits for its turn."""
 
-    def __init__(
-        self,
-        piece: Piece,
-        due_at: float,
-        expires_at: float,
-        rank: int,
-    ) -> None:
-        """Take the piece, its times on the local clock and its rank."""
+    def __init__(self, piece: Piece, terms: PieceTerms, now: float) -> None:
+        """Take the piece, its terms and the local time that they count from."""
         self.piece = piece
-        self.due_at = due_at
-        self.expires_at = expires_at
-        self.rank = rank
+        self.due_at = now + terms.due_s
+        self.expires_at = now + terms.expires_s
+        self.rank = terms.rank
+        self.result_bytes = terms.result_bytes
         # Calls that included it.
         self.attempts = 0
         self.outcome: asyncio.Future[PieceResult] | None = None
@@ -43,9 +40,9 @@
 
     Answers a load in which short and long requests share the targets:
     pieces that can still be in time go first, the earliest due time
-    leading; pieces of requests that miss their aim anyway follow by rank,
-    so that an overload hits the least urgent requests and late work never
-    delays work that is in time.
+    leading, and a less urgent rank counts as due later. Pieces of requests
+    that miss their aim anyway follow, so that late work never delays work
+    that is in time.
     """
 
     def __init__(self, pieces_per_call: int) -> None:
@@ -84,22 +81,66 @@
         ]
         return expired
 
-    def take(self, now: float, service_s: float) -> list[QueuedPiece]:
+    def take(
+        self,
+        now: float,
+        service_s: float,
+        room_bytes: float,
+    ) -> list[QueuedPiece]:
         """Remove and return the pieces of the next call.
 
-        `service_s` is the time that a call takes.
+        `service_s` is the time that a call takes, `room_bytes` the space
+        for results at the target.
         """
         done_at = now + service_s
-        ordered = sorted(
-            self._queued,
-            key=lambda queued: _urgency(queued, done_at),
-        )
-        chosen = ordered[: self.pieces_per_call]
-        self._queued = ordered[self.pieces_per_call :]
+        self._queued.sort(key=lambda queued: _urgency(queued, done_at))
+        chosen = self._whole_groups(room_bytes)
+        if not chosen and self._queued:
+            chosen = self._part_of_first(room_bytes)
+        taken = set(map(id, chosen))
+        self._queued = [
+            queued for queued in self._queued if id(queued) not in taken
+        ]
+        return chosen
+
+    def _whole_groups(self, room_bytes: float) -> list[QueuedPiece]:
+        """Return the most urgent groups that fit into a call as a whole.
+
+        A stage of a request is done with its last piece, so splitting it
+        over two calls keeps the results of the first call waiting.
+        """
+        chosen: list[QueuedPiece] = []
+        for _, members in itertools.groupby(self._queued, key=_group_of):
+            group = list(members)
+            size = sum(queued.result_bytes for queued in group)
+            slots = self.pieces_per_call - len(chosen)
+            if len(group) <= slots and size <= room_bytes:
+                chosen.extend(group)
+                room_bytes -= size
+        return chosen
+
+    def _part_of_first(self, room_bytes: float) -> list[QueuedPiece]:
+        first = _group_of(self._queued[0])
+        chosen: list[QueuedPiece] = []
+        for queued in self._queued:
+            fits = queued.result_bytes <= room_bytes
+            if _group_of(queued) != first or not fits:
+                break
+            if len(chosen) == self.pieces_per_call:
+                break
+            chosen.append(queued)
+            room_bytes -= queued.result_bytes
         return chosen
 
 
-def _urgency(queued: QueuedPiece, done_at: float) -> tuple[int, int, float]:
-    if queued.due_at >= done_at:
-        return (0, 0, queued.due_at)
-    return (1, queued.rank, queued.due_at)
+def _urgency(
+    queued: QueuedPiece,
+    done_at: float,
+) -> tuple[int, float, str, int]:
+    is_late = queued.due_at < done_at
+    due_at = queued.due_at + queued.rank * RANK_DELAY_S
+    return (is_late, due_at, queued.piece.request_id, queued.piece.stage)
+
+
+def _group_of(queued: QueuedPiece) -> tuple[str, int]:
+    return (queued.piece.request_id, queued.piece.stage)
--- /dev/null
+++ b/hornbeamline/batching/_room.py
@@ -0,0 +1,62 @@
+"""Space for results at targets, as their owner knows it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class _Held(NamedTuple):
+    size: int
+    # When the target drops it by itself.
+    expires_at: float
+
+
+class ResultRoom:
+    """Results that one target holds.
+
+    Counts a piece from the start of its call until the result is freed or
+    expires, as the target does.
+    """
+
+    def __init__(self) -> None:
+        """Start with an empty target."""
+        self._held_by_handle: dict[str, _Held] = {}
+        self._reserved = 0
+        self._full_until = 0.0
+
+    def is_full(self, now: float) -> bool:
+        """Return whether the target has just had no space."""
+        return now < self._full_until
+
+    def note_full(self, until: float) -> None:
+        """Take the target for full until a time or the next release."""
+        self._full_until = until
+
+    def used(self, now: float) -> int:
+        """Return the bytes in use."""
+        self._held_by_handle = {
+            handle: held
+            for handle, held in self._held_by_handle.items()
+            if held.expires_at > now
+        }
+        held_bytes = sum(held.size for held in self._held_by_handle.values())
+        return held_bytes + self._reserved
+
+    def reserve(self, size: int) -> None:
+        """Count the results of a call that begins."""
+        self._reserved += size
+
+    def unreserve(self, size: int) -> None:
+        """Stop counting a call that has ended."""
+        self._reserved -= size
+
+    def hold(self, handle: str, size: int, expires_at: float) -> None:
+        """Count a result until it is freed or expires."""
+        self._held_by_handle[handle] = _Held(size, expires_at)
+
+    def free(self, handles: Iterable[str]) -> None:
+        """Stop counting results that the target has freed."""
+        for handle in handles:
+            if self._held_by_handle.pop(handle, None) is not None:
+                self._full_until = 0
--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -9,22 +9,25 @@
 from hornbeamline.batching._messages import (
     CancelRequest,
     PiecesDone,
+    ReleaseResults,
     SubmitPieces,
 )
 from hornbeamline.batching._ownership import owners_of
 from hornbeamline.batching._queue import QueuedPiece
-from hornbeamline.batching._types import Piece, PieceResult, PieceTimes
+from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
 from hornbeamline.batching._worker import (
     FAILURE_GONE,
     BatchTarget,
     BatchTimes,
     BatchWorker,
     CallTarget,
+    FreeResults,
 )
 from hornbeamline.batching.const import LINK_GRACE_S, OWNER_CHECK_S
 from hornbeamline.batching.errors import PiecesFailedError
 from hornbeamline.core import TaskSet
 from hornbeamline.exceptions import PeeringError
+from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.peering import Peering
 from hornbeamline.telemetry import log_event
@@ -45,20 +48,27 @@
         hosts: Callable[[], Mapping[str, str]],
         targets: Callable[[str], Sequence[BatchTarget]],
         call: CallTarget,
-        take_repeats: Callable[[str, int], bool],
+        free: FreeResults,
+        budget: RepeatBudget,
     ) -> None:
-        """Take the network, present hosts with addresses, and targets."""
+        """Take the network, present hosts with addresses, and targets.
+
+        The owner of a service sends all its repeats, so `budget` is that
+        of all hosts together.
+        """
         self._peering = peering
         self._clock = clock
         self._hosts = hosts
         self._targets = targets
         self._call = call
-        self._take_repeats = take_repeats
+        self._free = free
+        self._budget = budget
         self._times_by_service: dict[str, BatchTimes] = {}
         self._workers_by_service: dict[str, BatchWorker] = {}
         self._tasks = TaskSet()
         peering.on(SubmitPieces, self._on_submit)
         peering.on(CancelRequest, self._on_cancel)
+        peering.on(ReleaseResults, self._on_release)
 
     async def start(self) -> None:
         """Keep links to the owners."""
@@ -82,7 +92,7 @@
         self,
         service: str,
         pieces: list[Piece],
-        times: PieceTimes,
+        terms: PieceTerms,
     ) -> list[str]:
         """Return the handles of the results, in the order of the pieces.
 
@@ -93,9 +103,9 @@
         outcomes: list[PieceResult] | None = None
         for owner in self._owners(service)[:_MAX_OWNERS_TRIED]:
             spent_s = self._clock.monotonic() - started
-            left = times._replace(
-                due_s=times.due_s - spent_s,
-                expires_s=times.expires_s - spent_s,
+            left = terms._replace(
+                due_s=terms.due_s - spent_s,
+                expires_s=terms.expires_s - spent_s,
             )
             if left.expires_s <= 0:
                 break
@@ -106,19 +116,40 @@
             raise PiecesFailedError(f'{service}: no owner answered')
         return _handles(service, outcomes)
 
+    def waits_by_service(self) -> dict[str, float]:
+        """Return the waiting times of the queues that this host owns."""
+        return {
+            service: worker.wait_s()
+            for service, worker in self._workers_by_service.items()
+            if self._owners(service)[0] == self._peering.name
+        }
+
+    def release(self, service: str, handles: list[str]) -> None:
+        """Free results that are no longer needed.
+
+        Results whose owner is lost expire at their target.
+        """
+        owner = self._owners(service)[0]
+        if owner != self._peering.name:
+            self._peering.send(owner, ReleaseResults(service, handles))
+            return
+        worker = self._worker(service)
+        if worker is not None:
+            worker.release(handles)
+
     async def _ask(
         self,
         owner: str,
         service: str,
         pieces: list[Piece],
-        times: PieceTimes,
+        terms: PieceTerms,
     ) -> list[PieceResult] | None:
         try:
             if owner == self._peering.name:
-                return await self._compute_here(service, pieces, times)
+                return await self._compute_here(service, pieces, terms)
             return await self._ask_other(
                 owner,
-                SubmitPieces(service, pieces, times),
+                SubmitPieces(service, pieces, terms),
             )
         except asyncio.CancelledError:
             self._cancel(owner, service, pieces[0].request_id)
@@ -135,7 +166,7 @@
                 owner,
                 request,
                 PiecesDone,
-                request.times.expires_s,
+                request.terms.expires_s,
             ),
         )
         began = self._clock.monotonic()
@@ -173,22 +204,14 @@
         self,
         service: str,
         pieces: list[Piece],
-        times: PieceTimes,
+        terms: PieceTerms,
     ) -> list[PieceResult]:
         worker = self._worker(service)
         if worker is None:
             return [PieceResult(failure='unknown service') for _ in pieces]
         now = self._clock.monotonic()
         loop = asyncio.get_running_loop()
-        queued = [
-            QueuedPiece(
-                piece,
-                now + times.due_s,
-                now + times.expires_s,
-                times.rank,
-            )
-            for piece in pieces
-        ]
+        queued = [QueuedPiece(piece, terms, now) for piece in pieces]
         for entry in queued:
             entry.outcome = loop.create_future()
         worker.submit(queued)
@@ -210,7 +233,8 @@
             times,
             lambda: self._targets(service),
             self._call,
-            self._take_repeats,
+            self._free,
+            self._budget,
             self._clock,
         )
         worker.start()
@@ -247,10 +271,15 @@
             await self._compute_here(
                 request.service,
                 request.pieces,
-                request.times,
+                request.terms,
             ),
         )
 
+    async def _on_release(self, _sender: str, request: ReleaseResults) -> None:
+        worker = self._worker(request.service)
+        if worker is not None:
+            worker.release(request.handles)
+
     async def _on_cancel(self, _sender: str, request: CancelRequest) -> None:
         self._cancel(
             self._peering.name,
--- a/hornbeamline/batching/_types.py
+++ b/hornbeamline/batching/_types.py
@@ -25,8 +25,8 @@
     failure: str = ''
 
 
-class PieceTimes(NamedTuple):
-    """Until when pieces are needed, in seconds from now, and their rank."""
+class PieceTerms(NamedTuple):
+    """When pieces are needed, in seconds from now, and what they take."""
 
     # Later than this, the request misses its aim.
     due_s: float
@@ -34,3 +34,5 @@
     expires_s: float
     # 0 is the most urgent.
     rank: int
+    # Expected size of the result of one piece.
+    result_bytes: int
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -3,27 +3,36 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final, Protocol
 
 from hornbeamline.batching._queue import BatchQueue, QueuedPiece
+from hornbeamline.batching._room import ResultRoom
 from hornbeamline.batching._types import Piece, PieceResult
 from hornbeamline.batching.const import (
     CALL_PATIENCE,
     CALL_PATIENCE_MIN_S,
+    FULL_S,
     GATHER_S,
     MAX_PIECE_ATTEMPTS,
+    RATE_WINDOW_S,
+    RELEASE_GATHER_S,
+    RELEASE_IDLE_S,
     REST_S,
+    ROOM_SHARE,
     SPEED_WEIGHT,
 )
 from hornbeamline.batching.errors import CallLostError, CallRefusedError
 from hornbeamline.core import TaskSet
+from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.telemetry import log_event
 
 FAILURE_LATE: Final = 'late'
 FAILURE_LOST: Final = 'lost'
 FAILURE_GONE: Final = 'gone'
+FAILURE_ROOM: Final = 'room'
 # Idle time after which the queue is looked at without an event.
 _POLL_S: Final = 0.25
 
@@ -51,12 +60,24 @@
     def piece_s(self) -> float:
         """Return the time that a piece adds."""
 
+    @property
+    def results_mb(self) -> float:
+        """Return the space for results."""
+
+    @property
+    def result_ttl_s(self) -> float:
+        """Return how long a result is kept."""
+
 
 CallTarget = Callable[
     [BatchTarget, Sequence[Piece], Sequence[float]],
     Awaitable[list[PieceResult]],
 ]
 
+# Frees results at the target with an address.
+FreeResults = Callable[[str, Sequence[str]], Awaitable[None]]
+_BYTES_PER_MB: Final = 1_000_000
+
 
 class BatchWorker:
     """Queue of one service and the calls in progress."""
@@ -67,7 +88,8 @@
         times: BatchTimes,
         targets: Callable[[], Sequence[BatchTarget]],
         call: CallTarget,
-        take_repeats: Callable[[str, int], bool],
+        free: FreeResults,
+        budget: RepeatBudget,
         clock: Clock,
     ) -> None:
         """Take the service, its targets, the call and the repeat budget."""
@@ -75,18 +97,25 @@
         self._times = times
         self._targets = targets
         self._call = call
-        self._take_repeats = take_repeats
+        self._free = free
+        self._budget = budget
         self._clock = clock
         self._queue = BatchQueue(times.pieces_per_call)
         self._arrived = asyncio.Event()
+        self._released = asyncio.Event()
         self._busy: set[str] = set()
         self._rests_until_by_target: dict[str, float] = {}
         self._slowness_by_target: dict[str, float] = {}
+        # Time and number of pieces of the last calls.
+        self._finished: deque[tuple[float, int]] = deque()
+        self._room_by_target: dict[str, ResultRoom] = {}
+        self._released_by_address: dict[str, list[str]] = {}
         self._tasks = TaskSet()
 
     def start(self) -> None:
         """Begin to serve the queue."""
         self._tasks.spawn(self._run(), f'batches {self.service}')
+        self._tasks.spawn(self._free_forever(), f'releases {self.service}')
 
     async def stop(self) -> None:
         """Drop the queue and all calls."""
@@ -99,9 +128,33 @@
 
     def submit(self, pieces: Sequence[QueuedPiece]) -> None:
         """Queue pieces; their futures get the outcomes."""
+        self._budget.note_first(self.service)
         self._queue.add(pieces)
         self._arrived.set()
 
+    def wait_s(self) -> float:
+        """Return how long a new piece waits before its call begins."""
+        now = self._clock.monotonic()
+        oldest = now - RATE_WINDOW_S
+        while self._finished and self._finished[0][0] < oldest:
+            self._finished.popleft()
+        queued = len(self._queue)
+        targets = max(len(self._targets()), 1)
+        batch = self._times.pieces_per_call
+        best_rate = targets * batch / self._expected_s(batch)
+        done = sum(count for _, count in self._finished)
+        # Without a backlog, the finished pieces say nothing of the speed.
+        is_backlogged = queued > targets * batch
+        rate = max(done / RATE_WINDOW_S, best_rate / 4)
+        return queued / (min(rate, best_rate) if is_backlogged else best_rate)
+
+    def release(self, handles: Sequence[str]) -> None:
+        """Free results soon."""
+        for handle in handles:
+            address = handle.partition('/')[0]
+            self._released_by_address.setdefault(address, []).append(handle)
+        self._released.set()
+
     def cancel(self, request_id: str) -> None:
         """Drop the queued pieces of a request."""
         dropped = self._queue.drop_request(request_id)
@@ -133,7 +186,18 @@
             if not len(self._queue):
                 return
             slowness = self._slowness(target)
-            chosen = self._queue.take(now, self._expected_s(1) * slowness)
+            room = self._room_by_target.setdefault(target.id, ResultRoom())
+            if room.is_full(now):
+                continue
+            free_bytes = self._room_bytes - room.used(now)
+            chosen = self._queue.take(
+                now,
+                self._expected_s(1) * slowness,
+                free_bytes,
+            )
+            if not chosen:
+                continue
+            room.reserve(_size_of(chosen))
             self._busy.add(target.id)
             self._tasks.spawn(
                 self._run_call(target, chosen),
@@ -163,6 +227,7 @@
         for queued in chosen:
             queued.attempts += 1
         outcome = 'done'
+        used_bytes = self._room_by_target[target.id].used(began)
         try:
             async with asyncio.timeout(patience_s):
                 results = await self._call(
@@ -170,7 +235,9 @@
                     [queued.piece for queued in chosen],
                     [queued.expires_at - began for queued in chosen],
                 )
-            self._settle(chosen, results)
+            self._settle(target, chosen, results)
+            self._finished.append((self._clock.monotonic(), len(chosen)))
+            outcome = _summary(results)
             self._note_speed(target, len(chosen), began)
         except CallRefusedError as error:
             outcome = str(error)
@@ -182,6 +249,7 @@
             self._rest(target)
             self._queue_again(chosen, free=False)
         finally:
+            self._room_by_target[target.id].unreserve(_size_of(chosen))
             self._busy.discard(target.id)
             self._arrived.set()
         log_event(
@@ -192,16 +260,26 @@
             queued=len(self._queue),
             expected_s=expected_s,
             took_s=self._clock.monotonic() - began,
+            used_bytes=used_bytes,
             outcome=outcome,
         )
 
     def _settle(
         self,
+        target: BatchTarget,
         chosen: list[QueuedPiece],
         results: list[PieceResult],
     ) -> None:
         again = []
+        room = self._room_by_target[target.id]
+        expires_at = self._clock.monotonic() + self._times.result_ttl_s
         for queued, outcome in zip(chosen, results, strict=True):
+            if outcome.handle:
+                room.hold(outcome.handle, queued.result_bytes, expires_at)
+                if queued.is_abandoned:
+                    self.release([outcome.handle])
+            if outcome.failure == FAILURE_ROOM:
+                room.note_full(self._clock.monotonic() + FULL_S)
             if outcome.failure in {'', FAILURE_LATE, FAILURE_GONE}:
                 queued.settle(outcome)
             else:
@@ -212,17 +290,39 @@
         wanted = [queued for queued in chosen if not queued.is_abandoned]
         if not wanted:
             return
-        exhausted = any(
-            queued.attempts >= MAX_PIECE_ATTEMPTS for queued in wanted
-        )
-        # A whole call counts as one arrival at the service.
-        if exhausted or not self._take_repeats(self.service, 1):
-            for queued in wanted:
+        for queued in wanted:
+            exhausted = queued.attempts >= MAX_PIECE_ATTEMPTS
+            allowed = free or self._budget.take(self.service)
+            if exhausted or not allowed:
                 queued.settle(PieceResult(failure=FAILURE_LOST))
-            return
-        self._queue.add(wanted)
+            else:
+                self._queue.add([queued])
         self._arrived.set()
 
+    async def _free_forever(self) -> None:
+        while True:
+            await self._released.wait()
+            waits = len(self._queue) > 0
+            await asyncio.sleep(RELEASE_GATHER_S if waits else RELEASE_IDLE_S)
+            self._released.clear()
+            released = self._released_by_address
+            self._released_by_address = {}
+            for address, handles in released.items():
+                self._tasks.spawn(
+                    self._free_at(address, handles),
+                    f'release at {address}',
+                )
+
+    async def _free_at(self, address: str, handles: list[str]) -> None:
+        await self._free(address, handles)
+        for room in self._room_by_target.values():
+            room.free(handles)
+        self._arrived.set()
+
+    @property
+    def _room_bytes(self) -> float:
+        return self._times.results_mb * _BYTES_PER_MB * ROOM_SHARE
+
     def _expected_s(self, pieces: int) -> float:
         return self._times.call_s + pieces * self._times.piece_s
 
@@ -246,3 +346,12 @@
         self._rests_until_by_target[target.id] = (
             self._clock.monotonic() + REST_S
         )
+
+
+def _summary(results: Sequence[PieceResult]) -> str:
+    failures = sorted(outcome.failure for outcome in results if outcome.failure)
+    return ','.join(failures) or 'done'
+
+
+def _size_of(chosen: Sequence[QueuedPiece]) -> int:
+    return sum(queued.result_bytes for queued in chosen)
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -19,5 +19,19 @@
 OWNER_CHECK_S: Final = 0.1
 # Time in which a new link must prove itself.
 LINK_GRACE_S: Final = 0.8
+# Releases wait this long for others at the same target, and much longer
+# while no piece waits for the space.
+RELEASE_GATHER_S: Final = 0.03
+RELEASE_IDLE_S: Final = 0.4
+# Results are larger or smaller than the configuration says.
+ROOM_SHARE: Final = 0.88
+# A target that refused a piece for want of space is full for this long,
+# unless results are freed before.
+FULL_S: Final = 0.3
+# Pieces of a less urgent rank count as due later by this time, so that
+# they wait first when the targets are busy and still get their turn.
+RANK_DELAY_S: Final = 0.4
+# Time over which the rate of finished pieces is taken.
+RATE_WINDOW_S: Final = 3.0
 # Smoothing of the speed of a target.
 SPEED_WEIGHT: Final = 0.3
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -99,9 +99,9 @@
             self._other_hosts,
             self._targets.of_service,
             StageCaller(http, wire, self._targets),
-            self._budget.take,
+            ResultReleaser(http, wire),
+            RepeatBudget(settings.budget, self._clock),
         )
-        releaser = ResultReleaser(http, wire)
         forwarder = Forwarder(
             http,
             wire,
@@ -115,7 +115,7 @@
             self._targets,
             forwarder,
             StageRunner(self._batching, self._clock),
-            releaser,
+            self._stage_waits,
             self._budget,
             self._clock,
             rng,
@@ -134,7 +134,6 @@
         self.kernel.register('settings', watch)
         self.kernel.register('targets', poller)
         self.kernel.register('batching', self._batching)
-        self.kernel.register('releaser', releaser)
         self.kernel.register('collector', CollectorService())
         self._register_listeners()
 
@@ -180,6 +179,10 @@
             ROLE_ENTRY,
             settings.data_centre,
             self._picker.in_flight_by_target,
+            {
+                service: round(wait_s, 3)
+                for service, wait_s in self._batching.waits_by_service().items()
+            },
             self._drain.is_draining,
         )
 
@@ -192,6 +195,14 @@
             and presence.name != self._settings.name
         }
 
+    def _stage_waits(self) -> dict[str, float]:
+        """Return the longest known waiting time of each stage service."""
+        waits = self._batching.waits_by_service()
+        for presence in self._member.present():
+            for service, wait_s in presence.wait_s_by_service.items():
+                waits[service] = max(waits.get(service, 0), wait_s)
+        return waits
+
     def _take_document(self, document: StoredDocument) -> None:
         try:
             table = self._read_table(document.content)
--- a/hornbeamline/gateway/__init__.py
+++ b/hornbeamline/gateway/__init__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from hornbeamline.gateway._app import GatewayApp
-from hornbeamline.gateway._budget import BudgetSettings, RepeatBudget
 from hornbeamline.gateway._forwarder import Forwarder
 from hornbeamline.gateway._http import TargetHttp
 from hornbeamline.gateway._picker import TargetPicker
@@ -32,6 +31,7 @@
     NotRunError,
     RefusedError,
 )
+from hornbeamline.helpers.budget import BudgetSettings, RepeatBudget
 
 __all__ = (
     'Account',
--- /dev/null
+++ b/hornbeamline/gateway/_admission.py
@@ -0,0 +1,56 @@
+"""Refuses requests that cannot be served in time; needs no network."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+from hornbeamline.gateway._stages import stage_ends_s
+from hornbeamline.gateway._table import RoutingTable
+from hornbeamline.gateway._types import CallerRequest, Route
+
+# Time that an engine takes to the first event of an average prompt.
+_ENGINE_START_S: Final = 0.3
+# A request that will be late is admitted only if it needs no more than
+# this share of the time that its caller has: work that is in time goes
+# first, so its own wait is the least certain.
+_LATE_SHARE: Final = 0.6
+
+
+class Verdict(NamedTuple):
+    """Whether a request is admitted, and what decided it."""
+
+    is_admitted: bool
+    expected_s: float
+    limit_s: float
+    # When the queues have become short enough.
+    retry_after_s: float
+
+
+def judge(
+    request: CallerRequest,
+    route: Route,
+    table: RoutingTable,
+    wait_s_by_service: Mapping[str, float],
+    now: float,
+) -> Verdict:
+    """Return whether a request can be served before its caller leaves.
+
+    Answers a burst in which the queues of the stages grow faster than the
+    targets work: a request that would only wait until its caller leaves is
+    refused at once, and told to come back when the queues have drained.
+    """
+    spent_s = now - request.received_at
+    stages_s = stage_ends_s(request, route, table, wait_s_by_service)
+    expected_s = spent_s + stages_s + _ENGINE_START_S
+    limit_s = min(route.timeout_s, route.first_event_patience_s)
+    if request.patience_s is not None:
+        limit_s = min(limit_s, request.patience_s)
+    is_in_time = expected_s <= route.aim_s
+    allowed_s = limit_s if is_in_time else limit_s * _LATE_SHARE
+    return Verdict(
+        expected_s <= allowed_s,
+        expected_s,
+        allowed_s,
+        max(expected_s - route.aim_s, 0),
+    )
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -8,15 +8,13 @@
 from typing import Any, Final
 
 from hornbeamline.batching import PiecesFailedError
-from hornbeamline.gateway._budget import RepeatBudget
+from hornbeamline.gateway._admission import judge
 from hornbeamline.gateway._forwarder import Forwarder, Job
 from hornbeamline.gateway._metrics import ANSWERS, IN_PROGRESS, LATENCY
-from hornbeamline.gateway._release import ResultReleaser
 from hornbeamline.gateway._reply import Reply
 from hornbeamline.gateway._stages import (
     StageResults,
     StageRunner,
-    stages_time_s,
 )
 from hornbeamline.gateway._table import RoutingTable
 from hornbeamline.gateway._targets import TargetDirectory
@@ -32,6 +30,7 @@
     InputsGoneError,
     RefusedError,
 )
+from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.telemetry import log_event
 
@@ -64,7 +63,7 @@
         targets: TargetDirectory,
         forwarder: Forwarder,
         stages: StageRunner,
-        releaser: ResultReleaser,
+        stage_waits: Callable[[], Mapping[str, float]],
         budget: RepeatBudget,
         clock: Clock,
         rng: random.Random,
@@ -74,7 +73,7 @@
         self._targets = targets
         self._forwarder = forwarder
         self._stages = stages
-        self._releaser = releaser
+        self._stage_waits = stage_waits
         self._budget = budget
         self._clock = clock
         self._rng = rng
@@ -220,6 +219,7 @@
             deadline_at,
             [],
             {},
+            _do_nothing,
         )
         for run in range(_MAX_STAGE_RUNS):
             is_last = run == _MAX_STAGE_RUNS - 1
@@ -262,28 +262,43 @@
                         results,
                         set(inputs),
                     ),
+                    on_first_event=lambda: self._stages.release_all(
+                        results,
+                        job.route,
+                    ),
                 ),
                 reply,
             )
         finally:
-            self._releaser.release(results.all_handles())
+            self._stages.release_all(results, job.route)
 
     async def _run_stages(self, job: Job, table: RoutingTable) -> StageResults:
-        left_s = job.deadline_at - self._clock.monotonic()
-        needed_s = stages_time_s(job.request, job.route, table)
-        if needed_s > left_s:
+        verdict = judge(
+            job.request,
+            job.route,
+            table,
+            self._stage_waits(),
+            self._clock.monotonic(),
+        )
+        if not verdict.is_admitted:
+            # Refused callers must not come back together.
+            spread_s = self._rng.uniform(0.5, 1.5)
             raise RefusedError(
                 Refusal(
                     _UNAVAILABLE,
-                    'stages take longer than the deadline',
-                    _RETRY_AFTER_S,
+                    f'stages need {verdict.expected_s:.2f} s of '
+                    f'{verdict.limit_s:.2f} s',
+                    spread_s * max(verdict.retry_after_s, _RETRY_AFTER_S),
                 ),
             )
         return await self._stages.run(
             job.request,
             job.route,
             table,
-            job.deadline_at,
+            min(
+                job.deadline_at,
+                job.request.received_at + job.route.first_event_patience_s,
+            ),
             job.rank,
         )
 
@@ -376,6 +391,10 @@
     return request.received_at + min(bounds)
 
 
+def _do_nothing() -> None:
+    """Stand for the release of results that do not exist."""
+
+
 async def _read_body(receive: Receive) -> bytes:
     collected = bytearray()
     while True:
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from hornbeamline.gateway._budget import RepeatBudget
 from hornbeamline.gateway._events import EventSplitter, StreamEvent
 from hornbeamline.gateway._http import TargetHttp, TargetResponse
 from hornbeamline.gateway._picker import TargetPicker, Wish
@@ -27,6 +27,7 @@
     NotRunError,
     RefusedError,
 )
+from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.telemetry import log_event
 
@@ -56,6 +57,8 @@
     # Handles of the results that the target needs.
     inputs: list[str]
     input_bytes_by_data_centre: dict[str, int]
+    # The target has fetched the inputs.
+    on_first_event: Callable[[], None]
 
 
 class _WholeAnswer(NamedTuple):
@@ -259,6 +262,7 @@
                     await reply.begin(head.status, head.headers)
                 if not is_noted:
                     is_noted = True
+                    job.on_first_event()
                     self._picker.note_prompt(target, job.request)
                 await self._pass_on(attempts, reply, event)
         if splitter.has_partial:
--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from typing import Final
 
 from hornbeamline.batching import (
     BatchingService,
     Piece,
     PiecesFailedError,
-    PieceTimes,
+    PieceTerms,
 )
 from hornbeamline.gateway._table import RoutingTable
 from hornbeamline.gateway._types import BatchLimits, CallerRequest, Route
@@ -26,14 +27,38 @@
     def __init__(self) -> None:
         """Start without results."""
         self.handles_by_stage: dict[int, list[str]] = {}
+        self._released: set[int] = set()
 
-    def all_handles(self) -> list[str]:
-        """Return every handle."""
+    def unneeded(self, route: Route, request: CallerRequest) -> list[int]:
+        """Return the stages whose results all later stages have used."""
         return [
-            handle
-            for handles in self.handles_by_stage.values()
-            for handle in handles
+            number
+            for number in self.handles_by_stage
+            if number not in self._released
+            and self._is_used_up(number, route, request)
+        ]
+
+    def take(self, number: int) -> list[str]:
+        """Return the handles of a stage that are to be released."""
+        if number in self._released:
+            return []
+        self._released.add(number)
+        return self.handles_by_stage.get(number, [])
+
+    def _is_used_up(
+        self,
+        number: int,
+        route: Route,
+        request: CallerRequest,
+    ) -> bool:
+        followers = [
+            later
+            for later, stage in enumerate(route.stages)
+            if number in stage.after and _count(request, later)
         ]
+        return bool(followers) and all(
+            later in self.handles_by_stage for later in followers
+        )
 
     def last_handles(self, route: Route) -> list[str]:
         """Return the handles of the stages that no other stage follows."""
@@ -87,8 +112,15 @@
             outcome.handles_by_stage[number] = await self._batching.compute(
                 stage.service,
                 _pieces(request, number, inputs, is_first=not stage.after),
-                PieceTimes(due_at - now, deadline_at - now, rank),
+                PieceTerms(
+                    due_at - now,
+                    deadline_at - now,
+                    rank,
+                    stage.result_bytes,
+                ),
             )
+            for unneeded in outcome.unneeded(route, request):
+                self._release(outcome, route, unneeded)
 
         try:
             async with asyncio.TaskGroup() as group:
@@ -96,16 +128,36 @@
                     if _count(request, number):
                         tasks[number] = group.create_task(run_stage(number))
         except* PiecesFailedError as failures:
+            self.release_all(outcome, route)
             raise _first(failures) from failures
         return outcome
 
+    def release_all(self, outcome: StageResults, route: Route) -> None:
+        """Free all results of a request."""
+        for number in tuple(outcome.handles_by_stage):
+            self._release(outcome, route, number)
+
+    def _release(
+        self,
+        outcome: StageResults,
+        route: Route,
+        number: int,
+    ) -> None:
+        handles = outcome.take(number)
+        if handles:
+            self._batching.release(route.stages[number].service, handles)
+
 
-def stages_time_s(
+def stage_ends_s(
     request: CallerRequest,
     route: Route,
     table: RoutingTable,
+    wait_s_by_service: Mapping[str, float],
 ) -> float:
-    """Return the shortest time that the stages of a request can take."""
+    """Return the time until all stages of a request are done.
+
+    Each stage waits for its service as long as `wait_s_by_service` says.
+    """
     ends_at: dict[int, float] = {}
     for number, stage in enumerate(route.stages):
         start = max((ends_at.get(early, 0) for early in stage.after), default=0)
@@ -113,7 +165,8 @@
         pieces = _count(request, number)
         spent = 0.0
         if limits is not None and pieces:
-            spent = limits.call_s + limits.piece_s
+            wait_s = wait_s_by_service.get(stage.service, 0)
+            spent = wait_s + limits.call_s + pieces * limits.piece_s
         ends_at[number] = start + spent
     return max(ends_at.values(), default=0)
 
--- a/hornbeamline/gateway/_types.py
+++ b/hornbeamline/gateway/_types.py
@@ -44,6 +44,8 @@
     can_resume: bool
     # Longest pause between two events of a stream that is still good.
     max_pause_s: float
+    # Callers leave when the first event of a stream takes longer.
+    first_event_patience_s: float
 
     @property
     def may_repeat(self) -> bool:
--- a/hornbeamline/platform/_document.py
+++ b/hornbeamline/platform/_document.py
@@ -177,6 +177,12 @@
         needs_account=not route.allow_anonymous,
         can_resume=route.stream_resume,
         max_pause_s=route.gap_aim_ms / _MS_PER_S,
+        # What the platform's clients do.
+        first_event_patience_s=max(
+            2.0,
+            4 * route.target_latency_ms / _MS_PER_S,
+            8 * route.gap_aim_ms / _MS_PER_S,
+        ),
     )
 
 
