--- a/hornbeamline/gateway/_picker.py
+++ b/hornbeamline/gateway/_picker.py
@@ -166,7 +166,8 @@
         age_s = self._clock.monotonic() - reported.at
         told = reported.load.running + reported.load.waiting
         weight = math.exp(-age_s / LOAD_DECAY_S)
-        return max(known, told * weight)
+        # A trace of an old report must not decide between idle targets.
+        return max(known, round(told * weight, 1))
 
     def _engine_cost_s(
         self,
--- /dev/null
+++ b/tests/batching/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the component batching."""
--- /dev/null
+++ b/tests/batching/test_queue.py
@@ -0,0 +1,124 @@
+"""Order and grouping of queued pieces."""
+
+from __future__ import annotations
+
+from hornbeamline.batching import BatchQueue, Piece, PieceTerms, QueuedPiece
+from hornbeamline.batching._room import ResultRoom
+
+NO_LIMIT = 1e9
+
+
+def pieces(
+    request: str,
+    count: int,
+    due_s: float = 10,
+    rank: int = 0,
+    size: int = 1,
+    expires_s: float = 100,
+) -> list[QueuedPiece]:
+    """Return the queued pieces of one stage of a request."""
+    terms = PieceTerms(due_s, expires_s, rank, size)
+    return [
+        QueuedPiece(Piece(request, 0, number, 'key', []), terms, 0)
+        for number in range(count)
+    ]
+
+
+def requests_of(chosen: list[QueuedPiece]) -> list[str]:
+    """Return the request of each piece."""
+    return [queued.piece.request_id for queued in chosen]
+
+
+def test_burst_of_late_work_does_not_delay_work_in_time() -> None:
+    """Load: a backlog that is late already, then fresh requests."""
+    queue = BatchQueue(2)
+    queue.add(pieces('late', 2, due_s=0.1))
+    queue.add(pieces('fresh', 2, due_s=5))
+    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['fresh', 'fresh']
+    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['late', 'late']
+
+
+def test_urgent_rank_goes_first_at_similar_due_times() -> None:
+    """Load: two kinds of requests that arrive together."""
+    queue = BatchQueue(1)
+    queue.add(pieces('common', 1, due_s=2.0, rank=2))
+    queue.add(pieces('urgent', 1, due_s=2.3, rank=0))
+    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['urgent']
+
+
+def test_less_urgent_rank_is_not_starved() -> None:
+    """Load: a steady flow of urgent requests beside old common ones."""
+    queue = BatchQueue(1)
+    queue.add(pieces('common', 1, due_s=1.0, rank=2))
+    queue.add(pieces('urgent', 1, due_s=3.0, rank=0))
+    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['common']
+
+
+def test_stage_of_a_request_is_not_split_over_two_calls() -> None:
+    """Load: requests of four pieces for calls of nine."""
+    queue = BatchQueue(9)
+    for number in range(3):
+        queue.add(pieces(f'r{number}', 4, due_s=5 + number))
+    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['r0'] * 4 + ['r1'] * 4
+    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['r2'] * 4
+
+
+def test_stage_larger_than_a_call_is_split() -> None:
+    """Guards against a stage that is never computed."""
+    queue = BatchQueue(3)
+    queue.add(pieces('large', 4))
+    assert len(queue.take(0, 0.5, NO_LIMIT)) == 3
+    assert len(queue.take(0, 0.5, NO_LIMIT)) == 1
+
+
+def test_call_fits_into_the_room_for_results() -> None:
+    """Load: large results at targets with little space."""
+    queue = BatchQueue(9)
+    queue.add(pieces('large', 3, due_s=5, size=800))
+    queue.add(pieces('small', 2, due_s=6, size=8))
+    assert requests_of(queue.take(0, 0.5, 2000)) == ['small'] * 2
+    assert requests_of(queue.take(0, 0.5, 2000)) == ['large'] * 2
+
+
+def test_expired_pieces_are_returned_once() -> None:
+    """Guards against work for callers that have left."""
+    queue = BatchQueue(3)
+    queue.add(pieces('gone', 1, expires_s=1))
+    queue.add(pieces('waits', 1, expires_s=3))
+    assert requests_of(queue.drop_expired(2)) == ['gone']
+    assert len(queue) == 1
+
+
+def test_dropped_request_leaves_the_queue() -> None:
+    """A caller that left needs no more pieces."""
+    queue = BatchQueue(3)
+    queue.add(pieces('left', 2))
+    queue.add(pieces('stays', 1))
+    assert queue.drop_request('left') == 2
+    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['stays']
+
+
+def test_room_counts_calls_results_and_expiry() -> None:
+    """A target's space is taken from the call to the release."""
+    room = ResultRoom()
+    room.reserve(10)
+    assert room.used(0) == 10
+    room.unreserve(10)
+    room.hold('a', 6, expires_at=4)
+    room.hold('b', 4, expires_at=9)
+    assert room.used(1) == 10
+    room.free(['b'])
+    assert room.used(1) == 6
+    assert room.used(4) == 0
+
+
+def test_full_target_is_used_again_after_a_release() -> None:
+    """Guards against calls that fail again and again for want of space."""
+    room = ResultRoom()
+    room.hold('a', 6, expires_at=9)
+    room.note_full(3)
+    assert room.is_full(1)
+    room.free(['unknown'])
+    assert room.is_full(1)
+    room.free(['a'])
+    assert not room.is_full(1)
--- /dev/null
+++ b/tests/gateway/builders.py
@@ -0,0 +1,94 @@
+"""Builders of routes, requests and targets."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hornbeamline.gateway import (
+    BatchLimits,
+    CallerRequest,
+    PromptPart,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    Stage,
+    Target,
+)
+
+
+def make_route(**changes: Any) -> Route:
+    """Return a route of one service without stages."""
+    fields: dict[str, Any] = {
+        'name': 'r',
+        'host': 'host.example',
+        'path_prefix': '/p/',
+        'kind': RouteKind.NON_IDEMPOTENT,
+        'timeout_s': 15.0,
+        'aim_s': 2.0,
+        'rank': 0,
+        'weight_by_service': {'service': 1},
+        'max_attempts': 1,
+        'stages': (),
+        'needs_account': False,
+        'can_resume': False,
+        'max_pause_s': 0.4,
+        'first_event_patience_s': 8.0,
+    }
+    return Route(**{**fields, **changes})
+
+
+def make_request(**changes: Any) -> CallerRequest:
+    """Return a request as it was received at time 0."""
+    fields: dict[str, Any] = {
+        'id': 'r1',
+        'method': 'POST',
+        'host': 'host.example',
+        'raw_target': '/p/1',
+        'path': '/p/1',
+        'headers': (),
+        'credential': None,
+        'received_at': 0.0,
+        'patience_s': 15.0,
+        'prompt': (PromptPart('shared', 1000), PromptPart('own', 500)),
+        'prompt_tokens': 1500,
+        'max_output_tokens': 100,
+        'pieces_by_stage': (),
+        'piece_key': 'k',
+        'last_event_id': None,
+    }
+    return CallerRequest(**{**fields, **changes})
+
+
+def make_target(name: str, **changes: Any) -> Target:
+    """Return a target that takes work."""
+    fields: dict[str, Any] = {
+        'id': name,
+        'service': 'service',
+        'address': '127.0.0.1:1',
+        'data_centre': 'dc-1',
+        'slots': 6,
+        'is_leaving': False,
+        'warmup_s': 0.0,
+    }
+    return Target(**{**fields, **changes})
+
+
+def make_table(route: Route) -> RoutingTable:
+    """Return a table with the services of a route."""
+    limits = BatchLimits(1, 2, 9, 0.24, 0.02, 1.0, 4.0)
+    names = {
+        *route.weight_by_service,
+        *(stage.service for stage in route.stages),
+    }
+    return RoutingTable(
+        number=1,
+        routes_by_host={route.host: (route,)},
+        services_by_name={
+            name: Service(name, '/health', 50, limits, None) for name in names
+        },
+        accounts_by_credential=None,
+    )
+
+
+CHAIN = (Stage('first', (), 8000), Stage('second', (0,), 60_000))
--- /dev/null
+++ b/tests/gateway/test_events.py
@@ -0,0 +1,32 @@
+"""Whole events of a stream."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeamline.gateway._events import EventSplitter
+
+STREAM = b''.join(b'id: %d\ndata: x%d\n\n' % (n, n) for n in range(5))
+
+
+@given(st.sets(st.integers(1, len(STREAM) - 1)))
+def test_events_are_whole_however_the_bytes_arrive(cuts) -> None:
+    """A chunk may end anywhere, also between the two line ends."""
+    splitter = EventSplitter()
+    places = [0, *sorted(cuts), len(STREAM)]
+    events = [
+        event
+        for start, end in zip(places, places[1:], strict=False)
+        for event in splitter.feed(STREAM[start:end])
+    ]
+    assert [event.id for event in events] == list(range(5))
+    assert b''.join(event.raw for event in events) == STREAM
+    assert not splitter.has_partial
+
+
+def test_event_that_breaks_off_is_not_returned() -> None:
+    """Guards against half an event in a complete answer."""
+    splitter = EventSplitter()
+    assert len(splitter.feed(STREAM[:-1])) == 4
+    assert splitter.has_partial
--- /dev/null
+++ b/tests/platform/test_document.py
@@ -0,0 +1,136 @@
+"""Configuration documents of the operator."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+import pytest
+
+from hornbeamline.documents import InvalidDocumentError
+from hornbeamline.gateway import RouteKind
+from hornbeamline.platform._document import read_table
+
+DOCUMENT: dict[str, Any] = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'a.example',
+            'path-prefix': '/a/',
+            'route-type': 'streaming',
+            'timeout-ms': 20000,
+            'target-latency-ms': 2700,
+            'priority': 1,
+            'traffic-split': [
+                {'service': 'llm', 'weight': 90},
+                {'service': 'old', 'weight': 0},
+            ],
+            'max-attempts': 2,
+            'stages': [
+                {'service': 'st', 'after': [], 'bytes': 800000},
+                {'service': 'st', 'after': [0], 'bytes': 8000},
+            ],
+            'allow-anonymous': False,
+            'stream-resume': True,
+            'gap-aim-ms': 500,
+        },
+        {
+            'name': 'r-2',
+            'host': 'a.example',
+            'path-prefix': '/a/b/',
+            'route-type': 'idempotent',
+            'timeout-ms': 800,
+            'service': 'old',
+        },
+    ],
+    'services': [
+        {'name': 'llm', 'engine': {'slots': 64, 'kv-capacity': 1000}},
+        {'name': 'old'},
+        {'name': 'st', 'pieces': {'batch': 4, 'call-ms': 240, 'item-ms': 52}},
+    ],
+    'tenants': [{'name': 't', 'api-keys': ['k1', 'k2'], 'priority': 3}],
+    'unknown': 1,
+}
+
+
+def read(document: Any) -> Any:
+    """Return the table of a document."""
+    return read_table(json.dumps(document).encode())
+
+
+def test_document_is_decoded_into_project_terms() -> None:
+    """Times become seconds, absent services and zero weights vanish."""
+    table = read(DOCUMENT)
+    route = table.find_route('a.example', '/a/x')
+    assert table.number == 7
+    assert route.kind is RouteKind.STREAM
+    assert route.may_repeat
+    assert route.timeout_s == 20
+    assert route.weight_by_service == {'llm': 90}
+    assert route.stages[1].after == (0,)
+    assert table.services_by_name['st'].batch.call_s == 0.24
+    assert table.accounts_by_credential['k2'].rank == 3
+
+
+def test_longest_prefix_wins() -> None:
+    """A more specific route takes its requests."""
+    table = read(DOCUMENT)
+    assert table.find_route('a.example', '/a/b/c').name == 'r-2'
+    assert table.find_route('a.example', '/x/') is None
+    assert table.find_route('b.example', '/a/') is None
+
+
+def _unknown_service(document: Any) -> None:
+    document['routes'][0]['traffic-split'][0]['service'] = 'none'
+
+
+def _unknown_stage_service(document: Any) -> None:
+    document['routes'][0]['stages'][0]['service'] = 'none'
+
+
+def _same_place(document: Any) -> None:
+    document['routes'][1]['path-prefix'] = '/a/'
+
+
+def _no_weight(document: Any) -> None:
+    document['routes'][0]['traffic-split'][0]['weight'] = 0
+
+
+def _no_timeout(document: Any) -> None:
+    document['routes'][1]['timeout-ms'] = 0
+
+
+def _shared_key(document: Any) -> None:
+    document['tenants'].append({'name': 'u', 'api-keys': ['k1']})
+
+
+def _wrong_type(document: Any) -> None:
+    document['version'] = 'seven'
+
+
+@pytest.mark.parametrize(
+    'spoil',
+    [
+        _unknown_service,
+        _unknown_stage_service,
+        _same_place,
+        _no_weight,
+        _no_timeout,
+        _shared_key,
+        _wrong_type,
+    ],
+)
+def test_invalid_document_is_refused(spoil) -> None:
+    """An invalid document is refused as a whole."""
+    document = copy.deepcopy(DOCUMENT)
+    spoil(document)
+    with pytest.raises(InvalidDocumentError):
+        read(document)
+
+
+def test_document_that_is_cut_short_is_refused() -> None:
+    """Bytes may be lost on the way."""
+    with pytest.raises(InvalidDocumentError):
+        read_table(json.dumps(DOCUMENT).encode()[:-20])
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,61 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from hornbeamline.exceptions import InventoryError
+from hornbeamline.platform._settings import read_settings
+from tests.common import write_toml
+
+FILE = {
+    'node': 'edge-a-1',
+    'ip': '10.1.0.33',
+    'zone': 'a',
+    'internal-ports': [7740, 7755],
+    'seeds': ['10.1.0.33:8628', '10.2.0.12:8628'],
+    'bootstrap': True,
+    'data-dir': '/data/x',
+    'new-field': {'x': 1},
+    'listen': {'front': '10.1.0.33:8625', 'readiness-addr': '10.1.0.33:1'},
+    'fault-tolerance': {'machines': 2},
+    'bounds': {'drain-ms': 3000, 'grace-s': 8},
+    'cloud-api': {'address': '10.200.0.69:8624'},
+}
+
+
+def test_file_is_read_into_project_terms(tmp_path: Path) -> None:
+    """New fields are ignored, absent listeners are empty."""
+    settings = read_settings(write_toml(tmp_path / 's.toml', FILE))
+    assert settings.control_ips == ['10.1.0.33', '10.2.0.12']
+    assert settings.leave_bound_s == 3
+    assert settings.tolerated_losses == 2
+    assert settings.operator_address == ''
+    assert settings.is_first_start
+
+
+@pytest.mark.parametrize(
+    ('changes', 'key'),
+    [
+        ({'ip': 7}, 'ip'),
+        ({'internal-ports': 'x'}, 'internal-ports'),
+        ({'cloud-api': {}}, 'address'),
+        ({'bounds': {'grace-s': 'long'}}, 'grace-s'),
+    ],
+)
+def test_unusable_file_names_file_and_key(tmp_path, changes, key) -> None:
+    """An operator sees in one line what to mend."""
+    path = write_toml(tmp_path / 's.toml', {**FILE, **changes})
+    with pytest.raises(InventoryError) as caught:
+        read_settings(path)
+    assert str(path) in str(caught.value)
+    assert key in str(caught.value)
+    assert '\n' not in str(caught.value)
+
+
+def test_missing_file_is_named(tmp_path: Path) -> None:
+    """A missing file ends the start in one line too."""
+    with pytest.raises(InventoryError, match='absent'):
+        read_settings(tmp_path / 'absent.toml')
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,192 @@
+"""Headers and bodies of callers and servers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from hornbeamline.batching import CallLostError, Piece
+from hornbeamline.gateway import Account, Refusal, TargetHeaders
+from hornbeamline.platform._list import _read_entry
+from hornbeamline.platform._wire import PlatformWire
+from tests.gateway.builders import make_target
+
+WIRE = PlatformWire()
+
+
+def scope(**headers: str) -> dict[str, Any]:
+    """Return the ASGI scope of a request."""
+    return {
+        'method': 'POST',
+        'raw_path': b'/a/%2e/b',
+        'query_string': b'q=1',
+        'headers': [
+            (name.replace('_', '-').encode(), text.encode())
+            for name, text in headers.items()
+        ],
+    }
+
+
+def test_request_is_read_byte_for_byte() -> None:
+    """Path and query stay as they were sent."""
+    request = WIRE.read_request(
+        scope(
+            host='A.example:80',
+            x_request_id='r1',
+            x_deadline_ms='1500',
+            x_prompt_prefix='5c1e:800,91bd:410',
+            x_token_count='1460,80',
+            x_pieces='1,0,4',
+            x_api_key='secret',
+            last_event_id='12',
+        ),
+        5.0,
+    )
+    assert request.raw_target == '/a/%2e/b?q=1'
+    assert request.host == 'a.example'
+    assert request.patience_s == 1.5
+    assert [part.tokens for part in request.prompt] == [800, 410]
+    assert request.pieces_by_stage == (1, 0, 4)
+    assert request.last_event_id == 12
+    assert request.credential == 'secret'
+
+
+def test_headers_of_the_system_are_never_those_of_a_caller() -> None:
+    """Guards against callers that set what only the system may set."""
+    request = WIRE.read_request(
+        scope(
+            x_request_id='r1',
+            x_api_key='secret',
+            x_tenant='other',
+            x_hold='h',
+            x_pin_ms='9',
+            x_kv_backup='1.2.3.4:5',
+            kv_from='1.2.3.4:5/h',
+            x_inputs='h',
+            x_expect_instance='i',
+            connection='close, x-hop',
+            x_hop='1',
+            transfer_encoding='chunked',
+            x_custom='kept',
+        ),
+        0.0,
+    )
+    headers = dict(
+        WIRE.target_headers(
+            request,
+            TargetHeaders(
+                make_target('i-1'),
+                Account('mine', None),
+                1.0,
+                ['h1', 'h2'],
+                0,
+                None,
+            ),
+        ),
+    )
+    assert headers == {
+        'x-request-id': 'r1',
+        'x-custom': 'kept',
+        'X-Expect-Instance': 'i-1',
+        'X-Tenant': 'mine',
+        'X-Inputs': 'h1,h2',
+    }
+
+
+def test_time_left_is_handed_on() -> None:
+    """A server works only as long as the caller waits."""
+    request = WIRE.read_request(scope(x_deadline_ms='1500'), 0.0)
+    chosen = TargetHeaders(make_target('i'), None, 0.75, [], 0, 3)
+    headers = dict(WIRE.target_headers(request, chosen))
+    assert headers['X-Deadline-Ms'] == '750'
+    assert headers['Last-Event-Id'] == '3'
+
+
+def test_answer_head_says_what_happened() -> None:
+    """Signature, refusal and load are read from the headers."""
+    head = WIRE.read_answer(
+        503,
+        [
+            (b'X-Request-Id', b'r1'),
+            (b'X-Not-Executed', b'full'),
+            (b'X-Server-Load', b'3,1,8'),
+            (b'Connection', b'close'),
+        ],
+    )
+    assert head.not_run
+    assert not head.is_signed
+    assert head.load.waiting == 1
+    assert head.closes
+    assert 'connection' not in dict(head.headers)
+
+
+def test_refusal_says_when_to_come_back() -> None:
+    """Only refusals of requests that have not run carry a time."""
+    answer = WIRE.refusal_answer(None, Refusal(503, 'busy', 1.25))
+    assert ('Retry-After', '1.25') in answer.headers
+    answer = WIRE.refusal_answer(None, Refusal(504, 'late'))
+    assert 'Retry-After' not in dict(answer.headers)
+
+
+def test_stage_call_names_pieces_and_inputs() -> None:
+    """First stages carry the key, later ones the inputs."""
+    pieces = [
+        Piece('r1', 0, 0, 'key', []),
+        Piece('r2', 1, 3, '', ['1.2.3.4:5/h']),
+    ]
+    path, headers, body = WIRE.stage_call(
+        make_target('i-1'), pieces, [0.5, 2.0]
+    )
+    items = msgspec.json.decode(body)['items']
+    assert path == '/stage-run'
+    assert ('X-Expect-Instance', 'i-1') in headers
+    assert items == [
+        {
+            'id': 'r1',
+            'stage': 0,
+            'piece': 0,
+            'remaining-ms': 500,
+            'key': 'key',
+        },
+        {
+            'id': 'r2',
+            'stage': 1,
+            'piece': 3,
+            'remaining-ms': 2000,
+            'inputs': ['1.2.3.4:5/h'],
+        },
+    ]
+
+
+def test_results_are_read_in_order() -> None:
+    """A result without handle has a reason."""
+    results = WIRE.read_stage_results(
+        b'{"items":[{"handle":"a/1"},{"reason":"gone"},{}]}',
+        3,
+    )
+    assert [result.handle for result in results] == ['a/1', '', '']
+    assert [result.failure for result in results] == ['', 'gone', 'error']
+
+
+@pytest.mark.parametrize('body', [b'{"items":[]}', b'{', b'{"items":1}'])
+def test_unreadable_results_are_lost(body) -> None:
+    """Guards against results that belong to other pieces."""
+    with pytest.raises(CallLostError):
+        WIRE.read_stage_results(body, 1)
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'{}',
+        b'null',
+        b'{"id":1,"service":"s","address":"a","zone":"z","state":"ready"}',
+        b'{"id":"i","service":"s","address":"a","zone":"z","state":"odd"}',
+        b'{"id":"i","service":"s","zone":"z","state":"ready"}',
+    ],
+)
+def test_unreadable_list_entry_names_no_server(raw) -> None:
+    """The other entries of the list hold."""
+    assert _read_entry(msgspec.Raw(raw)) is None
--- a/tests/replog/group.py
+++ b/tests/replog/group.py
@@ -179,6 +179,8 @@
             run_blocking=group.run_blocking,
         )
         self.log.register_machine(MACHINE, self.machine)
+        if group.kept_voters:
+            self.log.keep_voters(group.present, group.kept_voters)
         self.log.on_leadership(self.leads.append)
         await self.log.start()
 
@@ -213,8 +215,11 @@
         seed: int = 1,
         snapshot_entries: int = 4096,
         network: LocalNetwork | None = None,
+        kept_voters: int = 0,
     ) -> None:
         self.folder = folder
+        # Voters that the group keeps without an operator; 0 for none.
+        self.kept_voters = kept_voters
         self.rng = random.Random(seed)
         self.network = network or LocalNetwork(random.Random(seed + 1))
         # Called with the state of a machine after every change of it.
@@ -236,6 +241,22 @@
         await asyncio.sleep(self.rng.uniform(0, 0.001))
         return outcome
 
+    def present(self) -> dict[str, str]:
+        """Return the addresses of the processes that run."""
+        return {voter.name: ADDRESS for voter in self.running}
+
+    def add(self, name: str) -> Voter:
+        """Return a further voter, which joins when it starts."""
+        self.voters[name] = Voter(self, name, join=True)
+        return self.voters[name]
+
+    def votes(self) -> set[str]:
+        """Return the names of the voters, as the leader sees them."""
+        for voter in self.running:
+            if voter.log.is_leader:
+                return {member.name for member in voter.log.members.voters}
+        return set()
+
     async def start(self) -> None:
         """Start all voters."""
         for voter in self.voters.values():
