--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -22,7 +22,7 @@
 # Releases wait this long for others at the same target, and much longer
 # while no piece waits for the space.
 RELEASE_GATHER_S: Final = 0.03
-RELEASE_IDLE_S: Final = 0.4
+RELEASE_IDLE_S: Final = 0.1
 # Results are larger or smaller than the configuration says.
 ROOM_SHARE: Final = 0.88
 # A target that refused a piece for want of space is full for this long,
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -78,7 +78,10 @@
         self.answer: _WholeAnswer | None = None
         # Streams: id of the last event that the caller got.
         self.last_event_id: int | None = None
-        self.inputs_gone = False
+        # Seconds from the start of the last attempt to the head of its
+        # answer and to its first event.
+        self.head_s = 0.0
+        self.first_event_s = 0.0
         self.reason = 'no target'
 
 
@@ -187,6 +190,7 @@
             ),
         )
         self._picker.began(target)
+        began = self._clock.monotonic()
         try:
             async with self._http.send(
                 target.address,
@@ -195,6 +199,7 @@
                 headers,
                 job.body or None,
             ) as response:
+                attempts.head_s = self._clock.monotonic() - began
                 await self._take_answer(job, target, attempts, reply, response)
         finally:
             self._picker.ended(target)
@@ -256,12 +261,14 @@
     ) -> None:
         splitter = EventSplitter()
         is_noted = False
+        began = self._clock.monotonic() - attempts.head_s
         async for chunk in response.chunks():
             for event in splitter.feed(chunk):
                 if not reply.has_begun:
                     await reply.begin(head.status, head.headers)
                 if not is_noted:
                     is_noted = True
+                    attempts.first_event_s = self._clock.monotonic() - began
                     job.on_first_event()
                     self._picker.note_prompt(target, job.request)
                 await self._pass_on(attempts, reply, event)
@@ -328,6 +335,9 @@
             target=target.id,
             outcome=outcome,
             attempt=len(attempts.tried),
+            since_received_s=self._clock.monotonic() - job.request.received_at,
+            head_s=attempts.head_s,
+            first_event_s=attempts.first_event_s,
             left_s=self._left_s(job),
             list_age_s=self._targets.age_s,
             error='' if error is None else str(error),
