Free inputs of stages once their targets have fetched them

Cause: space for results bound the second stage (used to the last byte at 52 pieces/s, targets idle in between), since results stayed until the end of the next stage. Change: they are freed 60 ms after the call that needs them has begun, and 100 ms after the request went to the engine; the share of the space that calls fill is learned.

--- a/hornbeamline/batching/_messages.py
+++ b/hornbeamline/batching/_messages.py
@@ -32,6 +32,14 @@
     handles: list[str]
 
 
+@message('batching.fetched')
+class InputsFetched(NamedTuple):
+    """Targets have fetched the inputs of all pieces of a stage."""
+
+    request_id: str
+    stage: int
+
+
 @message('batching.cancel')
 class CancelRequest(NamedTuple):
     """Nobody waits for the pieces of a request any more."""
--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
 from hornbeamline.batching.const import RANK_DELAY_S
@@ -22,6 +22,8 @@
         self.result_bytes = terms.result_bytes
         # Calls that included it.
         self.attempts = 0
+        # Called once a target has fetched the inputs.
+        self.on_fetched: Callable[[], None] | None = None
         self.outcome: asyncio.Future[PieceResult] | None = None
 
     def settle(self, outcome: PieceResult) -> None:
@@ -29,6 +31,12 @@
         if self.outcome is not None and not self.outcome.done():
             self.outcome.set_result(outcome)
 
+    def note_fetched(self) -> None:
+        """Note that a target works on the piece and has its inputs."""
+        fetched, self.on_fetched = self.on_fetched, None
+        if fetched is not None:
+            fetched()
+
     @property
     def is_abandoned(self) -> bool:
         """Return whether nobody waits for the result any more."""
@@ -112,25 +120,19 @@
         chosen: list[QueuedPiece] = []
         for _, members in itertools.groupby(self._queued, key=_group_of):
             group = list(members)
-            size = sum(queued.result_bytes for queued in group)
             slots = self.pieces_per_call - len(chosen)
-            if len(group) <= slots and size <= room_bytes:
-                chosen.extend(group)
-                room_bytes -= size
+            fitting = _fitting(group, slots, room_bytes)
+            if len(fitting) == len(group):
+                chosen.extend(fitting)
+                room_bytes -= _size_of(fitting)
         return chosen
 
     def _part_of_first(self, room_bytes: float) -> list[QueuedPiece]:
         first = _group_of(self._queued[0])
-        chosen: list[QueuedPiece] = []
-        for queued in self._queued:
-            fits = queued.result_bytes <= room_bytes
-            if _group_of(queued) != first or not fits:
-                break
-            if len(chosen) == self.pieces_per_call:
-                break
-            chosen.append(queued)
-            room_bytes -= queued.result_bytes
-        return chosen
+        group = [
+            queued for queued in self._queued if _group_of(queued) == first
+        ]
+        return _fitting(group, self.pieces_per_call, room_bytes)
 
 
 def _urgency(
@@ -142,5 +144,24 @@
     return (is_late, due_at, queued.piece.request_id, queued.piece.stage)
 
 
+def _fitting(
+    group: list[QueuedPiece],
+    slots: int,
+    room_bytes: float,
+) -> list[QueuedPiece]:
+    """Return the first pieces that slots and space suffice for."""
+    fitting: list[QueuedPiece] = []
+    for queued in group[:slots]:
+        room_bytes -= queued.result_bytes
+        if room_bytes < 0:
+            break
+        fitting.append(queued)
+    return fitting
+
+
+def _size_of(group: list[QueuedPiece]) -> int:
+    return sum(queued.result_bytes for queued in group)
+
+
 def _group_of(queued: QueuedPiece) -> tuple[str, int]:
     return (queued.piece.request_id, queued.piece.stage)
--- a/hornbeamline/batching/_room.py
+++ b/hornbeamline/batching/_room.py
@@ -5,6 +5,14 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from hornbeamline.batching.const import (
+    ROOM_SHARE_FALL,
+    ROOM_SHARE_MAX,
+    ROOM_SHARE_MIN,
+    ROOM_SHARE_RISE,
+    ROOM_SHARE_START,
+)
+
 
 class _Held(NamedTuple):
     size: int
@@ -12,6 +20,25 @@
     expires_at: float
 
 
+class RoomShare:
+    """How much of the nominal space calls may fill.
+
+    Real sizes differ from the configured ones: the share rises slowly
+    while calls fill it, and falls when a target has no space.
+    """
+
+    def __init__(self) -> None:
+        """Start a little below the nominal space."""
+        self.share = ROOM_SHARE_START
+
+    def note_call(self, *, was_full: bool, had_room: bool) -> None:
+        """Learn from a call."""
+        if not had_room:
+            self.share = max(self.share - ROOM_SHARE_FALL, ROOM_SHARE_MIN)
+        elif was_full:
+            self.share = min(self.share + ROOM_SHARE_RISE, ROOM_SHARE_MAX)
+
+
 class ResultRoom:
     """Results that one target holds.
 
--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -8,6 +8,7 @@
 
 from hornbeamline.batching._messages import (
     CancelRequest,
+    InputsFetched,
     PiecesDone,
     ReleaseResults,
     SubmitPieces,
@@ -65,10 +66,13 @@
         self._budget = budget
         self._times_by_service: dict[str, BatchTimes] = {}
         self._workers_by_service: dict[str, BatchWorker] = {}
+        # Called when targets hold the inputs of a stage of a request.
+        self._fetched_by_stage: dict[tuple[str, int], Callable[[], None]] = {}
         self._tasks = TaskSet()
         peering.on(SubmitPieces, self._on_submit)
         peering.on(CancelRequest, self._on_cancel)
         peering.on(ReleaseResults, self._on_release)
+        peering.on(InputsFetched, self._on_fetched)
 
     async def start(self) -> None:
         """Keep links to the owners."""
@@ -93,14 +97,33 @@
         service: str,
         pieces: list[Piece],
         terms: PieceTerms,
+        on_fetched: Callable[[], None],
     ) -> list[str]:
         """Return the handles of the results, in the order of the pieces.
 
-        Raises `PiecesFailedError`. An owner that falls silent is replaced
-        by the next one: pieces may be computed again.
+        `on_fetched` is called when targets hold all inputs. Raises
+        `PiecesFailedError`. An owner that falls silent is replaced by the
+        next one: pieces may be computed again.
         """
         started = self._clock.monotonic()
         outcomes: list[PieceResult] | None = None
+        key = (pieces[0].request_id, pieces[0].stage)
+        self._fetched_by_stage[key] = on_fetched
+        try:
+            outcomes = await self._try_owners(service, pieces, terms, started)
+        finally:
+            self._fetched_by_stage.pop(key, None)
+        if outcomes is None:
+            raise PiecesFailedError(f'{service}: no owner answered')
+        return _handles(service, outcomes)
+
+    async def _try_owners(
+        self,
+        service: str,
+        pieces: list[Piece],
+        terms: PieceTerms,
+        started: float,
+    ) -> list[PieceResult] | None:
         for owner in self._owners(service)[:_MAX_OWNERS_TRIED]:
             spent_s = self._clock.monotonic() - started
             left = terms._replace(
@@ -111,10 +134,8 @@
                 break
             outcomes = await self._ask(owner, service, pieces, left)
             if outcomes is not None:
-                break
-        if outcomes is None:
-            raise PiecesFailedError(f'{service}: no owner answered')
-        return _handles(service, outcomes)
+                return outcomes
+        return None
 
     def waits_by_service(self) -> dict[str, float]:
         """Return the waiting times of the queues that this host owns."""
@@ -146,7 +167,12 @@
     ) -> list[PieceResult] | None:
         try:
             if owner == self._peering.name:
-                return await self._compute_here(service, pieces, terms)
+                return await self._compute_here(
+                    service,
+                    pieces,
+                    terms,
+                    self._note_fetched,
+                )
             return await self._ask_other(
                 owner,
                 SubmitPieces(service, pieces, terms),
@@ -205,6 +231,7 @@
         service: str,
         pieces: list[Piece],
         terms: PieceTerms,
+        note_fetched: Callable[[InputsFetched], None],
     ) -> list[PieceResult]:
         worker = self._worker(service)
         if worker is None:
@@ -212,8 +239,18 @@
         now = self._clock.monotonic()
         loop = asyncio.get_running_loop()
         queued = [QueuedPiece(piece, terms, now) for piece in pieces]
+        unfetched = len(queued)
+
+        def on_fetched() -> None:
+            nonlocal unfetched
+            unfetched -= 1
+            if not unfetched:
+                first = pieces[0]
+                note_fetched(InputsFetched(first.request_id, first.stage))
+
         for entry in queued:
             entry.outcome = loop.create_future()
+            entry.on_fetched = on_fetched
         worker.submit(queued)
         return list(
             await asyncio.gather(
@@ -264,7 +301,7 @@
 
     async def _on_submit(
         self,
-        _sender: str,
+        sender: str,
         request: SubmitPieces,
     ) -> PiecesDone:
         return PiecesDone(
@@ -272,9 +309,19 @@
                 request.service,
                 request.pieces,
                 request.terms,
+                lambda fetched: self._peering.send(sender, fetched),
             ),
         )
 
+    async def _on_fetched(self, _sender: str, fetched: InputsFetched) -> None:
+        self._note_fetched(fetched)
+
+    def _note_fetched(self, fetched: InputsFetched) -> None:
+        key = (fetched.request_id, fetched.stage)
+        noted = self._fetched_by_stage.get(key)
+        if noted is not None:
+            noted()
+
     async def _on_release(self, _sender: str, request: ReleaseResults) -> None:
         worker = self._worker(request.service)
         if worker is not None:
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -8,11 +8,12 @@
 from typing import Final, Protocol
 
 from hornbeamline.batching._queue import BatchQueue, QueuedPiece
-from hornbeamline.batching._room import ResultRoom
+from hornbeamline.batching._room import ResultRoom, RoomShare
 from hornbeamline.batching._types import Piece, PieceResult
 from hornbeamline.batching.const import (
     CALL_PATIENCE,
     CALL_PATIENCE_MIN_S,
+    FETCH_S,
     FULL_S,
     GATHER_S,
     MAX_PIECE_ATTEMPTS,
@@ -20,7 +21,6 @@
     RELEASE_GATHER_S,
     RELEASE_IDLE_S,
     REST_S,
-    ROOM_SHARE,
     SPEED_WEIGHT,
 )
 from hornbeamline.batching.errors import CallLostError, CallRefusedError
@@ -108,6 +108,7 @@
         self._slowness_by_target: dict[str, float] = {}
         # Time and number of pieces of the last calls.
         self._finished: deque[tuple[float, int]] = deque()
+        self._share = RoomShare()
         self._room_by_target: dict[str, ResultRoom] = {}
         self._released_by_address: dict[str, list[str]] = {}
         self._tasks = TaskSet()
@@ -226,7 +227,13 @@
         )
         for queued in chosen:
             queued.attempts += 1
-        outcome = 'done'
+        summary = 'done'
+        max_size = max(queued.result_bytes for queued in chosen)
+        fetched = asyncio.get_running_loop().call_later(
+            FETCH_S,
+            _note_fetched,
+            chosen,
+        )
         used_bytes = self._room_by_target[target.id].used(began)
         try:
             async with asyncio.timeout(patience_s):
@@ -236,19 +243,26 @@
                     [queued.expires_at - began for queued in chosen],
                 )
             self._settle(target, chosen, results)
+            self._share.note_call(
+                was_full=used_bytes > self._room_bytes - max_size,
+                had_room=all(
+                    outcome.failure != FAILURE_ROOM for outcome in results
+                ),
+            )
             self._finished.append((self._clock.monotonic(), len(chosen)))
-            outcome = _summary(results)
+            summary = _summary(results)
             self._note_speed(target, len(chosen), began)
         except CallRefusedError as error:
-            outcome = str(error)
+            summary = str(error)
             self._rest(target)
             self._queue_again(chosen, error.free)
         except (CallLostError, TimeoutError) as error:
-            outcome = repr(error)
+            summary = repr(error)
             self._note_speed(target, len(chosen), began)
             self._rest(target)
             self._queue_again(chosen, free=False)
         finally:
+            fetched.cancel()
             self._room_by_target[target.id].unreserve(_size_of(chosen))
             self._busy.discard(target.id)
             self._arrived.set()
@@ -261,7 +275,7 @@
             expected_s=expected_s,
             took_s=self._clock.monotonic() - began,
             used_bytes=used_bytes,
-            outcome=outcome,
+            outcome=summary,
         )
 
     def _settle(
@@ -321,7 +335,7 @@
 
     @property
     def _room_bytes(self) -> float:
-        return self._times.results_mb * _BYTES_PER_MB * ROOM_SHARE
+        return self._times.results_mb * _BYTES_PER_MB * self._share.share
 
     def _expected_s(self, pieces: int) -> float:
         return self._times.call_s + pieces * self._times.piece_s
@@ -348,6 +362,11 @@
         )
 
 
+def _note_fetched(chosen: Sequence[QueuedPiece]) -> None:
+    for queued in chosen:
+        queued.note_fetched()
+
+
 def _summary(results: Sequence[PieceResult]) -> str:
     failures = sorted(outcome.failure for outcome in results if outcome.failure)
     return ','.join(failures) or 'done'
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -23,8 +23,16 @@
 # while no piece waits for the space.
 RELEASE_GATHER_S: Final = 0.03
 RELEASE_IDLE_S: Final = 0.1
-# Results are larger or smaller than the configuration says.
-ROOM_SHARE: Final = 0.88
+# Results are larger or smaller than the configuration says. One refused
+# piece costs about as much as the space gained by ten full calls.
+ROOM_SHARE_START: Final = 0.9
+ROOM_SHARE_RISE: Final = 0.004
+ROOM_SHARE_FALL: Final = 0.03
+ROOM_SHARE_MIN: Final = 0.7
+ROOM_SHARE_MAX: Final = 1.0
+# An idle target fetches the inputs of a call at once; links carry the
+# largest inputs in some 10 ms.
+FETCH_S: Final = 0.06
 # A target that refused a piece for want of space is full for this long,
 # unless results are freed before.
 FULL_S: Final = 0.3
--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -153,6 +153,7 @@
         self._app.closes_connections = True
         log_event('entry.draining', in_progress=self._app.in_progress)
         await asyncio.sleep(BALANCER_WAIT_S)
+        self._app.refuses_streams = True
         left_s = self._stop_timeout_s - BALANCER_WAIT_S - _STOP_MARGIN_S
         while left_s > 0 and self._app.in_progress:
             await asyncio.sleep(_DRAIN_POLL_S)
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -23,6 +23,7 @@
     CallerRequest,
     Refusal,
     Route,
+    RouteKind,
 )
 from hornbeamline.gateway._wire import Wire
 from hornbeamline.gateway.errors import (
@@ -81,8 +82,8 @@
         self.in_progress = 0
         # Connections end with their next answer.
         self.closes_connections = False
-        # New requests are refused.
-        self.refuses = False
+        # New streams are refused: they would outlast the process.
+        self.refuses_streams = False
 
     def take_table(self, table: RoutingTable) -> None:
         """Serve new requests by a newer configuration."""
@@ -169,11 +170,11 @@
             raise RefusedError(
                 Refusal(_UNAVAILABLE, 'no configuration yet', _RETRY_AFTER_S),
             )
-        if self.refuses:
-            raise RefusedError(Refusal(_UNAVAILABLE, 'host stops', 0))
         route = table.find_route(request.host, request.path)
         if route is None:
             raise RefusedError(Refusal(_NOT_FOUND, 'no route'))
+        if self.refuses_streams and route.kind is RouteKind.STREAM:
+            raise RefusedError(Refusal(_UNAVAILABLE, 'host stops', 0))
         account = _account_of(table, route, request)
         deadline_at = _deadline_of(request, route)
         try:
@@ -262,7 +263,7 @@
                         results,
                         set(inputs),
                     ),
-                    on_first_event=lambda: self._stages.release_all(
+                    on_inputs_fetched=lambda: self._stages.release_all(
                         results,
                         job.route,
                     ),
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -31,6 +32,8 @@
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.telemetry import log_event
 
+# An engine that has a free slot fetches the inputs of a request at once.
+FETCH_S: Final = 0.1
 # Attempts that targets refuse before the request is refused.
 MAX_REFUSED_ATTEMPTS: Final = 3
 # Less time than this lets no target answer.
@@ -58,7 +61,7 @@
     inputs: list[str]
     input_bytes_by_data_centre: dict[str, int]
     # The target has fetched the inputs.
-    on_first_event: Callable[[], None]
+    on_inputs_fetched: Callable[[], None]
 
 
 class _WholeAnswer(NamedTuple):
@@ -190,6 +193,10 @@
             ),
         )
         self._picker.began(target)
+        fetched = asyncio.get_running_loop().call_later(
+            FETCH_S,
+            job.on_inputs_fetched,
+        )
         began = self._clock.monotonic()
         try:
             async with self._http.send(
@@ -202,6 +209,7 @@
                 attempts.head_s = self._clock.monotonic() - began
                 await self._take_answer(job, target, attempts, reply, response)
         finally:
+            fetched.cancel()
             self._picker.ended(target)
 
     async def _take_answer(
@@ -269,7 +277,7 @@
                 if not is_noted:
                     is_noted = True
                     attempts.first_event_s = self._clock.monotonic() - began
-                    job.on_first_event()
+                    job.on_inputs_fetched()
                     self._picker.note_prompt(target, job.request)
                 await self._pass_on(attempts, reply, event)
         if splitter.has_partial:
--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -27,6 +27,8 @@
     def __init__(self) -> None:
         """Start without results."""
         self.handles_by_stage: dict[int, list[str]] = {}
+        # Stages whose inputs their targets hold.
+        self.fetched: set[int] = set()
         self._released: set[int] = set()
 
     def unneeded(self, route: Route, request: CallerRequest) -> list[int]:
@@ -57,7 +59,7 @@
             if number in stage.after and _count(request, later)
         ]
         return bool(followers) and all(
-            later in self.handles_by_stage for later in followers
+            later in self.fetched for later in followers
         )
 
     def last_handles(self, route: Route) -> list[str]:
@@ -118,9 +120,9 @@
                     rank,
                     stage.result_bytes,
                 ),
+                lambda: self._note_fetched(outcome, route, request, number),
             )
-            for unneeded in outcome.unneeded(route, request):
-                self._release(outcome, route, unneeded)
+            self._note_fetched(outcome, route, request, number)
 
         try:
             async with asyncio.TaskGroup() as group:
@@ -137,6 +139,17 @@
         for number in tuple(outcome.handles_by_stage):
             self._release(outcome, route, number)
 
+    def _note_fetched(
+        self,
+        outcome: StageResults,
+        route: Route,
+        request: CallerRequest,
+        number: int,
+    ) -> None:
+        outcome.fetched.add(number)
+        for unneeded in outcome.unneeded(route, request):
+            self._release(outcome, route, unneeded)
+
     def _release(
         self,
         outcome: StageResults,
