Compute stages whose inputs hold space also when their request is late

Cause: late requests waited for their third stage behind those in time, while their results kept the targets of the second stage full; 131 inputs expired.

--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 
 from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
-from hornbeamline.batching.const import RANK_DELAY_S
+from hornbeamline.batching.const import MAX_HELD_SHARE, RANK_DELAY_S
 
 
 class QueuedPiece:
@@ -20,6 +20,7 @@
         self.expires_at = now + terms.expires_s
         self.rank = terms.rank
         self.result_bytes = terms.result_bytes
+        self.held_share = terms.held_share
         # Calls that included it.
         self.attempts = 0
         # Called once a target has fetched the inputs.
@@ -50,7 +51,8 @@
     pieces that can still be in time go first, the earliest due time
     leading, and a less urgent rank counts as due later. Pieces of requests
     that miss their aim anyway follow, so that late work never delays work
-    that is in time.
+    that is in time, unless their inputs take space at the targets before:
+    waiting there would stop those.
     """
 
     def __init__(self, pieces_per_call: int) -> None:
@@ -139,7 +141,7 @@
     queued: QueuedPiece,
     done_at: float,
 ) -> tuple[int, float, str, int]:
-    is_late = queued.due_at < done_at
+    is_late = queued.due_at < done_at and queued.held_share < MAX_HELD_SHARE
     due_at = queued.due_at + queued.rank * RANK_DELAY_S
     return (is_late, due_at, queued.piece.request_id, queued.piece.stage)
 
--- a/hornbeamline/batching/_types.py
+++ b/hornbeamline/batching/_types.py
@@ -36,3 +36,6 @@
     rank: int
     # Expected size of the result of one piece.
     result_bytes: int
+    # Share of the space of the targets before that the inputs take until
+    # the pieces are computed.
+    held_share: float = 0
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -39,6 +39,9 @@
 # Pieces of a less urgent rank count as due later by this time, so that
 # they wait first when the targets are busy and still get their turn.
 RANK_DELAY_S: Final = 0.4
+# Inputs that take more than this share of a target's space are used
+# without regard to whether the request is late.
+MAX_HELD_SHARE: Final = 0.05
 # Time over which the rate of finished pieces is taken.
 RATE_WINDOW_S: Final = 3.0
 # Smoothing of the speed of a target.
--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -19,6 +19,7 @@
 # Typical fill of a call and wait for a target, as a multiple of the time
 # of a half-filled call.
 _TYPICAL_LOAD: Final = 1.3
+_BYTES_PER_MB: Final = 1_000_000
 
 
 class StageResults:
@@ -119,6 +120,7 @@
                     deadline_at - now,
                     rank,
                     stage.result_bytes,
+                    _held_share(request, route, table, number),
                 ),
                 lambda: self._note_fetched(outcome, route, request, number),
             )
@@ -203,6 +205,23 @@
     ]
 
 
+def _held_share(
+    request: CallerRequest,
+    route: Route,
+    table: RoutingTable,
+    number: int,
+) -> float:
+    """Return the share of a target's space that the inputs take."""
+    shares = [0.0]
+    for earlier in route.stages[number].after:
+        stage = route.stages[earlier]
+        limits = _limits(table, stage.service)
+        if limits is not None and limits.results_mb:
+            held_bytes = _count(request, earlier) * stage.result_bytes
+            shares.append(held_bytes / (limits.results_mb * _BYTES_PER_MB))
+    return max(shares)
+
+
 def _limits(table: RoutingTable, service: str) -> BatchLimits | None:
     found = table.services_by_name.get(service)
     return None if found is None else found.batch
