--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -64,6 +64,14 @@
         """Return the number of queued pieces."""
         return len(self._queued)
 
+    def count_up_to(self, rank: int) -> int:
+        """Return the queued pieces of a rank and the more urgent ones."""
+        return sum(queued.rank <= rank for queued in self._queued)
+
+    def ranks(self) -> list[int]:
+        """Return the ranks of the queued pieces, most urgent first."""
+        return sorted({queued.rank for queued in self._queued})
+
     def add(self, pieces: Iterable[QueuedPiece]) -> None:
         """Queue pieces."""
         self._queued.extend(pieces)
--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -137,10 +137,10 @@
                 return outcomes
         return None
 
-    def waits_by_service(self) -> dict[str, float]:
-        """Return the waiting times of the queues that this host owns."""
+    def waits_by_service(self) -> dict[str, dict[int, float]]:
+        """Return the waits by rank of the queues that this host owns."""
         return {
-            service: worker.wait_s()
+            service: worker.waits_by_rank()
             for service, worker in self._workers_by_service.items()
             if self._owners(service)[0] == self._peering.name
         }
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -133,8 +133,19 @@
         self._queue.add(pieces)
         self._arrived.set()
 
-    def wait_s(self) -> float:
-        """Return how long a new piece waits before its call begins."""
+    def waits_by_rank(self) -> dict[int, float]:
+        """Return how long a new piece of each queued rank waits.
+
+        Pieces of a more urgent rank than all queued ones do not wait.
+        """
+        rate = self._rate()
+        return {
+            rank: round(self._queue.count_up_to(rank) / rate, 3)
+            for rank in self._queue.ranks()
+        }
+
+    def _rate(self) -> float:
+        """Return the pieces a second that the targets compute."""
         now = self._clock.monotonic()
         oldest = now - RATE_WINDOW_S
         while self._finished and self._finished[0][0] < oldest:
@@ -147,7 +158,7 @@
         # Without a backlog, the finished pieces say nothing of the speed.
         is_backlogged = queued > targets * batch
         rate = max(done / RATE_WINDOW_S, best_rate / 4)
-        return queued / (min(rate, best_rate) if is_backlogged else best_rate)
+        return min(rate, best_rate) if is_backlogged else best_rate
 
     def release(self, handles: Sequence[str]) -> None:
         """Free results soon."""
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -38,7 +38,7 @@
 FULL_S: Final = 0.3
 # Pieces of a less urgent rank count as due later by this time, so that
 # they wait first when the targets are busy and still get their turn.
-RANK_DELAY_S: Final = 0.4
+RANK_DELAY_S: Final = 1.0
 # Inputs that take more than this share of a target's space are used
 # without regard to whether the request is late.
 MAX_HELD_SHARE: Final = 0.05
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -179,10 +179,7 @@
             ROLE_ENTRY,
             settings.data_centre,
             self._picker.in_flight_by_target,
-            {
-                service: round(wait_s, 3)
-                for service, wait_s in self._batching.waits_by_service().items()
-            },
+            self._batching.waits_by_service(),
             self._drain.is_draining,
         )
 
@@ -195,11 +192,23 @@
             and presence.name != self._settings.name
         }
 
-    def _stage_waits(self) -> dict[str, float]:
-        """Return the longest known waiting time of each stage service."""
-        waits = self._batching.waits_by_service()
-        for presence in self._member.present():
-            for service, wait_s in presence.wait_s_by_service.items():
+    def _stage_waits(self, rank: int) -> dict[str, float]:
+        """Return the longest known wait of a rank at each stage service."""
+        published = [
+            self._batching.waits_by_service(),
+            *(
+                presence.waits_by_service
+                for presence in self._member.present()
+                if presence.name != self._settings.name
+            ),
+        ]
+        waits: dict[str, float] = {}
+        for waits_by_service in published:
+            for service, by_rank in waits_by_service.items():
+                wait_s = max(
+                    (by_rank[known] for known in by_rank if known <= rank),
+                    default=0,
+                )
                 waits[service] = max(waits.get(service, 0), wait_s)
         return waits
 
--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -17,8 +17,8 @@
     data_centre: str
     # Requests in progress at targets, by target id.
     in_flight_by_target: dict[str, int] = {}
-    # Waiting times of the stage queues that the process owns.
-    wait_s_by_service: dict[str, float] = {}
+    # Waiting times by rank of the stage queues that the process owns.
+    waits_by_service: dict[str, dict[int, float]] = {}
     # The process stops; it takes over no shared work any more.
     is_leaving: bool = False
 
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -40,6 +40,8 @@
 Send = Callable[[Any], Awaitable[None]]
 
 MAX_BODY_BYTES: Final = 4_194_304
+# Ranks of routes within one rank of accounts.
+ROUTE_RANKS: Final = 3
 # Times that the stages of a request are run when their results are lost.
 _MAX_STAGE_RUNS: Final = 2
 _RETRY_AFTER_S: Final = 1.0
@@ -64,7 +66,7 @@
         targets: TargetDirectory,
         forwarder: Forwarder,
         stages: StageRunner,
-        stage_waits: Callable[[], Mapping[str, float]],
+        stage_waits: Callable[[int], Mapping[str, float]],
         budget: RepeatBudget,
         clock: Clock,
         rng: random.Random,
@@ -203,9 +205,7 @@
         deadline_at: float,
         reply: Reply,
     ) -> None:
-        rank = route.rank
-        if account is not None and account.rank is not None:
-            rank = account.rank
+        rank = _rank_of(route, account)
         service = self._choose_service(route)
         self._budget.note_first(service)
         for stage in route.stages:
@@ -278,7 +278,7 @@
             job.request,
             job.route,
             table,
-            self._stage_waits(),
+            self._stage_waits(job.rank),
             self._clock.monotonic(),
         )
         if not verdict.is_admitted:
@@ -385,6 +385,13 @@
     return account
 
 
+def _rank_of(route: Route, account: Account | None) -> int:
+    """Return the rank of the account, then that of the route, as one."""
+    if account is None or account.rank is None:
+        return route.rank
+    return account.rank * ROUTE_RANKS + min(route.rank, ROUTE_RANKS - 1)
+
+
 def _deadline_of(request: CallerRequest, route: Route) -> float:
     bounds = [route.timeout_s]
     if request.patience_s is not None:
