--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -7,7 +7,11 @@
 from collections.abc import Callable, Iterable
 
 from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
-from hornbeamline.batching.const import MAX_HELD_SHARE, RANK_DELAY_S
+from hornbeamline.batching.const import (
+    MAX_HELD_SHARE,
+    MAX_PASSED,
+    RANK_DELAY_S,
+)
 
 
 class QueuedPiece:
@@ -23,6 +27,8 @@
         self.held_share = terms.held_share
         # Calls that included it.
         self.attempts = 0
+        # Calls that its group did not fit into.
+        self.passed = 0
         # Called once a target has fetched the inputs.
         self.on_fetched: Callable[[], None] | None = None
         self.outcome: asyncio.Future[PieceResult] | None = None
@@ -125,16 +131,24 @@
         """Return the most urgent groups that fit into a call as a whole.
 
         A stage of a request is done with its last piece, so splitting it
-        over two calls keeps the results of the first call waiting.
+        over two calls keeps the results of the first call waiting. A group
+        is split when it is too large for a call, or when smaller groups
+        have passed it several times.
         """
         chosen: list[QueuedPiece] = []
         for _, members in itertools.groupby(self._queued, key=_group_of):
             group = list(members)
             slots = self.pieces_per_call - len(chosen)
             fitting = _fitting(group, slots, room_bytes)
-            if len(fitting) == len(group):
+            is_split = (
+                len(group) > self.pieces_per_call
+                or group[0].passed >= MAX_PASSED
+            )
+            if is_split or len(fitting) == len(group):
                 chosen.extend(fitting)
                 room_bytes -= _size_of(fitting)
+            else:
+                group[0].passed += 1
         return chosen
 
     def _part_of_first(self, room_bytes: float) -> list[QueuedPiece]:
--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -24,7 +24,11 @@
     CallTarget,
     FreeResults,
 )
-from hornbeamline.batching.const import LINK_GRACE_S, OWNER_CHECK_S
+from hornbeamline.batching.const import (
+    LINK_GRACE_S,
+    OWNER_CHECK_S,
+    REPLY_MARGIN_S,
+)
 from hornbeamline.batching.errors import PiecesFailedError
 from hornbeamline.core import TaskSet
 from hornbeamline.exceptions import PeeringError
@@ -192,7 +196,7 @@
                 owner,
                 request,
                 PiecesDone,
-                request.terms.expires_s,
+                request.terms.expires_s + REPLY_MARGIN_S,
             ),
         )
         began = self._clock.monotonic()
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -42,6 +42,10 @@
 # Inputs that take more than this share of a target's space are used
 # without regard to whether the request is late.
 MAX_HELD_SHARE: Final = 0.05
+# Calls that may pass a group of pieces which they have no space for.
+MAX_PASSED: Final = 20
+# The owner answers with what it has at the time of expiry.
+REPLY_MARGIN_S: Final = 0.3
 # Time over which the rate of finished pieces is taken.
 RATE_WINDOW_S: Final = 3.0
 # Smoothing of the speed of a target.
--- a/hornbeamline/gateway/_admission.py
+++ b/hornbeamline/gateway/_admission.py
@@ -12,9 +12,9 @@
 # Time that an engine takes to the first event of an average prompt.
 _ENGINE_START_S: Final = 0.3
 # A request that will be late is admitted only if it needs no more than
-# this share of the time that its caller has: work that is in time goes
-# first, so its own wait is the least certain.
-_LATE_SHARE: Final = 0.6
+# this share of the time between its aim and the moment at which its caller
+# leaves: work that is in time goes first, so its own wait is uncertain.
+_LATE_SHARE: Final = 0.3
 
 
 class Verdict(NamedTuple):
@@ -46,8 +46,8 @@
     limit_s = min(route.timeout_s, route.first_event_patience_s)
     if request.patience_s is not None:
         limit_s = min(limit_s, request.patience_s)
-    is_in_time = expected_s <= route.aim_s
-    allowed_s = limit_s if is_in_time else limit_s * _LATE_SHARE
+    spare_s = max(limit_s - route.aim_s, 0)
+    allowed_s = min(route.aim_s + spare_s * _LATE_SHARE, limit_s)
     return Verdict(
         expected_s <= allowed_s,
         expected_s,
--- a/tests/batching/test_queue.py
+++ b/tests/batching/test_queue.py
@@ -122,3 +122,25 @@
     assert room.is_full(1)
     room.free(['a'])
     assert not room.is_full(1)
+
+
+def test_large_requests_are_not_starved_by_small_ones() -> None:
+    """Load: a burst of small requests beside one that fills no call whole."""
+    queue = BatchQueue(5)
+    queue.add(pieces('large', 8, due_s=3, size=800))
+    taken = []
+    for number in range(8):
+        queue.add(pieces(f'small{number}', 2, due_s=9, size=800))
+        taken += requests_of(queue.take(0, 0.5, 4000))
+    assert taken.count('large') == 8
+
+
+def test_request_that_never_fits_the_space_is_split_in_the_end() -> None:
+    """Load: targets whose space small requests keep nearly full."""
+    queue = BatchQueue(5)
+    queue.add(pieces('medium', 4, due_s=3, size=800))
+    taken = []
+    for number in range(8):
+        queue.add(pieces(f'small{number}', 1, due_s=9, size=800))
+        taken += requests_of(queue.take(0, 0.5, 2000))
+    assert taken.count('medium') == 4
