--- a/hornbeamline/batching/_messages.py
+++ b/hornbeamline/batching/_messages.py
@@ -24,6 +24,22 @@
     outcomes: list[PieceResult]
 
 
+@message('batching.ask')
+class AskStage(NamedTuple):
+    """Asks an owner whether it still works on pieces."""
+
+    request_id: str
+    stage: int
+
+
+@message('batching.ask_reply')
+class StageState(NamedTuple):
+    """What an owner knows of pieces; outcomes once they are computed."""
+
+    is_known: bool
+    outcomes: list[PieceResult]
+
+
 @message('batching.release')
 class ReleaseResults(NamedTuple):
     """Nobody needs these results any more."""
--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
 from hornbeamline.batching._messages import (
+    AskStage,
     CancelRequest,
     InputsFetched,
     PiecesDone,
     ReleaseResults,
+    StageState,
     SubmitPieces,
 )
 from hornbeamline.batching._ownership import owners_of
 from hornbeamline.batching._queue import QueuedPiece
+from hornbeamline.batching._remote import OwnerClient
 from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
 from hornbeamline.batching._worker import (
     FAILURE_GONE,
@@ -24,14 +28,8 @@
     CallTarget,
     FreeResults,
 )
-from hornbeamline.batching.const import (
-    LINK_GRACE_S,
-    OWNER_CHECK_S,
-    REPLY_MARGIN_S,
-)
-from hornbeamline.batching.errors import PiecesFailedError
+from hornbeamline.batching.errors import PiecesFailedError, UnknownServiceError
 from hornbeamline.core import TaskSet
-from hornbeamline.exceptions import PeeringError
 from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.peering import Peering
@@ -40,7 +38,10 @@
 _LINK_INTERVAL_S: Final = 0.5
 # Hosts to which a link is kept for each service: owner and successor.
 _LINKED_OWNERS: Final = 2
-_MAX_OWNERS_TRIED: Final = 3
+_MAX_TRIES_OF_OWNER: Final = 2
+_MAX_TRIES: Final = 5
+# Outcomes are kept for a reply that is lost on its way.
+_KEEP_OUTCOMES_S: Final = 3.0
 
 
 class BatchingService:
@@ -68,12 +69,17 @@
         self._call = call
         self._free = free
         self._budget = budget
+        self._owner_client = OwnerClient(peering)
+        # Pieces of other hosts: none while they are computed, then the
+        # outcomes.
+        self._outcomes_by_stage: dict[tuple[str, int], list[PieceResult]] = {}
         self._times_by_service: dict[str, BatchTimes] = {}
         self._workers_by_service: dict[str, BatchWorker] = {}
         # Called when targets hold the inputs of a stage of a request.
         self._fetched_by_stage: dict[tuple[str, int], Callable[[], None]] = {}
         self._tasks = TaskSet()
         peering.on(SubmitPieces, self._on_submit)
+        peering.on(AskStage, self._on_ask)
         peering.on(CancelRequest, self._on_cancel)
         peering.on(ReleaseResults, self._on_release)
         peering.on(InputsFetched, self._on_fetched)
@@ -128,7 +134,11 @@
         terms: PieceTerms,
         started: float,
     ) -> list[PieceResult] | None:
-        for owner in self._owners(service)[:_MAX_OWNERS_TRIED]:
+        # An owner that lost the pieces by a restart gets them again.
+        tried: Counter[str] = Counter()
+        for _ in range(_MAX_TRIES):
+            owner = self._next_owner(service, tried)
+            tried[owner] += 1
             spent_s = self._clock.monotonic() - started
             left = terms._replace(
                 due_s=terms.due_s - spent_s,
@@ -141,6 +151,14 @@
                 return outcomes
         return None
 
+    def _next_owner(self, service: str, tried: Counter[str]) -> str:
+        """Return the first owner that was tried least, this host at last."""
+        owners = self._owners(service)[:_LINKED_OWNERS]
+        for owner in owners:
+            if tried[owner] < _MAX_TRIES_OF_OWNER:
+                return owner
+        return self._peering.name
+
     def waits_by_service(self) -> dict[str, dict[int, float]]:
         """Return the waits by rank of the queues that this host owns."""
         return {
@@ -177,59 +195,20 @@
                     terms,
                     self._note_fetched,
                 )
-            return await self._ask_other(
+            address = self._hosts().get(owner)
+            if address is None:
+                return None
+            self._peering.add_peer(owner, address)
+            return await self._owner_client.compute(
                 owner,
                 SubmitPieces(service, pieces, terms),
             )
+        except UnknownServiceError:
+            return None
         except asyncio.CancelledError:
             self._cancel(owner, service, pieces[0].request_id)
             raise
 
-    async def _ask_other(
-        self,
-        owner: str,
-        request: SubmitPieces,
-    ) -> list[PieceResult] | None:
-        self._peering.add_peer(owner, self._hosts()[owner])
-        call = asyncio.ensure_future(
-            self._peering.call(
-                owner,
-                request,
-                PiecesDone,
-                request.terms.expires_s + REPLY_MARGIN_S,
-            ),
-        )
-        began = self._clock.monotonic()
-        try:
-            while not call.done():
-                await asyncio.wait({call}, timeout=OWNER_CHECK_S)
-                age_s = self._clock.monotonic() - began
-                if age_s > LINK_GRACE_S and not self._peering.is_alive(owner):
-                    break
-            if call.done():
-                return call.result().outcomes
-        except PeeringError as error:
-            self._log_lost_owner(owner, request, str(error))
-            return None
-        finally:
-            call.cancel()
-        self._log_lost_owner(owner, request, 'silent')
-        return None
-
-    def _log_lost_owner(
-        self,
-        owner: str,
-        request: SubmitPieces,
-        reason: str,
-    ) -> None:
-        log_event(
-            'batching.owner_lost',
-            request=request.pieces[0].request_id,
-            service=request.service,
-            owner=owner,
-            reason=reason,
-        )
-
     async def _compute_here(
         self,
         service: str,
@@ -239,7 +218,8 @@
     ) -> list[PieceResult]:
         worker = self._worker(service)
         if worker is None:
-            return [PieceResult(failure='unknown service') for _ in pieces]
+            # This process has just started; another owner knows more.
+            raise UnknownServiceError(service)
         now = self._clock.monotonic()
         loop = asyncio.get_running_loop()
         queued = [QueuedPiece(piece, terms, now) for piece in pieces]
@@ -308,14 +288,32 @@
         sender: str,
         request: SubmitPieces,
     ) -> PiecesDone:
-        return PiecesDone(
-            await self._compute_here(
+        first = request.pieces[0]
+        key = (first.request_id, first.stage)
+        self._outcomes_by_stage[key] = []
+        try:
+            outcomes = await self._compute_here(
                 request.service,
                 request.pieces,
                 request.terms,
                 lambda fetched: self._peering.send(sender, fetched),
-            ),
+            )
+        except UnknownServiceError:
+            self._outcomes_by_stage.pop(key, None)
+            raise
+        self._outcomes_by_stage[key] = outcomes
+        asyncio.get_running_loop().call_later(
+            _KEEP_OUTCOMES_S,
+            self._outcomes_by_stage.pop,
+            key,
+            None,
         )
+        return PiecesDone(outcomes)
+
+    async def _on_ask(self, _sender: str, question: AskStage) -> StageState:
+        key = (question.request_id, question.stage)
+        outcomes = self._outcomes_by_stage.get(key)
+        return StageState(outcomes is not None, outcomes or [])
 
     async def _on_fetched(self, _sender: str, fetched: InputsFetched) -> None:
         self._note_fetched(fetched)
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -15,10 +15,11 @@
 REST_S: Final = 2.0
 # Calls that may include a piece before it counts as failed.
 MAX_PIECE_ATTEMPTS: Final = 3
-# An owner that is silent for this long is taken for dead.
-OWNER_CHECK_S: Final = 0.1
-# Time in which a new link must prove itself.
-LINK_GRACE_S: Final = 0.8
+# Owners are asked whether they still work on pieces; an owner that misses
+# this many questions in a row is taken for lost, after 1.2 s at most.
+ASK_INTERVAL_S: Final = 0.3
+ASK_TIMEOUT_S: Final = 0.3
+MAX_MISSED_ANSWERS: Final = 2
 # Releases wait this long for others at the same target, and much longer
 # while no piece waits for the space.
 RELEASE_GATHER_S: Final = 0.03
--- a/hornbeamline/batching/errors.py
+++ b/hornbeamline/batching/errors.py
@@ -21,6 +21,10 @@
     """The outcome of a call is not known."""
 
 
+class UnknownServiceError(BatchingError):
+    """This process does not know the service."""
+
+
 class PiecesFailedError(BatchingError):
     """Pieces could not be computed.
 
--- a/tests/batching/test_queue.py
+++ b/tests/batching/test_queue.py
@@ -4,6 +4,7 @@
 
 from hornbeamline.batching import BatchQueue, Piece, PieceTerms, QueuedPiece
 from hornbeamline.batching._room import ResultRoom
+from hornbeamline.batching.const import MAX_PASSED
 
 NO_LIMIT = 1e9
 
@@ -140,7 +141,7 @@
     queue = BatchQueue(5)
     queue.add(pieces('medium', 4, due_s=3, size=800))
     taken = []
-    for number in range(8):
+    for number in range(MAX_PASSED + 8):
         queue.add(pieces(f'small{number}', 1, due_s=9, size=800))
         taken += requests_of(queue.take(0, 0.5, 2000))
     assert taken.count('medium') == 4
--- /dev/null
+++ b/tests/batching/test_service.py
@@ -0,0 +1,213 @@
+"""Pieces are computed although owners, calls and replies are lost."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+import pytest
+
+from hornbeamline.batching import (
+    BatchingService,
+    CallLostError,
+    Piece,
+    PieceResult,
+    PiecesFailedError,
+    PieceTerms,
+)
+from hornbeamline.batching._ownership import owners_of
+from hornbeamline.helpers.budget import BudgetSettings, RepeatBudget
+from tests.local_network import LocalNetwork
+from tests.replog.group import LoopClock
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+SERVICE = 'stage'
+HOSTS = [f'host-{number}' for number in range(4)]
+OWNERS = owners_of(SERVICE, HOSTS)
+# A caller notices a lost owner well within this time, in seconds.
+NOTICED_S = 1.6
+CALL_S = 0.3
+
+
+class Times(NamedTuple):
+    """Limits of the service."""
+
+    pieces_per_call: int = 8
+    call_s: float = CALL_S
+    piece_s: float = 0.0
+    results_mb: float = 1.0
+    result_ttl_s: float = 4.0
+
+
+class FakeTarget(NamedTuple):
+    """A target of the service."""
+
+    id: str
+
+
+class FakeTargets:
+    """Targets that take `CALL_S` a call and can lose calls."""
+
+    def __init__(self, count: int = 2) -> None:
+        self.targets = [FakeTarget(f't{number}') for number in range(count)]
+        self.losing: set[str] = set()
+        self.calls: list[tuple[str, list[Piece]]] = []
+        self.freed: list[str] = []
+
+    async def call(
+        self,
+        target: Any,
+        pieces: Sequence[Piece],
+        left_s: Sequence[float],
+    ) -> list[PieceResult]:
+        """Compute pieces, or lose the call."""
+        self.calls.append((target.id, list(pieces)))
+        await asyncio.sleep(CALL_S)
+        if target.id in self.losing:
+            raise CallLostError('reset')
+        return [
+            PieceResult(f'{target.id}/{piece.request_id}-{piece.number}')
+            for piece in pieces
+        ]
+
+    async def free(self, address: str, handles: Sequence[str]) -> None:
+        """Note the freed results."""
+        self.freed.extend(handles)
+
+
+class FakeFleet:
+    """Entry hosts of one network."""
+
+    def __init__(self) -> None:
+        self.network = LocalNetwork(random.Random(1))
+        self.targets = FakeTargets()
+        self.services: dict[str, BatchingService] = {}
+        self.present = set(HOSTS)
+
+    async def start(self, name: str, *, knows_service: bool = True) -> None:
+        """Start a host, or start it again without what it knew."""
+        clock = LoopClock()
+        service = BatchingService(
+            self.network.endpoint(name),
+            clock,
+            lambda: dict.fromkeys(self.present - {name}, 'x'),
+            lambda _service: self.targets.targets,
+            self.targets.call,
+            self.targets.free,
+            RepeatBudget(BudgetSettings(0.2, 10, 64), clock),
+        )
+        self.services[name] = service
+        if knows_service:
+            service.update({SERVICE: Times()})
+        await service.start()
+
+    def compute(self, host: str, count: int = 3) -> asyncio.Future[list[str]]:
+        """Submit pieces of a request at a host."""
+        pieces = [Piece('r1', 0, number, 'k', []) for number in range(count)]
+        return asyncio.ensure_future(
+            self.services[host].compute(
+                SERVICE,
+                pieces,
+                PieceTerms(2.0, 8.0, 0, 1000),
+                lambda: None,
+            ),
+        )
+
+
+@pytest.fixture
+async def fleet():
+    started = FakeFleet()
+    for name in HOSTS:
+        await started.start(name)
+    yield started
+    for service in started.services.values():
+        await service.stop()
+
+
+async def test_pieces_of_all_hosts_share_calls(fleet) -> None:
+    """Load: hosts with one piece each fill one call together."""
+    works = [
+        asyncio.ensure_future(
+            fleet.services[host].compute(
+                SERVICE,
+                [Piece(f'r-{host}', 0, 0, 'k', [])],
+                PieceTerms(2.0, 8.0, 0, 1000),
+                lambda: None,
+            ),
+        )
+        for host in HOSTS
+    ]
+    await asyncio.gather(*works)
+    assert [len(pieces) for _, pieces in fleet.targets.calls] == [4]
+
+
+async def test_killed_owner_is_replaced_in_time(fleet) -> None:
+    """Fault: the owner dies while it computes."""
+    work = fleet.compute(OWNERS[2])
+    await asyncio.sleep(0.1)
+    fleet.network.endpoints_by_name[OWNERS[0]].close()
+    async with asyncio.timeout(NOTICED_S):
+        assert len(await work) == 3
+
+
+async def test_restarted_owner_gets_the_pieces_again(fleet) -> None:
+    """Fault: the owner is back before anybody missed it."""
+    work = fleet.compute(OWNERS[2])
+    await asyncio.sleep(0.1)
+    fleet.network.endpoints_by_name[OWNERS[0]].close()
+    await fleet.services[OWNERS[0]].stop()
+    await fleet.start(OWNERS[0])
+    async with asyncio.timeout(NOTICED_S):
+        assert len(await work) == 3
+
+
+async def test_owner_without_configuration_is_passed_over(fleet) -> None:
+    """Fault: the owner has restarted and knows no service yet."""
+    fleet.network.endpoints_by_name[OWNERS[0]].close()
+    await fleet.start(OWNERS[0], knows_service=False)
+    async with asyncio.timeout(NOTICED_S):
+        assert len(await fleet.compute(OWNERS[2])) == 3
+
+
+async def test_owner_that_vanishes_from_the_directory(fleet) -> None:
+    """Fault: the list of hosts changes while a request runs."""
+    fleet.present.discard(OWNERS[0])
+    assert len(await fleet.compute(OWNERS[2])) == 3
+
+
+async def test_lost_call_is_repeated_at_another_target(fleet) -> None:
+    """Fault: a target resets its connections."""
+    fleet.targets.losing = {'t0'}
+    handles = await fleet.compute(OWNERS[2])
+    assert all(handle.startswith('t1/') for handle in handles)
+
+
+async def test_pieces_fail_when_no_target_answers(fleet) -> None:
+    """Fault: all targets lose their calls; the caller hears of it."""
+    fleet.targets.losing = {'t0', 't1'}
+    with pytest.raises(PiecesFailedError):
+        async with asyncio.timeout(8.5):
+            await fleet.compute(OWNERS[2])
+
+
+async def test_cancelled_request_leaves_the_queue(fleet) -> None:
+    """A caller that leaves needs no more calls."""
+    fleet.targets.targets = []
+    work = fleet.compute(OWNERS[2])
+    await asyncio.sleep(0.2)
+    work.cancel()
+    await asyncio.sleep(0.2)
+    fleet.targets.targets = [FakeTarget('t0')]
+    await asyncio.sleep(1)
+    assert not fleet.targets.calls
+
+
+async def test_released_results_are_freed(fleet) -> None:
+    """Space for results is given back by the owner."""
+    handles = await fleet.compute(OWNERS[2])
+    fleet.services[OWNERS[2]].release(SERVICE, handles)
+    await asyncio.sleep(1)
+    assert sorted(fleet.targets.freed) == sorted(handles)
