Finish stages that have begun first; free the results of failed stages

Cause: parts of large stages held the space of their targets while newer requests went first (targets idle with 74 pieces queued), and results of stages whose caller had left were never freed.

--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -29,6 +29,8 @@
         self.attempts = 0
         # Calls that its group did not fit into.
         self.passed = 0
+        # Other pieces of its group hold space until it is computed.
+        self.is_begun = False
         # Called once a target has fetched the inputs.
         self.on_fetched: Callable[[], None] | None = None
         self.outcome: asyncio.Future[PieceResult] | None = None
@@ -58,7 +60,8 @@
     leading, and a less urgent rank counts as due later. Pieces of requests
     that miss their aim anyway follow, so that late work never delays work
     that is in time, unless their inputs take space at the targets before:
-    waiting there would stop those.
+    waiting there would stop those. The rest of a stage that has begun goes
+    before all others, since its first results take space until then.
     """
 
     def __init__(self, pieces_per_call: int) -> None:
@@ -82,15 +85,18 @@
         """Queue pieces."""
         self._queued.extend(pieces)
 
-    def drop_request(self, request_id: str) -> int:
-        """Forget the pieces of a request; return how many there were."""
-        kept = [
+    def drop_request(self, request_id: str) -> list[QueuedPiece]:
+        """Remove and return the pieces of a request."""
+        dropped = [
+            queued
+            for queued in self._queued
+            if queued.piece.request_id == request_id
+        ]
+        self._queued = [
             queued
             for queued in self._queued
             if queued.piece.request_id != request_id
         ]
-        dropped = len(self._queued) - len(kept)
-        self._queued = kept
         return dropped
 
     def drop_expired(self, now: float) -> list[QueuedPiece]:
@@ -125,8 +131,15 @@
         self._queued = [
             queued for queued in self._queued if id(queued) not in taken
         ]
+        self._note_begun(chosen)
         return chosen
 
+    def _note_begun(self, chosen: list[QueuedPiece]) -> None:
+        """Let the rest of the chosen groups go first from now on."""
+        begun = {_group_of(queued) for queued in chosen}
+        for queued in self._queued:
+            queued.is_begun = queued.is_begun or _group_of(queued) in begun
+
     def _whole_groups(self, room_bytes: float) -> list[QueuedPiece]:
         """Return the most urgent groups that fit into a call as a whole.
 
@@ -143,6 +156,7 @@
             is_split = (
                 len(group) > self.pieces_per_call
                 or group[0].passed >= MAX_PASSED
+                or group[0].is_begun
             )
             if is_split or len(fitting) == len(group):
                 chosen.extend(fitting)
@@ -162,10 +176,16 @@
 def _urgency(
     queued: QueuedPiece,
     done_at: float,
-) -> tuple[int, float, str, int]:
+) -> tuple[bool, bool, float, str, int]:
     is_late = queued.due_at < done_at and queued.held_share < MAX_HELD_SHARE
     due_at = queued.due_at + queued.rank * RANK_DELAY_S
-    return (is_late, due_at, queued.piece.request_id, queued.piece.stage)
+    return (
+        not queued.is_begun,
+        is_late,
+        due_at,
+        queued.piece.request_id,
+        queued.piece.stage,
+    )
 
 
 def _fitting(
--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -42,6 +42,8 @@
 _MAX_TRIES: Final = 5
 # Outcomes are kept for a reply that is lost on its way.
 _KEEP_OUTCOMES_S: Final = 3.0
+# No call with pieces of a request lasts longer than this.
+_KEEP_LEFT_S: Final = 10.0
 
 
 class BatchingService:
@@ -70,6 +72,8 @@
         self._free = free
         self._budget = budget
         self._owner_client = OwnerClient(peering)
+        # Requests of other hosts whose callers have left.
+        self._left_requests: set[str] = set()
         # Pieces of other hosts: none while they are computed, then the
         # outcomes.
         self._outcomes_by_stage: dict[tuple[str, int], list[PieceResult]] = {}
@@ -236,11 +240,20 @@
             entry.outcome = loop.create_future()
             entry.on_fetched = on_fetched
         worker.submit(queued)
-        return list(
-            await asyncio.gather(
-                *(entry.outcome for entry in queued if entry.outcome),
-            ),
-        )
+        try:
+            outcomes = list(
+                await asyncio.gather(
+                    *(entry.outcome for entry in queued if entry.outcome),
+                ),
+            )
+        except asyncio.CancelledError:
+            worker.release(_handles_so_far(queued))
+            raise
+        # A stage is of use as a whole only, and while its caller waits.
+        has_left = pieces[0].request_id in self._left_requests
+        if has_left or any(outcome.failure for outcome in outcomes):
+            worker.release(_handles_so_far(queued))
+        return outcomes
 
     def _worker(self, service: str) -> BatchWorker | None:
         worker = self._workers_by_service.get(service)
@@ -330,6 +343,12 @@
             worker.release(request.handles)
 
     async def _on_cancel(self, _sender: str, request: CancelRequest) -> None:
+        self._left_requests.add(request.request_id)
+        asyncio.get_running_loop().call_later(
+            _KEEP_LEFT_S,
+            self._left_requests.discard,
+            request.request_id,
+        )
         self._cancel(
             self._peering.name,
             request.service,
@@ -337,6 +356,17 @@
         )
 
 
+def _handles_so_far(queued: list[QueuedPiece]) -> list[str]:
+    outcomes = [
+        entry.outcome.result()
+        for entry in queued
+        if entry.outcome is not None
+        and entry.outcome.done()
+        and not entry.outcome.cancelled()
+    ]
+    return [outcome.handle for outcome in outcomes if outcome.handle]
+
+
 def _handles(service: str, outcomes: list[PieceResult]) -> list[str]:
     failures = {outcome.failure for outcome in outcomes if outcome.failure}
     if failures:
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -175,8 +175,10 @@
                 'batching.cancelled',
                 request=request_id,
                 service=self.service,
-                pieces=dropped,
+                pieces=len(dropped),
             )
+        for queued in dropped:
+            queued.settle(PieceResult(failure=FAILURE_LATE))
 
     async def _run(self) -> None:
         while True:
@@ -238,6 +240,7 @@
         )
         for queued in chosen:
             queued.attempts += 1
+            queued.is_begun = True
         summary = 'done'
         max_size = max(queued.result_bytes for queued in chosen)
         fetched = asyncio.get_running_loop().call_later(
--- a/tests/batching/test_queue.py
+++ b/tests/batching/test_queue.py
@@ -95,7 +95,7 @@
     queue = BatchQueue(3)
     queue.add(pieces('left', 2))
     queue.add(pieces('stays', 1))
-    assert queue.drop_request('left') == 2
+    assert len(queue.drop_request('left')) == 2
     assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['stays']
 
 
@@ -145,3 +145,12 @@
         queue.add(pieces(f'small{number}', 1, due_s=9, size=800))
         taken += requests_of(queue.take(0, 0.5, 2000))
     assert taken.count('medium') == 4
+
+
+def test_rest_of_a_begun_stage_goes_before_newer_requests() -> None:
+    """Load: a burst keeps every target's space full with first parts."""
+    queue = BatchQueue(3)
+    queue.add(pieces('large', 4, due_s=5))
+    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['large'] * 3
+    queue.add(pieces('newer', 3, due_s=1))
+    assert requests_of(queue.take(0, 0.5, NO_LIMIT))[0] == 'large'
--- a/tests/batching/test_service.py
+++ b/tests/batching/test_service.py
@@ -211,3 +211,14 @@
     fleet.services[OWNERS[2]].release(SERVICE, handles)
     await asyncio.sleep(1)
     assert sorted(fleet.targets.freed) == sorted(handles)
+
+
+async def test_results_of_a_failed_stage_are_freed(fleet) -> None:
+    """Space: some pieces are computed when the caller leaves."""
+    fleet.targets.targets = [FakeTarget('t0')]
+    work = fleet.compute(OWNERS[2], count=12)
+    await asyncio.sleep(CALL_S * 1.5)
+    work.cancel()
+    await asyncio.sleep(2)
+    computed = sum(len(called) for _, called in fleet.targets.calls)
+    assert len(fleet.targets.freed) == computed
