--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -27,6 +27,7 @@
     MayHaveRunError,
     NotRunError,
     RefusedError,
+    TargetGoneError,
 )
 from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
@@ -129,6 +130,8 @@
                 self._log_attempt(job, target, attempts, 'not_run', error)
                 if isinstance(error, InputsGoneError):
                     raise
+                if isinstance(error, TargetGoneError):
+                    self._picker.avoid(target)
             except MayHaveRunError as error:
                 attempts.sent += 1
                 attempts.reason = str(error)
@@ -226,6 +229,8 @@
         if head.not_run or head.wrong_target:
             if head.status == _HTTP_CONFLICT:
                 raise InputsGoneError(f'{target.id}: inputs are gone')
+            if head.wrong_target:
+                raise TargetGoneError(f'{target.id}: another target answers')
             raise NotRunError(f'{target.id}: status {head.status}')
         _check_head(job, target, head)
         is_stream = job.route.kind is RouteKind.STREAM
--- a/hornbeamline/gateway/_http.py
+++ b/hornbeamline/gateway/_http.py
@@ -12,7 +12,7 @@
 import yarl
 from aiohttp.client_proto import ResponseHandler
 
-from hornbeamline.gateway.errors import MayHaveRunError, NotRunError
+from hornbeamline.gateway.errors import MayHaveRunError, TargetGoneError
 from hornbeamline.targets import GuardedConnector, SendProgress, sending
 
 # Covers a lost packet of the handshake, which is sent again after 1 s only
@@ -119,7 +119,7 @@
     ) -> AsyncIterator[TargetResponse]:
         """Send a request and yield the answer once its head is there.
 
-        Raises `NotRunError` when nothing was sent, `MayHaveRunError`
+        Raises `TargetGoneError` when nothing was sent, `MayHaveRunError`
         otherwise. The caller bounds the time.
         """
         assert self._session is not None
@@ -165,4 +165,4 @@
 def _converted(error: Exception, progress: SendProgress) -> Exception:
     if progress.may_be_sent:
         return MayHaveRunError(repr(error))
-    return NotRunError(repr(error))
+    return TargetGoneError(repr(error))
--- a/hornbeamline/gateway/_picker.py
+++ b/hornbeamline/gateway/_picker.py
@@ -114,6 +114,13 @@
         )
         return count >= EJECT_AFTER
 
+    def avoid(self, target: Target) -> None:
+        """Give a target that is not there no work for a while."""
+        self._failures_by_target[target.id] = _Failures(
+            EJECT_AFTER,
+            self._clock.monotonic(),
+        )
+
     def succeeded(self, target: Target) -> None:
         """Forget earlier failures of a target."""
         self._failures_by_target.pop(target.id, None)
--- a/hornbeamline/gateway/errors.py
+++ b/hornbeamline/gateway/errors.py
@@ -19,6 +19,10 @@
     """An attempt ended and the target provably did not run it."""
 
 
+class TargetGoneError(NotRunError):
+    """The target accepts no connection, or another one has its address."""
+
+
 class InputsGoneError(NotRunError):
     """A target no longer finds the results that the request needs."""
 
--- a/tests/gateway/test_picker.py
+++ b/tests/gateway/test_picker.py
@@ -93,3 +93,11 @@
     request = make_request(prompt=())
     choice = Wish(request, {'dc-1': 4_000_000}, ())
     assert picker.pick_engine([far, near], choice).id == 'near'
+
+
+def test_crashed_target_is_avoided_at_once(picker, clock) -> None:
+    """Fault: a target refuses connections while the list still names it."""
+    picker.avoid(TARGETS[1])
+    assert 't1' not in {picker.pick(TARGETS, wish()).id for _ in range(40)}
+    clock.advance(EJECT_S + 0.1)
+    assert 't1' in {picker.pick(TARGETS, wish()).id for _ in range(60)}
