--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -72,6 +72,9 @@
         self._free = free
         self._budget = budget
         self._owner_client = OwnerClient(peering)
+        # The process stops: other hosts own all services from now on.
+        self.is_leaving = False
+        self._computing_for_others = 0
         # Requests of other hosts whose callers have left.
         self._left_requests: set[str] = set()
         # Pieces of other hosts: none while they are computed, then the
@@ -163,6 +166,11 @@
                 return owner
         return self._peering.name
 
+    @property
+    def computing_for_others(self) -> int:
+        """Return the stages of other hosts that are not done."""
+        return self._computing_for_others
+
     def waits_by_service(self) -> dict[str, dict[int, float]]:
         """Return the waits by rank of the queues that this host owns."""
         return {
@@ -285,7 +293,10 @@
             worker.cancel(request_id)
 
     def _owners(self, service: str) -> list[str]:
-        return owners_of(service, {*self._hosts(), self._peering.name})
+        hosts = set(self._hosts())
+        if not (self.is_leaving and hosts):
+            hosts.add(self._peering.name)
+        return owners_of(service, hosts)
 
     async def _keep_links(self) -> None:
         while True:
@@ -304,6 +315,7 @@
         first = request.pieces[0]
         key = (first.request_id, first.stage)
         self._outcomes_by_stage[key] = []
+        self._computing_for_others += 1
         try:
             outcomes = await self._compute_here(
                 request.service,
@@ -314,6 +326,8 @@
         except UnknownServiceError:
             self._outcomes_by_stage.pop(key, None)
             raise
+        finally:
+            self._computing_for_others -= 1
         self._outcomes_by_stage[key] = outcomes
         asyncio.get_running_loop().call_later(
             _KEEP_OUTCOMES_S,
--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -8,6 +8,7 @@
 from typing import Any, Final, Protocol
 
 from hornbeamline.batching import (
+    BatchingService,
     BatchTarget,
     CallLostError,
     CallRefusedError,
@@ -138,9 +139,15 @@
 class GatewayDrain:
     """Ends an entry process without cutting a request."""
 
-    def __init__(self, app: GatewayApp, stop_timeout_s: float) -> None:
-        """Take the application and the time until the process is killed."""
+    def __init__(
+        self,
+        app: GatewayApp,
+        batching: BatchingService,
+        stop_timeout_s: float,
+    ) -> None:
+        """Take what has work, and the time until the process is killed."""
         self._app = app
+        self._batching = batching
         self._stop_timeout_s = stop_timeout_s
         self.is_draining = False
 
@@ -151,15 +158,22 @@
         """Fail readiness, wait for the balancer, finish all requests."""
         self.is_draining = True
         self._app.closes_connections = True
+        self._batching.is_leaving = True
         log_event('entry.draining', in_progress=self._app.in_progress)
         await asyncio.sleep(BALANCER_WAIT_S)
         self._app.refuses_streams = True
         left_s = self._stop_timeout_s - BALANCER_WAIT_S - _STOP_MARGIN_S
-        while left_s > 0 and self._app.in_progress:
+        while left_s > 0 and self._has_work:
             await asyncio.sleep(_DRAIN_POLL_S)
             left_s -= _DRAIN_POLL_S
         log_event('entry.drained', in_progress=self._app.in_progress)
 
+    @property
+    def _has_work(self) -> bool:
+        return bool(
+            self._app.in_progress or self._batching.computing_for_others,
+        )
+
 
 class ReadyApp:
     """Answers the balancer's checks."""
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -153,7 +153,11 @@
 
     def _register_listeners(self) -> None:
         settings = self._settings
-        drain = GatewayDrain(self._app, settings.stop_timeout_s)
+        drain = GatewayDrain(
+            self._app,
+            self._batching,
+            settings.stop_timeout_s,
+        )
         self._drain = drain
         self.kernel.register(
             'metrics',
--- a/hornbeamline/gateway/_targets.py
+++ b/hornbeamline/gateway/_targets.py
@@ -41,7 +41,10 @@
     def take_list(self, targets: Iterable[Target]) -> None:
         """Replace the list."""
         known = {target.id: target for target in targets}
-        self._log_changes(known)
+        if self.is_known:
+            self._log_changes(known)
+        else:
+            log_event('targets.first_list', entries=len(known))
         self.read_at = self._clock.monotonic()
         self.version += 1
         by_service: dict[str, list[Target]] = {}
--- a/tests/batching/test_service.py
+++ b/tests/batching/test_service.py
@@ -222,3 +222,18 @@
     await asyncio.sleep(2)
     computed = sum(len(called) for _, called in fleet.targets.calls)
     assert len(fleet.targets.freed) == computed
+
+
+async def test_leaving_owner_hands_over_and_finishes(fleet) -> None:
+    """Planned stop: queued pieces are computed, new ones go elsewhere."""
+    owner = fleet.services[OWNERS[0]]
+    work = fleet.compute(OWNERS[2])
+    await asyncio.sleep(0.1)
+    assert owner.computing_for_others == 1
+    owner.is_leaving = True
+    fleet.present.discard(OWNERS[0])
+    assert len(await work) == 3
+    assert owner.computing_for_others == 0
+    assert len(await fleet.compute(OWNERS[0])) == 3
+    assert OWNERS[1] in fleet.network.endpoints_by_name
+    assert fleet.services[OWNERS[1]].waits_by_service() == {SERVICE: {}}
