Give up pieces at once that will not have their turn

Change: the owner counts what is queued ahead and gives up stages that cannot be done before their inputs expire or their caller leaves; the caller is refused while it can still come back.

--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -8,6 +8,7 @@
 
 from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
 from hornbeamline.batching.const import (
+    LATE_WAIT_FACTOR,
     MAX_HELD_SHARE,
     MAX_PASSED,
     RANK_DELAY_S,
@@ -111,6 +112,39 @@
         ]
         return expired
 
+    def drop_hopeless(
+        self,
+        now: float,
+        service_s: float,
+        rate: float,
+    ) -> list[QueuedPiece]:
+        """Remove and return the pieces that will not have their turn.
+
+        Answers an overload that lasts: with `rate` pieces a second, the
+        ones behind too many others are given up at once, so that their
+        callers hear of it while they can still come back. Stages that have
+        begun stay.
+        """
+        done_at = now + service_s
+        self._queued.sort(key=lambda queued: _urgency(queued, done_at))
+        ahead = 0
+        kept: list[QueuedPiece] = []
+        hopeless: list[QueuedPiece] = []
+        for _, members in itertools.groupby(self._queued, key=_group_of):
+            group = list(members)
+            wait_s = (ahead + len(group)) / rate
+            if group[0].due_at < done_at:
+                # Work that is in time and still comes goes first.
+                wait_s *= LATE_WAIT_FACTOR
+            is_lost = now + wait_s > group[0].expires_at
+            if is_lost and not group[0].is_begun:
+                hopeless.extend(group)
+            else:
+                kept.extend(group)
+                ahead += len(group)
+        self._queued = kept
+        return hopeless
+
     def take(
         self,
         now: float,
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -196,6 +196,9 @@
         now = self._clock.monotonic()
         for expired in self._queue.drop_expired(now):
             expired.settle(PieceResult(failure=FAILURE_LATE))
+        service_s = self._expected_s(1)
+        for hopeless in self._queue.drop_hopeless(now, service_s, self._rate()):
+            hopeless.settle(PieceResult(failure=FAILURE_LATE))
         for target in self._idle_targets(now):
             if not len(self._queue):
                 return
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -43,6 +43,8 @@
 # Inputs that take more than this share of a target's space are used
 # without regard to whether the request is late.
 MAX_HELD_SHARE: Final = 0.05
+# Late work waits this much longer than the queue alone says.
+LATE_WAIT_FACTOR: Final = 1.5
 # Calls that may pass a group of pieces which they have no space for.
 MAX_PASSED: Final = 20
 # The owner answers with what it has at the time of expiry.
--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Mapping
 from typing import Final
 
@@ -117,7 +118,9 @@
                 _pieces(request, number, inputs, is_first=not stage.after),
                 PieceTerms(
                     due_at - now,
-                    deadline_at - now,
+                    min(
+                        deadline_at - now, _inputs_live_s(route, table, number)
+                    ),
                     rank,
                     stage.result_bytes,
                     _held_share(request, route, table, number),
@@ -222,6 +225,20 @@
     return max(shares)
 
 
+def _inputs_live_s(
+    route: Route,
+    table: RoutingTable,
+    number: int,
+) -> float:
+    """Return how long targets keep the inputs of a stage, in seconds."""
+    times = [math.inf]
+    for earlier in route.stages[number].after:
+        limits = _limits(table, route.stages[earlier].service)
+        if limits is not None:
+            times.append(limits.result_ttl_s)
+    return min(times)
+
+
 def _limits(table: RoutingTable, service: str) -> BatchLimits | None:
     found = table.services_by_name.get(service)
     return None if found is None else found.batch
--- a/tests/batching/test_queue.py
+++ b/tests/batching/test_queue.py
@@ -154,3 +154,28 @@
     assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['large'] * 3
     queue.add(pieces('newer', 3, due_s=1))
     assert requests_of(queue.take(0, 0.5, NO_LIMIT))[0] == 'large'
+
+
+def test_lasting_overload_gives_up_what_will_not_have_its_turn() -> None:
+    """Load: 2 s of work for callers that wait 1 s longer at most."""
+    queue = BatchQueue(5)
+    for number in range(10):
+        queue.add(pieces(f'r{number}', 2, due_s=2 + number, expires_s=1))
+    hopeless = queue.drop_hopeless(now=0, service_s=0.2, rate=10)
+    assert {*requests_of(hopeless)} == {f'r{number}' for number in range(5, 10)}
+    assert len(queue) == 10
+
+
+def test_work_that_fits_the_time_is_kept() -> None:
+    """Guards against refusals without need."""
+    queue = BatchQueue(5)
+    queue.add(pieces('r', 8, due_s=2, expires_s=1))
+    assert not queue.drop_hopeless(now=0, service_s=0.2, rate=10)
+
+
+def test_begun_stage_is_not_given_up() -> None:
+    """Its first results are paid for."""
+    queue = BatchQueue(5)
+    queue.add(pieces('r', 8, due_s=2, expires_s=1))
+    queue.take(0, 0.2, NO_LIMIT)
+    assert not queue.drop_hopeless(now=0.9, service_s=0.2, rate=1)
