Tell refused callers when the stages have drained

Retry-After comes from the published waits of the stages, also for stages that were given up later; it was 1 s there.

--- a/hornbeamline/gateway/_admission.py
+++ b/hornbeamline/gateway/_admission.py
@@ -23,8 +23,6 @@
     is_admitted: bool
     expected_s: float
     limit_s: float
-    # When the queues have become short enough.
-    retry_after_s: float
 
 
 def judge(
@@ -52,5 +50,4 @@
         expected_s <= allowed_s,
         expected_s,
         allowed_s,
-        max(expected_s - route.aim_s, 0),
     )
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -40,6 +40,8 @@
 Send = Callable[[Any], Awaitable[None]]
 
 MAX_BODY_BYTES: Final = 4_194_304
+# Range of the factor by which times to come back differ.
+_SPREAD: Final = (0.75, 1.5)
 # Ranks of routes within one rank of accounts.
 ROUTE_RANKS: Final = 3
 # Times that the stages of a request are run when their results are lost.
@@ -233,7 +235,7 @@
                         Refusal(
                             _UNAVAILABLE,
                             f'stages: {error}',
-                            _RETRY_AFTER_S,
+                            self._retry_after_s(job),
                         ),
                     ) from error
                 log_event(
@@ -282,14 +284,12 @@
             self._clock.monotonic(),
         )
         if not verdict.is_admitted:
-            # Refused callers must not come back together.
-            spread_s = self._rng.uniform(0.5, 1.5)
             raise RefusedError(
                 Refusal(
                     _UNAVAILABLE,
                     f'stages need {verdict.expected_s:.2f} s of '
                     f'{verdict.limit_s:.2f} s',
-                    spread_s * max(verdict.retry_after_s, _RETRY_AFTER_S),
+                    self._retry_after_s(job),
                 ),
             )
         return await self._stages.run(
@@ -303,6 +303,18 @@
             job.rank,
         )
 
+    def _retry_after_s(self, job: Job) -> float:
+        """Return when the queues of the stages have become short.
+
+        Callers that are refused together do not come back together.
+        """
+        waits = self._stage_waits(job.rank)
+        wait_s = max(
+            (waits.get(stage.service, 0) for stage in job.route.stages),
+            default=0,
+        )
+        return max(wait_s, _RETRY_AFTER_S) * self._rng.uniform(*_SPREAD)
+
     def _bytes_by_data_centre(
         self,
         route: Route,
