--- a/hornbeamline/batching/__init__.py
+++ b/hornbeamline/batching/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hornbeamline.batching._owner import TargetAccess
 from hornbeamline.batching._queue import BatchQueue, QueuedPiece
 from hornbeamline.batching._service import BatchingService
 from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
@@ -24,4 +25,5 @@
     'PieceTerms',
     'PiecesFailedError',
     'QueuedPiece',
+    'TargetAccess',
 )
--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -43,7 +43,8 @@
 
     def note_fetched(self) -> None:
         """Note that a target works on the piece and has its inputs."""
-        fetched, self.on_fetched = self.on_fetched, None
+        fetched = self.on_fetched
+        self.on_fetched = None
         if fetched is not None:
             fetched()
 
--- /dev/null
+++ b/hornbeamline/batching/_releases.py
@@ -0,0 +1,63 @@
+"""Collects results to be freed and frees them in few calls."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+
+from hornbeamline.batching.const import RELEASE_GATHER_S, RELEASE_IDLE_S
+from hornbeamline.core import TaskSet
+
+# Frees results at the target with an address.
+FreeResults = Callable[[str, Sequence[str]], Awaitable[None]]
+
+
+class ResultReleases:
+    """Handles by target that wait for the next call."""
+
+    def __init__(
+        self,
+        free: FreeResults,
+        is_waiting: Callable[[], bool],
+        on_freed: Callable[[Sequence[str]], None],
+    ) -> None:
+        """Take the call, whether pieces wait for space, and a callback."""
+        self._free = free
+        self._is_waiting = is_waiting
+        self._on_freed = on_freed
+        self._handles_by_address: dict[str, list[str]] = {}
+        self._added = asyncio.Event()
+        self._tasks = TaskSet()
+
+    def start(self) -> None:
+        """Begin to free results."""
+        self._tasks.spawn(self._run(), 'result releases')
+
+    async def stop(self) -> None:
+        """Leave the rest to its expiry."""
+        await self._tasks.cancel_all()
+
+    def add(self, handles: Sequence[str]) -> None:
+        """Free results soon."""
+        for handle in handles:
+            address = handle.partition('/')[0]
+            self._handles_by_address.setdefault(address, []).append(handle)
+        self._added.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._added.wait()
+            urgent = self._is_waiting()
+            await asyncio.sleep(RELEASE_GATHER_S if urgent else RELEASE_IDLE_S)
+            self._added.clear()
+            collected = self._handles_by_address
+            self._handles_by_address = {}
+            for address, handles in collected.items():
+                self._tasks.spawn(
+                    self._free_at(address, handles),
+                    f'release at {address}',
+                )
+
+    async def _free_at(self, address: str, handles: list[str]) -> None:
+        await self._free(address, handles)
+        self._on_freed(handles)
--- a/hornbeamline/batching/_room.py
+++ b/hornbeamline/batching/_room.py
@@ -50,7 +50,7 @@
         """Start with an empty target."""
         self._held_by_handle: dict[str, _Held] = {}
         self._reserved = 0
-        self._full_until = 0.0
+        self._full_until: float = 0
 
     def is_full(self, now: float) -> bool:
         """Return whether the target has just had no space."""
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -8,7 +8,9 @@
 from typing import Final, Protocol
 
 from hornbeamline.batching._queue import BatchQueue, QueuedPiece
+from hornbeamline.batching._releases import FreeResults, ResultReleases
 from hornbeamline.batching._room import ResultRoom, RoomShare
+from hornbeamline.batching._speeds import TargetSpeeds
 from hornbeamline.batching._types import Piece, PieceResult
 from hornbeamline.batching.const import (
     CALL_PATIENCE,
@@ -18,10 +20,6 @@
     GATHER_S,
     MAX_PIECE_ATTEMPTS,
     RATE_WINDOW_S,
-    RELEASE_GATHER_S,
-    RELEASE_IDLE_S,
-    REST_S,
-    SPEED_WEIGHT,
 )
 from hornbeamline.batching.errors import CallLostError, CallRefusedError
 from hornbeamline.core import TaskSet
@@ -74,8 +72,6 @@
     Awaitable[list[PieceResult]],
 ]
 
-# Frees results at the target with an address.
-FreeResults = Callable[[str, Sequence[str]], Awaitable[None]]
 _BYTES_PER_MB: Final = 1_000_000
 
 
@@ -86,7 +82,7 @@
         self,
         service: str,
         times: BatchTimes,
-        targets: Callable[[], Sequence[BatchTarget]],
+        targets: Callable[[str], Sequence[BatchTarget]],
         call: CallTarget,
         free: FreeResults,
         budget: RepeatBudget,
@@ -97,29 +93,31 @@
         self._times = times
         self._targets = targets
         self._call = call
-        self._free = free
+        self._releases = ResultReleases(
+            free,
+            lambda: len(self._queue) > 0,
+            self._note_freed,
+        )
         self._budget = budget
         self._clock = clock
         self._queue = BatchQueue(times.pieces_per_call)
         self._arrived = asyncio.Event()
-        self._released = asyncio.Event()
         self._busy: set[str] = set()
-        self._rests_until_by_target: dict[str, float] = {}
-        self._slowness_by_target: dict[str, float] = {}
+        self._speeds = TargetSpeeds(clock)
         # Time and number of pieces of the last calls.
         self._finished: deque[tuple[float, int]] = deque()
         self._share = RoomShare()
         self._room_by_target: dict[str, ResultRoom] = {}
-        self._released_by_address: dict[str, list[str]] = {}
         self._tasks = TaskSet()
 
     def start(self) -> None:
         """Begin to serve the queue."""
         self._tasks.spawn(self._run(), f'batches {self.service}')
-        self._tasks.spawn(self._free_forever(), f'releases {self.service}')
+        self._releases.start()
 
     async def stop(self) -> None:
         """Drop the queue and all calls."""
+        await self._releases.stop()
         await self._tasks.cancel_all()
 
     def update_times(self, times: BatchTimes) -> None:
@@ -144,6 +142,27 @@
             for rank in self._queue.ranks()
         }
 
+    def release(self, handles: Sequence[str]) -> None:
+        """Free results soon."""
+        self._releases.add(handles)
+
+    def cancel(self, request_id: str) -> None:
+        """Drop the queued pieces of a request."""
+        dropped = self._queue.drop_request(request_id)
+        if dropped:
+            log_event(
+                'batching.cancelled',
+                request=request_id,
+                service=self.service,
+                pieces=len(dropped),
+            )
+        for piece in dropped:
+            piece.settle(PieceResult(failure=FAILURE_LATE))
+
+    @property
+    def _room_bytes(self) -> float:
+        return self._times.results_mb * _BYTES_PER_MB * self._share.share
+
     def _rate(self) -> float:
         """Return the pieces a second that the targets compute."""
         now = self._clock.monotonic()
@@ -151,7 +170,7 @@
         while self._finished and self._finished[0][0] < oldest:
             self._finished.popleft()
         queued = len(self._queue)
-        targets = max(len(self._targets()), 1)
+        targets = max(len(self._targets(self.service)), 1)
         batch = self._times.pieces_per_call
         best_rate = targets * batch / self._expected_s(batch)
         done = sum(count for _, count in self._finished)
@@ -160,26 +179,6 @@
         rate = max(done / RATE_WINDOW_S, best_rate / 4)
         return min(rate, best_rate) if is_backlogged else best_rate
 
-    def release(self, handles: Sequence[str]) -> None:
-        """Free results soon."""
-        for handle in handles:
-            address = handle.partition('/')[0]
-            self._released_by_address.setdefault(address, []).append(handle)
-        self._released.set()
-
-    def cancel(self, request_id: str) -> None:
-        """Drop the queued pieces of a request."""
-        dropped = self._queue.drop_request(request_id)
-        if dropped:
-            log_event(
-                'batching.cancelled',
-                request=request_id,
-                service=self.service,
-                pieces=len(dropped),
-            )
-        for queued in dropped:
-            queued.settle(PieceResult(failure=FAILURE_LATE))
-
     async def _run(self) -> None:
         while True:
             try:
@@ -199,10 +198,10 @@
         service_s = self._expected_s(1)
         for hopeless in self._queue.drop_hopeless(now, service_s, self._rate()):
             hopeless.settle(PieceResult(failure=FAILURE_LATE))
-        for target in self._idle_targets(now):
+        for target in self._idle_targets():
             if not len(self._queue):
                 return
-            slowness = self._slowness(target)
+            slowness = self._speeds.slowness(target.id)
             room = self._room_by_target.setdefault(target.id, ResultRoom())
             if room.is_full(now):
                 continue
@@ -221,14 +220,17 @@
                 f'batch at {target.id}',
             )
 
-    def _idle_targets(self, now: float) -> list[BatchTarget]:
+    def _idle_targets(self) -> list[BatchTarget]:
         idle = [
             target
-            for target in self._targets()
+            for target in self._targets(self.service)
             if target.id not in self._busy
-            and self._rests_until_by_target.get(target.id, 0) <= now
+            and not self._speeds.is_resting(target.id)
         ]
-        return sorted(idle, key=self._slowness)
+        return sorted(
+            idle,
+            key=lambda target: self._speeds.slowness(target.id),
+        )
 
     async def _run_call(
         self,
@@ -236,67 +238,105 @@
         chosen: list[QueuedPiece],
     ) -> None:
         began = self._clock.monotonic()
-        expected_s = self._expected_s(len(chosen)) * self._slowness(target)
-        patience_s = max(
-            expected_s * CALL_PATIENCE,
-            expected_s + CALL_PATIENCE_MIN_S,
-        )
+        used_bytes = self._room_by_target[target.id].used(began)
         for queued in chosen:
             queued.attempts += 1
             queued.is_begun = True
-        summary = 'done'
-        max_size = max(queued.result_bytes for queued in chosen)
         fetched = asyncio.get_running_loop().call_later(
             FETCH_S,
             _note_fetched,
             chosen,
         )
-        used_bytes = self._room_by_target[target.id].used(began)
         try:
-            async with asyncio.timeout(patience_s):
-                results = await self._call(
-                    target,
-                    [queued.piece for queued in chosen],
-                    [queued.expires_at - began for queued in chosen],
-                )
-            self._settle(target, chosen, results)
-            self._share.note_call(
-                was_full=used_bytes > self._room_bytes - max_size,
-                had_room=all(
-                    outcome.failure != FAILURE_ROOM for outcome in results
-                ),
-            )
-            self._finished.append((self._clock.monotonic(), len(chosen)))
-            summary = _summary(results)
-            computed = sum(bool(outcome.handle) for outcome in results)
-            if computed:
-                self._note_speed(target, computed, began)
-        except CallRefusedError as error:
-            summary = str(error)
-            self._rest(target)
-            self._queue_again(chosen, error.free)
-        except (CallLostError, TimeoutError) as error:
-            summary = repr(error)
-            self._note_speed(target, len(chosen), began)
-            self._rest(target)
-            self._queue_again(chosen, free=False)
+            summary = await self._call_target(target, chosen, began)
         finally:
             fetched.cancel()
-            self._room_by_target[target.id].unreserve(_size_of(chosen))
-            self._busy.discard(target.id)
-            self._arrived.set()
+            self._end_call(target, chosen)
         log_event(
             'batching.call',
             service=self.service,
             target=target.id,
             pieces=len(chosen),
             queued=len(self._queue),
-            expected_s=expected_s,
+            expected_s=self._expected_s(len(chosen)),
+            slowness=self._speeds.slowness(target.id),
             took_s=self._clock.monotonic() - began,
             used_bytes=used_bytes,
             outcome=summary,
         )
 
+    async def _call_target(
+        self,
+        target: BatchTarget,
+        chosen: list[QueuedPiece],
+        began: float,
+    ) -> str:
+        """Call a target and return a summary of the outcome."""
+        try:
+            async with asyncio.timeout(self._patience_s(target, len(chosen))):
+                results = await self._call(
+                    target,
+                    [queued.piece for queued in chosen],
+                    [queued.expires_at - began for queued in chosen],
+                )
+        except CallRefusedError as error:
+            self._speeds.rest(target.id)
+            self._queue_again(chosen, free=error.free)
+            return str(error)
+        except (CallLostError, TimeoutError) as error:
+            self._speeds.note_call(
+                target.id,
+                self._clock.monotonic() - began,
+                self._expected_s(len(chosen)),
+            )
+            self._speeds.rest(target.id)
+            self._queue_again(chosen, free=False)
+            return repr(error)
+        self._settle(target, chosen, results)
+        self._learn(target, chosen, results, began)
+        return _summary(results)
+
+    def _patience_s(self, target: BatchTarget, pieces: int) -> float:
+        slowness = self._speeds.slowness(target.id)
+        expected_s = self._expected_s(pieces) * slowness
+        return max(
+            expected_s * CALL_PATIENCE,
+            expected_s + CALL_PATIENCE_MIN_S,
+        )
+
+    def _end_call(
+        self,
+        target: BatchTarget,
+        chosen: list[QueuedPiece],
+    ) -> None:
+        self._room_by_target[target.id].unreserve(_size_of(chosen))
+        self._busy.discard(target.id)
+        self._arrived.set()
+
+    def _learn(
+        self,
+        target: BatchTarget,
+        chosen: list[QueuedPiece],
+        results: list[PieceResult],
+        began: float,
+    ) -> None:
+        now = self._clock.monotonic()
+        self._finished.append((now, len(chosen)))
+        computed = sum(bool(outcome.handle) for outcome in results)
+        if computed:
+            self._speeds.note_call(
+                target.id,
+                now - began,
+                self._expected_s(computed),
+            )
+        largest = max(queued.result_bytes for queued in chosen)
+        used = self._room_by_target[target.id].used(now)
+        failures = {outcome.failure for outcome in results}
+        self._share.note_call(
+            was_full=used > self._room_bytes - largest,
+            had_room=FAILURE_ROOM not in failures,
+        )
+
     def _settle(
         self,
         target: BatchTarget,
@@ -332,54 +372,14 @@
                 self._queue.add([queued])
         self._arrived.set()
 
-    async def _free_forever(self) -> None:
-        while True:
-            await self._released.wait()
-            waits = len(self._queue) > 0
-            await asyncio.sleep(RELEASE_GATHER_S if waits else RELEASE_IDLE_S)
-            self._released.clear()
-            released = self._released_by_address
-            self._released_by_address = {}
-            for address, handles in released.items():
-                self._tasks.spawn(
-                    self._free_at(address, handles),
-                    f'release at {address}',
-                )
-
-    async def _free_at(self, address: str, handles: list[str]) -> None:
-        await self._free(address, handles)
+    def _note_freed(self, handles: Sequence[str]) -> None:
         for room in self._room_by_target.values():
             room.free(handles)
         self._arrived.set()
 
-    @property
-    def _room_bytes(self) -> float:
-        return self._times.results_mb * _BYTES_PER_MB * self._share.share
-
     def _expected_s(self, pieces: int) -> float:
         return self._times.call_s + pieces * self._times.piece_s
 
-    def _slowness(self, target: BatchTarget) -> float:
-        return self._slowness_by_target.get(target.id, 1.0)
-
-    def _note_speed(
-        self,
-        target: BatchTarget,
-        pieces: int,
-        began: float,
-    ) -> None:
-        took_s = self._clock.monotonic() - began
-        ratio = max(took_s / self._expected_s(pieces), 0.5)
-        before = self._slowness(target)
-        self._slowness_by_target[target.id] = (
-            1 - SPEED_WEIGHT
-        ) * before + SPEED_WEIGHT * ratio
-
-    def _rest(self, target: BatchTarget) -> None:
-        self._rests_until_by_target[target.id] = (
-            self._clock.monotonic() + REST_S
-        )
-
 
 def _note_fetched(chosen: Sequence[QueuedPiece]) -> None:
     for queued in chosen:
--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -96,16 +96,10 @@
 class StageCaller:
     """Calls a target with pieces."""
 
-    def __init__(
-        self,
-        http: TargetHttp,
-        wire: Wire,
-        targets: TargetDirectory,
-    ) -> None:
-        """Take client, translation and the list of targets."""
+    def __init__(self, http: TargetHttp, wire: Wire) -> None:
+        """Take client and translation."""
         self._http = http
         self._wire = wire
-        self._targets = targets
 
     async def __call__(
         self,
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
-from hornbeamline.batching import BatchingService
+from hornbeamline.batching import BatchingService, TargetAccess
 from hornbeamline.core import Kernel
 from hornbeamline.daemons._gateway_services import (
     GatewayDrain,
@@ -99,9 +99,11 @@
             self._peering,
             self._clock,
             self._other_hosts,
-            self._targets.of_service,
-            StageCaller(http, wire, self._targets),
-            ResultReleaser(http, wire),
+            TargetAccess(
+                self._targets.of_service,
+                StageCaller(http, wire),
+                ResultReleaser(http, wire),
+            ),
             RepeatBudget(settings.budget, self._clock),
         )
         forwarder = Forwarder(
@@ -116,8 +118,7 @@
             wire,
             self._targets,
             forwarder,
-            StageRunner(self._batching, self._clock),
-            self._stage_waits,
+            StageRunner(self._batching, self._stage_waits, self._clock),
             self._budget,
             self._clock,
             rng,
--- a/hornbeamline/directory/_registry.py
+++ b/hornbeamline/directory/_registry.py
@@ -47,10 +47,10 @@
     def present(self) -> list[Presence]:
         """Return this process and all that enrolled recently."""
         oldest = self._clock.monotonic() - PRESENCE_SILENCE_S
-        for name, seen in tuple(self._seen_by_name.items()):
-            if seen.at < oldest:
+        for name, entry in tuple(self._seen_by_name.items()):
+            if entry.at < oldest:
                 self._seen_by_name.pop(name)
-                log_event('directory.lost', peer=name, role=seen.presence.role)
+                log_event('directory.lost', peer=name, role=entry.presence.role)
         return [
             self._own,
             *(seen.presence for seen in self._seen_by_name.values()),
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -68,7 +68,6 @@
         targets: TargetDirectory,
         forwarder: Forwarder,
         stages: StageRunner,
-        stage_waits: Callable[[int], Mapping[str, float]],
         budget: RepeatBudget,
         clock: Clock,
         rng: random.Random,
@@ -78,7 +77,6 @@
         self._targets = targets
         self._forwarder = forwarder
         self._stages = stages
-        self._stage_waits = stage_waits
         self._budget = budget
         self._clock = clock
         self._rng = rng
@@ -89,15 +87,6 @@
         # New streams are refused: they would outlast the process.
         self.refuses_streams = False
 
-    def take_table(self, table: RoutingTable) -> None:
-        """Serve new requests by a newer configuration."""
-        self._table = table
-
-    @property
-    def is_ready(self) -> bool:
-        """Return whether requests can be served."""
-        return self._table is not None and self._targets.is_known
-
     async def __call__(
         self,
         scope: Scope,
@@ -117,6 +106,15 @@
             self.in_progress -= 1
             IN_PROGRESS.set(self.in_progress)
 
+    def take_table(self, table: RoutingTable) -> None:
+        """Serve new requests by a newer configuration."""
+        self._table = table
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether requests can be served."""
+        return self._table is not None and self._targets.is_known
+
     async def _serve(
         self,
         scope: Scope,
@@ -280,7 +278,7 @@
             job.request,
             job.route,
             table,
-            self._stage_waits(job.rank),
+            self._stages.waits(job.rank),
             self._clock.monotonic(),
         )
         if not verdict.is_admitted:
@@ -308,7 +306,7 @@
 
         Callers that are refused together do not come back together.
         """
-        waits = self._stage_waits(job.rank)
+        waits = self._stages.waits(job.rank)
         wait_s = max(
             (waits.get(stage.service, 0) for stage in job.route.stages),
             default=0,
--- a/hornbeamline/gateway/_events.py
+++ b/hornbeamline/gateway/_events.py
@@ -35,10 +35,11 @@
 
         Raises `ValueError` when an event exceeds `MAX_EVENT_BYTES`.
         """
-        *whole, self._rest = (self._rest + chunk).split(_END)
+        parts = (self._rest + chunk).split(_END)
+        self._rest = parts.pop()
         if len(self._rest) > MAX_EVENT_BYTES:
             raise ValueError('event is too large')
-        return [StreamEvent(raw + _END, _id_of(raw)) for raw in whole]
+        return [StreamEvent(raw + _END, _id_of(raw)) for raw in parts]
 
 
 def _id_of(raw: bytes) -> int | None:
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -84,8 +84,8 @@
         self.last_event_id: int | None = None
         # Seconds from the start of the last attempt to the head of its
         # answer and to its first event.
-        self.head_s = 0.0
-        self.first_event_s = 0.0
+        self.head_s: float = 0
+        self.first_event_s: float = 0
         self.reason = 'no target'
 
 
@@ -122,27 +122,37 @@
             target = self._next_target(job, attempts)
             if target is None:
                 break
-            try:
-                await self._attempt(job, target, attempts, reply)
-            except NotRunError as error:
-                attempts.refused += 1
-                attempts.reason = str(error)
-                self._log_attempt(job, target, attempts, 'not_run', error)
-                if isinstance(error, InputsGoneError):
-                    raise
-                if isinstance(error, TargetGoneError):
-                    self._picker.avoid(target)
-            except MayHaveRunError as error:
-                attempts.sent += 1
-                attempts.reason = str(error)
-                self._picker.failed(target)
-                self._log_attempt(job, target, attempts, 'lost', error)
-            else:
-                if reply.is_complete:
-                    return
-                attempts.sent += 1
+            await self._try_target(job, target, attempts, reply)
+            if reply.is_complete:
+                return
         await self._give_up(job, attempts, reply)
 
+    async def _try_target(
+        self,
+        job: Job,
+        target: Target,
+        attempts: _Attempts,
+        reply: Reply,
+    ) -> None:
+        """Make an attempt and note what it proves."""
+        try:
+            await self._attempt(job, target, attempts, reply)
+        except NotRunError as error:
+            attempts.refused += 1
+            attempts.reason = str(error)
+            self._log_attempt(job, target, attempts, 'not_run', error)
+            if isinstance(error, InputsGoneError):
+                raise
+            if isinstance(error, TargetGoneError):
+                self._picker.avoid(target)
+        except MayHaveRunError as error:
+            attempts.sent += 1
+            attempts.reason = str(error)
+            self._picker.failed(target)
+            self._log_attempt(job, target, attempts, 'lost', error)
+        else:
+            attempts.sent += 1
+
     def _next_target(self, job: Job, attempts: _Attempts) -> Target | None:
         if not self._may_go_on(job, attempts):
             return None
--- a/hornbeamline/gateway/_http.py
+++ b/hornbeamline/gateway/_http.py
@@ -33,7 +33,10 @@
     aiohttp takes a reset for the end of an answer that has no length.
     """
 
-    lost_error: BaseException | None = None
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Take the event loop."""
+        super().__init__(loop)
+        self.lost_error: BaseException | None = None
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Note the error, then go on as usual."""
--- a/hornbeamline/gateway/_picker.py
+++ b/hornbeamline/gateway/_picker.py
@@ -233,13 +233,12 @@
     request: CallerRequest,
 ) -> dict[str, str]:
     """Return the engine on which all hosts agree for each shared part."""
-    return {
-        part.id: max(
-            targets,
-            key=lambda target: _rank(part.id, target.id),
-        ).id
-        for part in request.prompt[:-1]
-    }
+    return {part.id: _home(targets, part.id) for part in request.prompt[:-1]}
+
+
+def _home(targets: Sequence[Target], part_id: str) -> str:
+    best = max(targets, key=lambda target: _rank(part_id, target.id))
+    return best.id
 
 
 def _rank(part_id: str, target_id: str) -> bytes:
--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from hornbeamline.batching import (
@@ -14,7 +14,12 @@
     PieceTerms,
 )
 from hornbeamline.gateway._table import RoutingTable
-from hornbeamline.gateway._types import BatchLimits, CallerRequest, Route
+from hornbeamline.gateway._types import (
+    BatchLimits,
+    CallerRequest,
+    Route,
+    Stage,
+)
 from hornbeamline.helpers.clock import Clock
 
 # Typical fill of a call and wait for a target, as a multiple of the time
@@ -33,6 +38,14 @@
         self.fetched: set[int] = set()
         self._released: set[int] = set()
 
+    def inputs_of(self, stage: Stage) -> list[str]:
+        """Return the handles of all pieces of the stages before."""
+        return [
+            handle
+            for earlier in stage.after
+            for handle in self.handles_by_stage.get(earlier, ())
+        ]
+
     def unneeded(self, route: Route, request: CallerRequest) -> list[int]:
         """Return the stages whose results all later stages have used."""
         return [
@@ -49,21 +62,6 @@
         self._released.add(number)
         return self.handles_by_stage.get(number, [])
 
-    def _is_used_up(
-        self,
-        number: int,
-        route: Route,
-        request: CallerRequest,
-    ) -> bool:
-        followers = [
-            later
-            for later, stage in enumerate(route.stages)
-            if number in stage.after and _count(request, later)
-        ]
-        return bool(followers) and all(
-            later in self.fetched for later in followers
-        )
-
     def last_handles(self, route: Route) -> list[str]:
         """Return the handles of the stages that no other stage follows."""
         followed = {
@@ -79,13 +77,34 @@
             for handle in self.handles_by_stage[number]
         ]
 
+    def _is_used_up(
+        self,
+        number: int,
+        route: Route,
+        request: CallerRequest,
+    ) -> bool:
+        followers = [
+            later
+            for later, stage in enumerate(route.stages)
+            if number in stage.after and _count(request, later)
+        ]
+        return bool(followers) and all(
+            later in self.fetched for later in followers
+        )
+
 
 class StageRunner:
     """Drives the stages of requests through the batching service."""
 
-    def __init__(self, batching: BatchingService, clock: Clock) -> None:
-        """Take the batching service and the time source."""
+    def __init__(
+        self,
+        batching: BatchingService,
+        waits: Callable[[int], Mapping[str, float]],
+        clock: Clock,
+    ) -> None:
+        """Take the batching service, published waits by rank, and time."""
         self._batching = batching
+        self.waits = waits
         self._clock = clock
 
     async def run(
@@ -103,24 +122,17 @@
 
         async def run_stage(number: int) -> None:
             stage = route.stages[number]
-            for earlier in stage.after:
-                if earlier in tasks:
-                    await tasks[earlier]
-            inputs = [
-                handle
-                for earlier in stage.after
-                for handle in outcome.handles_by_stage.get(earlier, ())
-            ]
+            await _wait_for(tasks, stage)
+            inputs = outcome.inputs_of(stage)
             now = self._clock.monotonic()
             due_at = request.received_at + route.aim_s - after_s[number]
+            live_s = _inputs_live_s(route, table, number)
             outcome.handles_by_stage[number] = await self._batching.compute(
                 stage.service,
                 _pieces(request, number, inputs, is_first=not stage.after),
                 PieceTerms(
                     due_at - now,
-                    min(
-                        deadline_at - now, _inputs_live_s(route, table, number)
-                    ),
+                    min(deadline_at - now, live_s),
                     rank,
                     stage.result_bytes,
                     _held_share(request, route, table, number),
@@ -131,9 +143,8 @@
 
         try:
             async with asyncio.TaskGroup() as group:
-                for number, _ in enumerate(route.stages):
-                    if _count(request, number):
-                        tasks[number] = group.create_task(run_stage(number))
+                for number in _wanted_stages(request, route):
+                    tasks[number] = group.create_task(run_stage(number))
         except* PiecesFailedError as failures:
             self.release_all(outcome, route)
             raise _first(failures) from failures
@@ -166,6 +177,23 @@
             self._batching.release(route.stages[number].service, handles)
 
 
+async def _wait_for(
+    tasks: Mapping[int, asyncio.Task[None]],
+    stage: Stage,
+) -> None:
+    waited = [tasks[number] for number in stage.after if number in tasks]
+    for task in waited:
+        await task
+
+
+def _wanted_stages(request: CallerRequest, route: Route) -> list[int]:
+    return [
+        number
+        for number, _ in enumerate(route.stages)
+        if _count(request, number)
+    ]
+
+
 def stage_ends_s(
     request: CallerRequest,
     route: Route,
@@ -181,7 +209,7 @@
         start = max((ends_at.get(early, 0) for early in stage.after), default=0)
         limits = _limits(table, stage.service)
         pieces = _count(request, number)
-        spent = 0.0
+        spent: float = 0
         if limits is not None and pieces:
             wait_s = wait_s_by_service.get(stage.service, 0)
             spent = wait_s + limits.call_s + pieces * limits.piece_s
@@ -215,7 +243,7 @@
     number: int,
 ) -> float:
     """Return the share of a target's space that the inputs take."""
-    shares = [0.0]
+    shares: list[float] = [0]
     for earlier in route.stages[number].after:
         stage = route.stages[earlier]
         limits = _limits(table, stage.service)
@@ -246,11 +274,11 @@
 
 def _time_after_stages(route: Route, table: RoutingTable) -> list[float]:
     """Return for each stage the typical time that later stages take."""
-    after_s = [0.0] * len(route.stages)
+    after_s: list[float] = [0 for _ in route.stages]
     for number in reversed(range(len(route.stages))):
         stage = route.stages[number]
         limits = _limits(table, stage.service)
-        own_s = 0.0
+        own_s: float = 0
         if limits is not None:
             filled = limits.pieces_per_call / 2
             own_s = limits.call_s + filled * limits.piece_s
--- a/hornbeamline/gateway/_table.py
+++ b/hornbeamline/gateway/_table.py
@@ -28,12 +28,12 @@
 
 def group_by_host(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
     """Return the routes of each host, longest prefix first."""
+    by_length = sorted(routes, key=_prefix_length, reverse=True)
     grouped: dict[str, list[Route]] = {}
-    for route in routes:
+    for route in by_length:
         grouped.setdefault(route.host, []).append(route)
-    return {
-        host: tuple(
-            sorted(group, key=lambda route: -len(route.path_prefix)),
-        )
-        for host, group in grouped.items()
-    }
+    return {host: tuple(group) for host, group in grouped.items()}
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.path_prefix)
--- a/hornbeamline/gateway/_targets.py
+++ b/hornbeamline/gateway/_targets.py
@@ -48,11 +48,11 @@
         self.read_at = self._clock.monotonic()
         self.version += 1
         by_service: dict[str, list[Target]] = {}
-        for target in known.values():
-            if not target.is_leaving:
-                by_service.setdefault(target.service, []).append(target)
+        for listed in known.values():
+            if not listed.is_leaving:
+                by_service.setdefault(listed.service, []).append(listed)
         for group in by_service.values():
-            group.sort(key=lambda target: target.id)
+            group.sort()
         self._targets_by_id = known
         self._targets_by_service = by_service
         self._targets_by_address = {
--- a/hornbeamline/helpers/budget.py
+++ b/hornbeamline/helpers/budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from typing import Final, NamedTuple
 
@@ -57,7 +58,7 @@
     ) -> None:
         now = self._clock.monotonic()
         times = times_by_service.setdefault(service, deque())
-        times.extend([now] * count)
+        times.extend(itertools.repeat(now, count))
 
     def _count(
         self,
--- a/hornbeamline/platform/_document.py
+++ b/hornbeamline/platform/_document.py
@@ -6,7 +6,6 @@
 from typing import Annotated, Final
 
 import msgspec
-from msgspec import Meta
 
 from hornbeamline.documents import InvalidDocumentError
 from hornbeamline.gateway import (
@@ -22,8 +21,8 @@
 )
 
 _MS_PER_S: Final = 1000
-_Positive = Annotated[float, Meta(gt=0)]
-_Weight = Annotated[float, Meta(ge=0)]
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+_Weight = Annotated[float, msgspec.Meta(ge=0)]
 
 _kinds_by_word: Final = {
     'idempotent': RouteKind.IDEMPOTENT,
@@ -149,11 +148,11 @@
     if not weights:
         weights = {route.service: 1}
     named = [*weights, *(stage.service for stage in route.stages)]
-    for name in named:
-        if name not in services:
-            raise InvalidDocumentError(
-                f'routes: {route.name}: unknown service {name}',
-            )
+    unknown = set(named).difference(services)
+    if unknown:
+        raise InvalidDocumentError(
+            f'routes: {route.name}: unknown services {sorted(unknown)}',
+        )
     if sum(weights.values()) <= 0:
         raise InvalidDocumentError(
             f'routes: {route.name}: the weights add up to 0',
--- a/hornbeamline/platform/_operator.py
+++ b/hornbeamline/platform/_operator.py
@@ -4,8 +4,7 @@
 
 from typing import Any, Final
 
-import falcon
-import falcon.asgi
+from falcon import HTTP_400, HTTP_503, MEDIA_JSON, asgi
 
 from hornbeamline.documents import (
     DocumentService,
@@ -25,8 +24,8 @@
 
     async def on_post(
         self,
-        request: falcon.asgi.Request,
-        response: falcon.asgi.Response,
+        request: asgi.Request,
+        response: asgi.Response,
     ) -> None:
         """Acknowledge a document, or refuse it as a whole."""
         content = await request.stream.read()
@@ -34,7 +33,7 @@
             number = await self._documents.put(content)
         except InvalidDocumentError as error:
             log_event('documents.refused', reason=str(error))
-            response.status = falcon.HTTP_400
+            response.status = HTTP_400
             response.media = {'error': str(error)}
         except DocumentUnavailableError as error:
             _unavailable(response, error)
@@ -50,8 +49,8 @@
 
     async def on_get(
         self,
-        _request: falcon.asgi.Request,
-        response: falcon.asgi.Response,
+        _request: asgi.Request,
+        response: asgi.Response,
     ) -> None:
         """Return the document as it was sent."""
         try:
@@ -62,22 +61,22 @@
         if not document.number:
             _unavailable(response, DocumentUnavailableError('no document'))
             return
-        response.content_type = falcon.MEDIA_JSON
+        response.content_type = MEDIA_JSON
         response.data = document.content
 
 
 def operator_app(documents: DocumentService) -> Any:
     """Return the ASGI application of the operator's calls."""
-    app = falcon.asgi.App()
+    app = asgi.App()
     app.add_route('/config/put', _Put(documents))
     app.add_route('/config/get', _Get(documents))
     return app
 
 
 def _unavailable(
-    response: falcon.asgi.Response,
+    response: asgi.Response,
     error: DocumentUnavailableError,
 ) -> None:
-    response.status = falcon.HTTP_503
+    response.status = HTTP_503
     response.set_header('Retry-After', _RETRY_AFTER_S)
     response.media = {'error': str(error)}
--- a/hornbeamline/platform/_wire.py
+++ b/hornbeamline/platform/_wire.py
@@ -129,7 +129,7 @@
         dropped = _DROPPED_HEADERS.union(name.strip() for name in named)
         query = scope['query_string']
         raw_path: bytes = scope['raw_path']
-        raw_target = raw_path + (b'?' + query if query else b'')
+        raw_target = b'?'.join((raw_path, query)) if query else raw_path
         tokens = _integers(first.get('x-token-count', ''))
         patience_ms = _integer(first.get(_DEADLINE))
         return CallerRequest(
--- a/hornbeamline/replog/_node.py
+++ b/hornbeamline/replog/_node.py
@@ -95,6 +95,12 @@
             self.applied.advance(recovered.snapshot.last_index)
         self.journal.load(recovered)
         self.stopped = None
+        log_event(
+            'replog.started',
+            identity=self.identity,
+            term=self.term,
+            last=self.journal.last_index,
+        )
 
     def require_running(self) -> None:
         """Raise `LogStoppedError` after a failure or stop."""
--- a/hornbeamline/replog/_replica.py
+++ b/hornbeamline/replog/_replica.py
@@ -37,7 +37,6 @@
     LogStoppedError,
     NotLeaderError,
 )
-from hornbeamline.telemetry import log_event
 
 
 class RaftLog:
@@ -149,12 +148,6 @@
         """Recover the data folder and take part; `LogStoppedError`."""
         node = self._node
         node.load(await node.run_blocking(self._store.open))
-        log_event(
-            'replog.started',
-            identity=node.identity,
-            term=node.term,
-            last=node.journal.last_index,
-        )
         for name, address in node.settings.controls_by_name.items():
             if name != node.name:
                 node.peering.add_peer(name, address)
--- a/tests/batching/test_service.py
+++ b/tests/batching/test_service.py
@@ -16,6 +16,7 @@
     PieceResult,
     PiecesFailedError,
     PieceTerms,
+    TargetAccess,
 )
 from hornbeamline.batching._ownership import owners_of
 from hornbeamline.helpers.budget import BudgetSettings, RepeatBudget
@@ -94,9 +95,11 @@
             self.network.endpoint(name),
             clock,
             lambda: dict.fromkeys(self.present - {name}, 'x'),
-            lambda _service: self.targets.targets,
-            self.targets.call,
-            self.targets.free,
+            TargetAccess(
+                lambda _service: self.targets.targets,
+                self.targets.call,
+                self.targets.free,
+            ),
             RepeatBudget(BudgetSettings(0.2, 10, 64), clock),
         )
         self.services[name] = service
