--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final, Protocol
 
+from hornbeamline.batching._metrics import CALL_SECONDS, CALLS, PIECES
 from hornbeamline.batching._queue import BatchQueue, QueuedPiece
 from hornbeamline.batching._releases import FreeResults, ResultReleases
 from hornbeamline.batching._room import ResultRoom, RoomShare
@@ -281,6 +282,7 @@
                 )
         except CallRefusedError as error:
             self._speeds.rest(target.id)
+            CALLS.labels('refused').inc()
             self._queue_again(chosen, free=error.free)
             return str(error)
         except (CallLostError, TimeoutError) as error:
@@ -290,6 +292,7 @@
                 self._expected_s(len(chosen)),
             )
             self._speeds.rest(target.id)
+            CALLS.labels('lost').inc()
             self._queue_again(chosen, free=False)
             return repr(error)
         self._settle(target, chosen, results)
@@ -321,8 +324,12 @@
         began: float,
     ) -> None:
         now = self._clock.monotonic()
+        CALLS.labels('answered').inc()
+        CALL_SECONDS.observe(now - began)
+        for outcome in results:
+            PIECES.labels(outcome.failure or 'computed').inc()
         self._finished.append((now, len(chosen)))
-        computed = sum(bool(outcome.handle) for outcome in results)
+        computed = sum(bool(made.handle) for made in results)
         if computed:
             self._speeds.note_call(
                 target.id,
@@ -331,7 +338,7 @@
             )
         largest = max(queued.result_bytes for queued in chosen)
         used = self._room_by_target[target.id].used(now)
-        failures = {outcome.failure for outcome in results}
+        failures = {made.failure for made in results}
         self._share.note_call(
             was_full=used > self._room_bytes - largest,
             had_room=FAILURE_ROOM not in failures,
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -10,7 +10,13 @@
 from hornbeamline.batching import PiecesFailedError
 from hornbeamline.gateway._admission import judge
 from hornbeamline.gateway._forwarder import Forwarder, Job
-from hornbeamline.gateway._metrics import ANSWERS, IN_PROGRESS, LATENCY
+from hornbeamline.gateway._metrics import (
+    ANSWERS,
+    CALLERS_LEFT,
+    IN_PROGRESS,
+    LATENCY,
+    REFUSALS,
+)
 from hornbeamline.gateway._reply import Reply
 from hornbeamline.gateway._stages import (
     StageResults,
@@ -26,6 +32,16 @@
     RouteKind,
 )
 from hornbeamline.gateway._wire import Wire
+from hornbeamline.gateway.const import (
+    REASON_BODY_TOO_LARGE,
+    REASON_HOST_STOPS,
+    REASON_NO_CONFIGURATION,
+    REASON_NO_ROUTE,
+    REASON_OUT_OF_TIME,
+    REASON_STAGES_BUSY,
+    REASON_STAGES_FAILED,
+    REASON_UNKNOWN_CREDENTIAL,
+)
 from hornbeamline.gateway.errors import (
     AnswerBrokenError,
     InputsGoneError,
@@ -130,7 +146,8 @@
         except RefusedError as error:
             await self._refuse(request, error.refusal, reply)
         except _CallerLeftError:
-            log_event('request.caller_left', request=_id_of(request))
+            CALLERS_LEFT.inc()
+            self._log_end(request, reply, 'caller left')
             return
         except AnswerBrokenError as error:
             self._log_end(request, reply, f'broken: {error}')
@@ -170,13 +187,19 @@
         table = self._table
         if table is None or not self._targets.is_known:
             raise RefusedError(
-                Refusal(_UNAVAILABLE, 'no configuration yet', _RETRY_AFTER_S),
+                Refusal(
+                    _UNAVAILABLE,
+                    REASON_NO_CONFIGURATION,
+                    retry_after_s=_RETRY_AFTER_S,
+                ),
             )
         route = table.find_route(request.host, request.path)
         if route is None:
-            raise RefusedError(Refusal(_NOT_FOUND, 'no route'))
+            raise RefusedError(Refusal(_NOT_FOUND, REASON_NO_ROUTE))
         if self.refuses_streams and route.kind is RouteKind.STREAM:
-            raise RefusedError(Refusal(_UNAVAILABLE, 'host stops', 0))
+            raise RefusedError(
+                Refusal(_UNAVAILABLE, REASON_HOST_STOPS, retry_after_s=0),
+            )
         account = _account_of(table, route, request)
         deadline_at = _deadline_of(request, route)
         try:
@@ -193,7 +216,9 @@
         except TimeoutError as error:
             if reply.has_begun:
                 raise AnswerBrokenError('out of time') from error
-            raise RefusedError(Refusal(_TIMED_OUT, 'out of time')) from error
+            raise RefusedError(
+                Refusal(_TIMED_OUT, REASON_OUT_OF_TIME),
+            ) from error
 
     async def _run(
         self,
@@ -232,7 +257,8 @@
                     raise RefusedError(
                         Refusal(
                             _UNAVAILABLE,
-                            f'stages: {error}',
+                            REASON_STAGES_FAILED,
+                            str(error),
                             self._retry_after_s(job),
                         ),
                     ) from error
@@ -285,7 +311,8 @@
             raise RefusedError(
                 Refusal(
                     _UNAVAILABLE,
-                    f'stages need {verdict.expected_s:.2f} s of '
+                    REASON_STAGES_BUSY,
+                    f'need {verdict.expected_s:.2f} s of '
                     f'{verdict.limit_s:.2f} s',
                     self._retry_after_s(job),
                 ),
@@ -344,12 +371,14 @@
         reply: Reply,
     ) -> None:
         if reply.has_begun:
-            raise AnswerBrokenError(refusal.reason)
+            raise AnswerBrokenError(refusal.detail or refusal.reason)
+        REFUSALS.labels(str(refusal.status), refusal.reason).inc()
         log_event(
             'request.refused',
             request=_id_of(request),
             status=refusal.status,
             reason=refusal.reason,
+            detail=refusal.detail,
             retry_after_s=refusal.retry_after_s,
             document=0 if self._table is None else self._table.number,
             list_age_s=self._targets.age_s,
@@ -391,7 +420,7 @@
         return None
     account = accounts.get(request.credential or '')
     if account is None and route.needs_account:
-        raise RefusedError(Refusal(_UNAUTHORIZED, 'unknown credential'))
+        raise RefusedError(Refusal(_UNAUTHORIZED, REASON_UNKNOWN_CREDENTIAL))
     return account
 
 
@@ -421,7 +450,7 @@
             raise _CallerLeftError
         collected += message.get('body', b'')
         if len(collected) > MAX_BODY_BYTES:
-            raise RefusedError(Refusal(_TOO_LARGE, 'body is too large'))
+            raise RefusedError(Refusal(_TOO_LARGE, REASON_BODY_TOO_LARGE))
         if not message.get('more_body', False):
             return bytes(collected)
 
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -8,6 +8,7 @@
 
 from hornbeamline.gateway._events import EventSplitter, StreamEvent
 from hornbeamline.gateway._http import TargetHttp, TargetResponse
+from hornbeamline.gateway._metrics import ATTEMPTS
 from hornbeamline.gateway._picker import TargetPicker, Wish
 from hornbeamline.gateway._reply import Reply
 from hornbeamline.gateway._targets import TargetDirectory
@@ -21,6 +22,10 @@
     Target,
 )
 from hornbeamline.gateway._wire import TargetHeaders, Wire
+from hornbeamline.gateway.const import (
+    REASON_TARGET_LOST,
+    REASON_TARGETS_REFUSED,
+)
 from hornbeamline.gateway.errors import (
     AnswerBrokenError,
     InputsGoneError,
@@ -336,12 +341,18 @@
             )
             await reply.end(answer.body)
             return
-        if attempts.sent and not job.route.may_repeat:
-            raise RefusedError(Refusal(_HTTP_BAD_GATEWAY, attempts.reason))
         if attempts.sent:
-            raise RefusedError(Refusal(_HTTP_BAD_GATEWAY, attempts.reason))
+            # It may have run, so no status that denies it is true.
+            raise RefusedError(
+                Refusal(_HTTP_BAD_GATEWAY, REASON_TARGET_LOST, attempts.reason),
+            )
         raise RefusedError(
-            Refusal(_HTTP_UNAVAILABLE, attempts.reason, _RETRY_AFTER_S),
+            Refusal(
+                _HTTP_UNAVAILABLE,
+                REASON_TARGETS_REFUSED,
+                attempts.reason,
+                _RETRY_AFTER_S,
+            ),
         )
 
     def _log_attempt(
@@ -352,6 +363,7 @@
         outcome: str,
         error: Exception | None,
     ) -> None:
+        ATTEMPTS.labels(outcome).inc()
         log_event(
             'request.attempt',
             request=job.request.id,
--- a/hornbeamline/gateway/_metrics.py
+++ b/hornbeamline/gateway/_metrics.py
@@ -12,6 +12,23 @@
     ('status',),
     registry=registry,
 )
+REFUSALS = Counter(
+    'hornbeamline_gateway_refusals',
+    'Answers of the gateway itself by status and reason.',
+    ('status', 'reason'),
+    registry=registry,
+)
+ATTEMPTS = Counter(
+    'hornbeamline_gateway_attempts',
+    'Attempts at targets by outcome.',
+    ('outcome',),
+    registry=registry,
+)
+CALLERS_LEFT = Counter(
+    'hornbeamline_gateway_callers_left',
+    'Requests whose callers left before the answer was complete.',
+    registry=registry,
+)
 LATENCY = Histogram(
     'hornbeamline_gateway_seconds',
     'Time from receiving a request to the end of its answer.',
--- a/hornbeamline/gateway/_types.py
+++ b/hornbeamline/gateway/_types.py
@@ -169,6 +169,8 @@
     """Why a request ends without a target's answer."""
 
     status: int
+    # One of the constants `REASON_*`.
     reason: str
+    detail: str = ''
     # When to come back, in seconds; only where the request has not run.
     retry_after_s: float | None = None
--- /dev/null
+++ b/hornbeamline/gateway/const.py
@@ -0,0 +1,16 @@
+"""Reasons of refusals; each has a counter."""
+
+from __future__ import annotations
+
+from typing import Final
+
+REASON_BODY_TOO_LARGE: Final = 'body_too_large'
+REASON_HOST_STOPS: Final = 'host_stops'
+REASON_NO_CONFIGURATION: Final = 'no_configuration'
+REASON_NO_ROUTE: Final = 'no_route'
+REASON_OUT_OF_TIME: Final = 'out_of_time'
+REASON_STAGES_BUSY: Final = 'stages_busy'
+REASON_STAGES_FAILED: Final = 'stages_failed'
+REASON_TARGET_LOST: Final = 'target_lost'
+REASON_TARGETS_REFUSED: Final = 'targets_refused'
+REASON_UNKNOWN_CREDENTIAL: Final = 'unknown_credential'
--- a/hornbeamline/gateway/errors.py
+++ b/hornbeamline/gateway/errors.py
@@ -11,7 +11,7 @@
 
     def __init__(self, refusal: Refusal) -> None:
         """Take status, reason and time to come back."""
-        super().__init__(f'{refusal.status} {refusal.reason}')
+        super().__init__(f'{refusal.status} {refusal.reason} {refusal.detail}')
         self.refusal = refusal
 
 
--- a/hornbeamline/platform/__main__.py
+++ b/hornbeamline/platform/__main__.py
@@ -16,7 +16,7 @@
     entry_daemon,
     settings_path,
 )
-from hornbeamline.telemetry import configure_logs
+from hornbeamline.telemetry import NonBlockingSink, configure_logs
 
 EXIT_USAGE: Final = 2
 EXIT_FAILED: Final = 1
@@ -30,7 +30,8 @@
 
 async def _serve(role: str) -> int:
     daemon = _makers_by_role[role](settings_path())
-    configure_logs(sys.stdout, host=daemon.host, role=role)
+    sink = NonBlockingSink(sys.stdout.fileno())
+    configure_logs(sink, host=daemon.host, role=role)
     return await daemon.run()
 
 
--- a/hornbeamline/telemetry/_logs.py
+++ b/hornbeamline/telemetry/_logs.py
@@ -6,7 +6,7 @@
 import json
 import sys
 from collections.abc import Callable
-from typing import Any, Final, TextIO
+from typing import Any, Final, Protocol
 
 import eliot
 
@@ -20,10 +20,21 @@
 )
 _SECRET_WORDS: Final = ('credential', 'secret', 'token_value', 'password')
 
+
+class LogSink(Protocol):
+    """Where log lines go."""
+
+    def write(self, line: str) -> Any:
+        """Take a line."""
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+
+
 _configured: list[Callable[[dict[str, Any]], None]] = []
 
 
-def configure_logs(stream: TextIO | None = None, **common: Any) -> None:
+def configure_logs(stream: LogSink | None = None, **common: Any) -> None:
     """Send log lines to a stream (stderr by default).
 
     `common` fields, such as the host name, stand on every line. A second
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -124,7 +124,7 @@
 
 def test_refusal_says_when_to_come_back() -> None:
     """Only refusals of requests that have not run carry a time."""
-    answer = WIRE.refusal_answer(None, Refusal(503, 'busy', 1.25))
+    answer = WIRE.refusal_answer(None, Refusal(503, 'busy', '', 1.25))
     assert ('Retry-After', '1.25') in answer.headers
     answer = WIRE.refusal_answer(None, Refusal(504, 'late'))
     assert 'Retry-After' not in dict(answer.headers)
