Never tell a request as not run after an attempt that may have run

Cause: a resumable stream whose answer was lost and whose next target no longer found its inputs ended as 503, and its stages ran again with the count of attempts forgotten. Found while writing the forwarder's tests; the last of them fails before.

--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -87,6 +87,8 @@
         self.answer: _WholeAnswer | None = None
         # Streams: id of the last event that the caller got.
         self.last_event_id: int | None = None
+        # No target can run the request any more.
+        self.has_no_inputs = False
         # Seconds from the start of the last attempt to the head of its
         # answer and to its first event.
         self.head_s: float = 0
@@ -118,8 +120,9 @@
         """Answer a request.
 
         Raises `RefusedError` for an answer of the gateway's own,
-        `InputsGoneError` when the stages have to run again, and
-        `AnswerBrokenError` when an answer that has begun cannot go on.
+        `InputsGoneError` when nothing ran and the stages have to run
+        again, and `AnswerBrokenError` when an answer that has begun cannot
+        go on.
         """
         attempts = _Attempts()
         attempts.last_event_id = job.request.last_event_id
@@ -147,7 +150,9 @@
             attempts.reason = str(error)
             self._log_attempt(job, target, attempts, 'not_run', error)
             if isinstance(error, InputsGoneError):
-                raise
+                if not attempts.sent:
+                    raise
+                attempts.has_no_inputs = True
             if isinstance(error, TargetGoneError):
                 self._picker.avoid(target)
         except MayHaveRunError as error:
@@ -181,7 +186,7 @@
         return target
 
     def _may_go_on(self, job: Job, attempts: _Attempts) -> bool:
-        if self._left_s(job) < _MIN_LEFT_S:
+        if attempts.has_no_inputs or self._left_s(job) < _MIN_LEFT_S:
             return False
         if attempts.sent and not job.route.may_repeat:
             return False
--- /dev/null
+++ b/tests/gateway/test_forwarder.py
@@ -0,0 +1,274 @@
+"""What is sent again, what callers are told, what is passed on."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+import pytest
+
+from hornbeamline.gateway import (
+    Forwarder,
+    RefusedError,
+    RepeatBudget,
+    RouteKind,
+    TargetDirectory,
+    TargetPicker,
+)
+from hornbeamline.gateway._forwarder import Job
+from hornbeamline.gateway._reply import Reply
+from hornbeamline.gateway.errors import (
+    AnswerBrokenError,
+    InputsGoneError,
+    MayHaveRunError,
+    TargetGoneError,
+)
+from hornbeamline.helpers.budget import BudgetSettings
+from hornbeamline.helpers.clock import SystemClock
+from hornbeamline.platform._wire import PlatformWire
+from tests.gateway.builders import make_request, make_route, make_target
+
+SIGNED = [(b'X-Request-Id', b'r1'), (b'X-Server-Stamp', b's')]
+NOT_RUN = [*SIGNED, (b'X-Not-Executed', b'1')]
+
+
+class Script(NamedTuple):
+    """Answer of a target: an error ends it at that place."""
+
+    status: int = 200
+    headers: list[tuple[bytes, bytes]] = SIGNED
+    parts: tuple[Any, ...] = (b'body',)
+    before: Exception | None = None
+
+
+class FakeResponse:
+    """Response that follows a script."""
+
+    def __init__(self, script: Script) -> None:
+        self.status = script.status
+        self.headers = script.headers
+        self._parts = script.parts
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the parts."""
+        for part in self._parts:
+            if isinstance(part, Exception):
+                raise part
+            yield part
+
+    async def body(self) -> bytes:
+        """Return all parts."""
+        return b''.join([part async for part in self.chunks()])
+
+
+class FakeHttp:
+    """Client whose targets answer by scripts, in the order of attempts."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.scripts = list(scripts)
+        self.sent: list[dict[str, str]] = []
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        address: str,
+        method: str,
+        raw_target: str,
+        headers: list[tuple[str, str]],
+        body: bytes | None = None,
+    ) -> AsyncIterator[FakeResponse]:
+        """Answer by the next script."""
+        self.sent.append(dict(headers))
+        script = self.scripts.pop(0)
+        if script.before is not None:
+            raise script.before
+        yield FakeResponse(script)
+
+
+class Caller:
+    """Collects what a caller receives."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b''
+        self.is_whole = False
+
+    async def send(self, message: Any) -> None:
+        """Take an ASGI message."""
+        if message['type'] == 'http.response.start':
+            self.status = message['status']
+            return
+        self.body += message.get('body', b'')
+        self.is_whole = not message.get('more_body', False)
+
+
+async def forward(http: FakeHttp, **route: Any) -> Caller:
+    """Forward a request and return what its caller got."""
+    clock = SystemClock()
+    targets = TargetDirectory(clock)
+    targets.take_list([make_target(f't{number}') for number in range(4)])
+    forwarder = Forwarder(
+        http,
+        PlatformWire(),
+        TargetPicker('dc-1', clock, random.Random(1)),
+        targets,
+        RepeatBudget(BudgetSettings(0.2, 10, 64), clock),
+        clock,
+    )
+    now = clock.monotonic()
+    job = Job(
+        make_request(received_at=now, headers=(('x-request-id', 'r1'),)),
+        b'',
+        make_route(**route),
+        'service',
+        None,
+        0,
+        now + 5,
+        [],
+        {},
+        lambda: None,
+    )
+    caller = Caller()
+    await forwarder.forward(job, Reply(caller.send, closes=lambda: False))
+    return caller
+
+
+UNSAFE = {'kind': RouteKind.NON_IDEMPOTENT, 'max_attempts': 3}
+SAFE = {'kind': RouteKind.IDEMPOTENT, 'max_attempts': 3}
+STREAM = {'kind': RouteKind.STREAM, 'max_attempts': 3}
+RESUMABLE = {**STREAM, 'can_resume': True}
+
+
+def events(*numbers: int) -> bytes:
+    """Return events of a stream."""
+    return b''.join(b'id: %d\ndata: x\n\n' % number for number in numbers)
+
+
+async def test_lost_answer_of_an_action_is_never_sent_again() -> None:
+    """Guards against a doubled filing; 502 promises nothing."""
+    http = FakeHttp(Script(before=MayHaveRunError('reset')), Script())
+    with pytest.raises(RefusedError) as caught:
+        await forward(http, **UNSAFE)
+    assert caught.value.refusal.status == 502
+    assert len(http.sent) == 1
+
+
+@pytest.mark.parametrize(
+    'first',
+    [
+        Script(before=TargetGoneError('refused')),
+        Script(503, NOT_RUN),
+        Script(421, []),
+    ],
+)
+async def test_action_that_provably_did_not_run_goes_elsewhere(first) -> None:
+    """A refusal by the target allows another attempt."""
+    http = FakeHttp(first, Script())
+    caller = await forward(http, **UNSAFE)
+    assert (caller.status, caller.body) == (200, b'body')
+    assert len({sent['X-Expect-Instance'] for sent in http.sent}) == 2
+
+
+async def test_refusals_everywhere_are_told_as_not_run() -> None:
+    """503 with a time to come back."""
+    http = FakeHttp(*[Script(503, NOT_RUN)] * 3)
+    with pytest.raises(RefusedError) as caught:
+        await forward(http, **UNSAFE)
+    assert caught.value.refusal.status == 503
+    assert caught.value.refusal.retry_after_s is not None
+
+
+async def test_read_is_repeated_after_a_failure() -> None:
+    """An idempotent request gets a second target."""
+    http = FakeHttp(Script(500), Script())
+    assert (await forward(http, **SAFE)).status == 200
+
+
+async def test_failure_of_the_last_target_is_passed_on_unchanged() -> None:
+    """A signed failure is the target's own answer."""
+    http = FakeHttp(Script(500, SIGNED, (b'no',)), Script(502), Script(500))
+    caller = await forward(http, **SAFE)
+    assert caller.status in {500, 502}
+    assert caller.is_whole
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        [(b'X-Request-Id', b'other'), (b'X-Server-Stamp', b's')],
+        [(b'X-Request-Id', b'r1')],
+        [*SIGNED, (b'Content-Encoding', b'gzip')],
+    ],
+)
+async def test_answer_of_another_request_reaches_nobody(headers) -> None:
+    """Late, unsigned and encoded answers are not the target's."""
+    http = FakeHttp(Script(200, headers), Script())
+    with pytest.raises(RefusedError) as caught:
+        await forward(http, **UNSAFE)
+    assert caught.value.refusal.status == 502
+
+
+async def test_truncated_answer_reaches_nobody() -> None:
+    """An answer that ends early must not look complete."""
+    http = FakeHttp(Script(parts=(b'bo', MayHaveRunError('cut'))))
+    with pytest.raises(RefusedError):
+        await forward(http, **UNSAFE)
+
+
+async def test_plain_stream_that_breaks_is_broken_off() -> None:
+    """Only whole events pass, and the end is missing."""
+    parts = (events(1, 2), b'id: 3\nda', MayHaveRunError('cut'))
+    with pytest.raises(AnswerBrokenError):
+        await forward(FakeHttp(Script(parts=parts)), **STREAM)
+
+
+async def test_stream_that_ends_inside_an_event_is_not_complete() -> None:
+    """Guards against a stream whose last event is missing."""
+    with pytest.raises(AnswerBrokenError):
+        await forward(
+            FakeHttp(Script(parts=(events(1), b'id: 2\nda'))),
+            **STREAM,
+        )
+
+
+async def test_stream_resumes_at_another_target() -> None:
+    """No event is missing and none comes twice."""
+    http = FakeHttp(
+        Script(parts=(events(1, 2), MayHaveRunError('cut'))),
+        Script(parts=(events(2, 3, 4),)),
+    )
+    caller = await forward(http, **RESUMABLE)
+    assert caller.body == events(1, 2, 3, 4)
+    assert caller.is_whole
+    assert http.sent[1]['Last-Event-Id'] == '2'
+
+
+async def test_gap_after_resumption_is_not_passed_on() -> None:
+    """A target that goes on too late would leave out an event."""
+    http = FakeHttp(
+        Script(parts=(events(1), MayHaveRunError('cut'))),
+        Script(parts=(events(3),)),
+        Script(parts=(events(2, 3),)),
+    )
+    assert (await forward(http, **RESUMABLE)).body == events(1, 2, 3)
+
+
+async def test_missing_inputs_run_the_stages_again() -> None:
+    """The target proved that it did not run."""
+    with pytest.raises(InputsGoneError):
+        await forward(FakeHttp(Script(409, NOT_RUN)), **UNSAFE)
+
+
+async def test_missing_inputs_after_a_lost_answer_are_not_told_as_not_run() -> (
+    None
+):
+    """The first attempt may have run, so 503 would not be true."""
+    http = FakeHttp(
+        Script(before=MayHaveRunError('reset')),
+        Script(409, NOT_RUN),
+    )
+    with pytest.raises(RefusedError) as caught:
+        await forward(http, **RESUMABLE)
+    assert caught.value.refusal.status == 502
