Share the repeat budget and the rate of the list among all hosts

Hosts that are out of sight still count. The pause between reads of the list grows with the hosts (96 hosts would have asked twice as often as allowed). Unused settings and methods are gone.

--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -30,6 +30,8 @@
 
 _LIST_TIMEOUT_S: Final = 0.9
 _FIRST_READS_S: Final = 0.25
+# Share of the allowed calls to the list that the pauses aim at.
+_RATE_SHARE: Final = 0.7
 # The balancer needs two failed checks, one a second.
 BALANCER_WAIT_S: Final = 2.3
 _DRAIN_POLL_S: Final = 0.1
@@ -53,12 +55,18 @@
         source: ReadTargets,
         targets: TargetDirectory,
         interval_s: float,
+        rate_per_s: float,
         rng: random.Random,
     ) -> None:
-        """Take the list, what follows it, and the pause between reads."""
+        """Take the list, what follows it, pause and rate of the reads.
+
+        `rate_per_s` bounds the calls of all hosts together.
+        """
         self._source = source
         self._targets = targets
         self._interval_s = interval_s
+        self._rate_per_s = rate_per_s * _RATE_SHARE
+        self._hosts = 1
         self._rng = rng
         self._tasks = TaskSet()
         self._works = False
@@ -71,10 +79,20 @@
         """Stop reading."""
         await self._tasks.cancel_all()
 
+    def note_hosts(self, count: int) -> None:
+        """Take the number of hosts that read the list."""
+        self._hosts = max(count, 1)
+
+    @property
+    def pause_s(self) -> float:
+        """Return the pause between two reads."""
+        pause_s = self._interval_s if self._works else _FIRST_READS_S
+        return max(pause_s, self._hosts / self._rate_per_s)
+
     async def _run(self) -> None:
         while True:
             await self._read()
-            pause_s = self._interval_s if self._works else _FIRST_READS_S
+            pause_s = self.pause_s
             # Hosts that start together must not read together.
             await asyncio.sleep(pause_s * self._rng.uniform(0.9, 1.1))
 
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -35,7 +35,7 @@
     TargetPicker,
     Wire,
 )
-from hornbeamline.helpers.clock import SystemClock
+from hornbeamline.helpers.clock import Clock, SystemClock
 from hornbeamline.helpers.http_server import HttpServer
 from hornbeamline.inventory import PeeringSettings
 from hornbeamline.peering import PynngPeering
@@ -55,6 +55,8 @@
     readiness_address: str
     metrics_address: str
     list_interval_s: float
+    # Calls a second to the list that all hosts may make together.
+    list_rate_per_s: float
     stop_timeout_s: float
     budget: BudgetSettings
 
@@ -104,7 +106,7 @@
                 StageCaller(http, wire),
                 ResultReleaser(http, wire),
             ),
-            RepeatBudget(settings.budget, self._clock),
+            _fleet_budget(settings.budget, self._clock),
         )
         forwarder = Forwarder(
             http,
@@ -125,17 +127,18 @@
         )
         watch = SettingsWatch(read_controls, self._member)
         self.kernel.on_reload(watch.reload)
-        poller = ListPoller(
+        self._poller = ListPoller(
             open_list(http),
             self._targets,
             settings.list_interval_s,
+            settings.list_rate_per_s,
             rng,
         )
         self.kernel.register('peering', self._peering)
         self.kernel.register('http', http)
         self.kernel.register('directory', self._member)
         self.kernel.register('settings', watch)
-        self.kernel.register('targets', poller)
+        self.kernel.register('targets', self._poller)
         self.kernel.register('batching', self._batching)
         self.kernel.register('collector', CollectorService())
         self._register_listeners()
@@ -221,6 +224,11 @@
 
     def _take_present(self, present: Sequence[Presence]) -> None:
         """Note what the other entry hosts have in progress."""
+        entries = [
+            presence for presence in present if presence.role == ROLE_ENTRY
+        ]
+        self._budget.note_hosts(len(entries))
+        self._poller.note_hosts(len(entries))
         in_flight: Counter[str] = Counter()
         for presence in present:
             if presence.name != self._settings.name:
@@ -246,3 +254,10 @@
             },
         )
         self._app.take_table(table)
+
+
+def _fleet_budget(settings: BudgetSettings, clock: Clock) -> RepeatBudget:
+    """Return the budget of a service whose repeats one host sends."""
+    budget = RepeatBudget(settings, clock)
+    budget.note_hosts(1)
+    return budget
--- a/hornbeamline/gateway/_targets.py
+++ b/hornbeamline/gateway/_targets.py
@@ -12,16 +12,13 @@
 class TargetDirectory:
     """The last readable list of targets.
 
-    An entry that is leaving or that is gone from the list gets no new
-    work; the list lags, so a target seen as leaving stays leaving until
-    the list shows it under a new id.
+    A target that is leaving or gone from the list gets no new work.
     """
 
     def __init__(self, clock: Clock) -> None:
         """Start without a list."""
         self._clock = clock
         self.read_at: float | None = None
-        self.version = 0
         self._targets_by_service: dict[str, list[Target]] = {}
         self._targets_by_id: dict[str, Target] = {}
         self._targets_by_address: dict[str, Target] = {}
@@ -46,7 +43,6 @@
         else:
             log_event('targets.first_list', entries=len(known))
         self.read_at = self._clock.monotonic()
-        self.version += 1
         by_service: dict[str, list[Target]] = {}
         for listed in known.values():
             if not listed.is_leaving:
@@ -67,11 +63,6 @@
         """Return the listed target at an address."""
         return self._targets_by_address.get(address)
 
-    def still_serves(self, target: Target) -> bool:
-        """Return whether a target still takes new work."""
-        listed = self._targets_by_id.get(target.id)
-        return listed is not None and not listed.is_leaving
-
     def _log_changes(self, known: dict[str, Target]) -> None:
         before = self._targets_by_id
         for target_id, target in known.items():
--- a/hornbeamline/helpers/budget.py
+++ b/hornbeamline/helpers/budget.py
@@ -11,6 +11,8 @@
 # Share of the allowed ratio that hosts use: the windows of the check
 # slide and a host counts its own requests only.
 _RATIO_SHARE: Final = 0.7
+# Until the number of hosts is known, repeats are hardly allowed.
+UNKNOWN_HOSTS: Final = 1000
 
 
 class BudgetSettings(NamedTuple):
@@ -32,7 +34,17 @@
         self._clock = clock
         self._firsts_by_service: dict[str, deque[float]] = {}
         self._repeats_by_service: dict[str, deque[float]] = {}
-        self.hosts = 1
+        self._hosts = UNKNOWN_HOSTS
+
+    def note_hosts(self, count: int) -> None:
+        """Take the number of hosts that share the budget.
+
+        The highest number counts: hosts that are out of sight may still
+        send repeats.
+        """
+        if self._hosts == UNKNOWN_HOSTS:
+            self._hosts = max(count, 1)
+        self._hosts = max(count, self._hosts)
 
     def note_first(self, service: str, count: int = 1) -> None:
         """Count first attempts."""
@@ -43,7 +55,7 @@
         firsts = self._count(self._firsts_by_service, service)
         repeats = self._count(self._repeats_by_service, service)
         settings = self._settings
-        slack = settings.slack * _RATIO_SHARE / max(self.hosts, 1)
+        slack = settings.slack * _RATIO_SHARE / self._hosts
         allowed = settings.ratio * _RATIO_SHARE * firsts + slack
         if repeats + count > allowed:
             return False
--- a/hornbeamline/platform/_run.py
+++ b/hornbeamline/platform/_run.py
@@ -31,7 +31,7 @@
 _SILENCE_S: Final = 1.2
 # A document may have some 100 KB; the disk has 64 MB.
 _SNAPSHOT_ENTRIES: Final = 48
-# Share of the platform's rate for its list that the hosts use together.
+# A leaving server must get nothing 3 s after the list shows it.
 _LIST_INTERVAL_S: Final = 1.0
 _ENTRY_METRICS_PORT: Final = 9464
 _CONTROL_METRICS_PORT: Final = 9465
@@ -60,6 +60,7 @@
             readiness_address=settings.readiness_address,
             metrics_address=f'{settings.ip}:{_ENTRY_METRICS_PORT}',
             list_interval_s=_LIST_INTERVAL_S,
+            list_rate_per_s=settings.list_rate_per_s,
             stop_timeout_s=settings.stop_timeout_s,
             budget=BudgetSettings(
                 settings.repeat_ratio,
--- a/hornbeamline/platform/_settings.py
+++ b/hornbeamline/platform/_settings.py
@@ -29,8 +29,6 @@
 
 class _Bounds(_Table, frozen=True, kw_only=True):
     grace_s: float = 8
-    drain_ms: float = 3000
-    config_apply_ms: float = 2000
     retry_ratio: float = 0.2
     retry_window_s: float = 10
     retry_slack: float = 64
@@ -39,7 +37,6 @@
 class _CloudApi(_Table, frozen=True, kw_only=True):
     address: str
     rate_per_s: float = 40
-    max_lag_ms: float = 1000
 
 
 class _File(_Table, frozen=True, kw_only=True):
@@ -81,8 +78,6 @@
     list_address: str
     # Calls a second to the list from all hosts together.
     list_rate_per_s: float
-    # A target that is leaving must get nothing after this time.
-    leave_bound_s: float
 
 
 def read_settings(path: Path) -> ProcessSettings:
@@ -112,5 +107,4 @@
         repeat_slack=table.bounds.retry_slack,
         list_address=table.cloud_api.address,
         list_rate_per_s=table.cloud_api.rate_per_s,
-        leave_bound_s=table.bounds.drain_ms / 1000,
     )
--- a/tests/batching/test_service.py
+++ b/tests/batching/test_service.py
@@ -91,6 +91,8 @@
     async def start(self, name: str, *, knows_service: bool = True) -> None:
         """Start a host, or start it again without what it knew."""
         clock = LoopClock()
+        budget = RepeatBudget(BudgetSettings(0.2, 10, 64), clock)
+        budget.note_hosts(1)
         service = BatchingService(
             self.network.endpoint(name),
             clock,
@@ -100,7 +102,7 @@
                 self.targets.call,
                 self.targets.free,
             ),
-            RepeatBudget(BudgetSettings(0.2, 10, 64), clock),
+            budget,
         )
         self.services[name] = service
         if knows_service:
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -16,7 +16,7 @@
     """Oracle: count both kinds in every window that ends at a repeat."""
     clock = ManualClock()
     budget = RepeatBudget(SETTINGS, clock)
-    budget.hosts = 12
+    budget.note_hosts(12)
     firsts: list[float] = []
     repeats: list[float] = []
     for is_first, pause_s in steps:
@@ -35,6 +35,24 @@
 def test_budget_is_kept_for_each_service() -> None:
     """Repeats at one service leave the others alone."""
     budget = RepeatBudget(SETTINGS, ManualClock())
+    budget.note_hosts(1)
     while budget.take('busy'):
         pass
     assert budget.take('calm')
+
+
+def test_host_that_knows_no_others_hardly_repeats() -> None:
+    """Guards against twelve hosts that each use the whole budget."""
+    budget = RepeatBudget(SETTINGS, ManualClock())
+    assert not budget.take('s')
+
+
+def test_hosts_out_of_sight_still_count() -> None:
+    """Fault: a host is cut off and sees only itself."""
+    budget = RepeatBudget(SETTINGS, ManualClock())
+    for count in (12, 1):
+        budget.note_hosts(count)
+    taken = 0
+    while budget.take('s'):
+        taken += 1
+    assert taken <= 64 / 12
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -109,12 +109,14 @@
     clock = SystemClock()
     targets = TargetDirectory(clock)
     targets.take_list([make_target(f't{number}') for number in range(4)])
+    budget = RepeatBudget(BudgetSettings(0.2, 10, 64), clock)
+    budget.note_hosts(1)
     forwarder = Forwarder(
         http,
         PlatformWire(),
         TargetPicker('dc-1', clock, random.Random(1)),
         targets,
-        RepeatBudget(BudgetSettings(0.2, 10, 64), clock),
+        budget,
         clock,
     )
     now = clock.monotonic()
--- /dev/null
+++ b/tests/gateway/test_targets.py
@@ -0,0 +1,34 @@
+"""Targets that leave get no new work; hosts share the list's rate."""
+
+from __future__ import annotations
+
+import random
+
+from hornbeamline.daemons._gateway_services import ListPoller
+from hornbeamline.gateway import TargetDirectory
+from hornbeamline.helpers.clock import ManualClock
+from tests.gateway.builders import make_target
+
+
+def test_leaving_and_gone_targets_get_no_new_work() -> None:
+    """Planned work: one target drains, another has left the list."""
+    targets = TargetDirectory(ManualClock())
+    targets.take_list([make_target(name) for name in ('a', 'b', 'c')])
+    targets.take_list([make_target('a', is_leaving=True), make_target('c')])
+    assert [target.id for target in targets.of_service('service')] == ['c']
+
+
+def test_address_names_the_target_that_has_it_now() -> None:
+    """Addresses of targets that are gone are used again."""
+    targets = TargetDirectory(ManualClock())
+    targets.take_list([make_target('old', address='1.2.3.4:5')])
+    targets.take_list([make_target('new', address='1.2.3.4:5')])
+    assert targets.at_address('1.2.3.4:5').id == 'new'
+
+
+def test_many_hosts_stay_below_the_rate_of_the_list() -> None:
+    """Load: 96 hosts share 47 calls a second."""
+    targets = TargetDirectory(ManualClock())
+    poller = ListPoller(None, targets, 1.0, 47.0, random.Random(1))
+    poller.note_hosts(96)
+    assert 96 / poller.pause_s < 47
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -30,7 +30,7 @@
     """New fields are ignored, absent listeners are empty."""
     settings = read_settings(write_toml(tmp_path / 's.toml', FILE))
     assert settings.control_ips == ['10.1.0.33', '10.2.0.12']
-    assert settings.leave_bound_s == 3
+    assert settings.stop_timeout_s == 8
     assert settings.tolerated_losses == 2
     assert settings.operator_address == ''
     assert settings.is_first_start
