--- a/hornbeamline/telemetry/_logs.py
+++ b/hornbeamline/telemetry/_logs.py
@@ -4,6 +4,7 @@
 
 import datetime
 import json
+import logging
 import sys
 from collections.abc import Callable
 from typing import Any, Final, Protocol
@@ -48,6 +49,9 @@
         sink.write(format_line({**message, **common}))
         sink.flush()
 
+    # asyncio warns once for each write to a connection that its peer has
+    # closed, without bound; the event of the request tells of it.
+    logging.getLogger('asyncio').setLevel(logging.ERROR)
     eliot.add_destinations(write_line)
     _configured.append(write_line)
 
