Compute stages with large results near their inputs and engine

Cause: results crossed data centres at random. Change: submitters name the data centre with the most input bytes, or that of the engine which holds the prompt; idle targets there go first, remote groups count as due 0.3 s later, and a group with 0.4 s to spare waits for a near target whose call ends within 0.12 s. Slow and resting targets are not waited for.

--- a/hornbeamline/batching/__init__.py
+++ b/hornbeamline/batching/__init__.py
@@ -5,8 +5,13 @@
 from hornbeamline.batching._owner import TargetAccess
 from hornbeamline.batching._queue import BatchQueue, QueuedPiece
 from hornbeamline.batching._service import BatchingService
-from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
-from hornbeamline.batching._worker import BatchTarget, BatchTimes
+from hornbeamline.batching._types import (
+    BatchTarget,
+    Piece,
+    PieceResult,
+    PieceTerms,
+)
+from hornbeamline.batching._worker import BatchTimes
 from hornbeamline.batching.errors import (
     CallLostError,
     CallRefusedError,
--- a/hornbeamline/batching/_owner.py
+++ b/hornbeamline/batching/_owner.py
@@ -17,9 +17,8 @@
 )
 from hornbeamline.batching._queue import QueuedPiece
 from hornbeamline.batching._releases import FreeResults
-from hornbeamline.batching._types import PieceResult
+from hornbeamline.batching._types import BatchTarget, PieceResult
 from hornbeamline.batching._worker import (
-    BatchTarget,
     BatchTimes,
     BatchWorker,
     CallTarget,
--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -5,16 +5,31 @@
 import asyncio
 import itertools
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
 from hornbeamline.batching.const import (
     LATE_WAIT_FACTOR,
     MAX_HELD_SHARE,
     MAX_PASSED,
+    NEAR_SPARE_S,
     RANK_DELAY_S,
+    REMOTE_DELAY_S,
 )
 
 
+class IdleTarget(NamedTuple):
+    """A target that can begin a call."""
+
+    # Time that a call takes.
+    service_s: float
+    # Space for results.
+    room_bytes: float
+    data_centre: str = ''
+    # Data centres of the targets that are or will soon be idle.
+    places: frozenset[str] = frozenset()
+
+
 class QueuedPiece:
     """A piece that waits for its turn."""
 
@@ -26,6 +41,7 @@
         self.rank = terms.rank
         self.result_bytes = terms.result_bytes
         self.held_share = terms.held_share
+        self.near = terms.near
         # Calls that included it.
         self.attempts = 0
         # Calls that its group did not fit into.
@@ -79,6 +95,14 @@
         """Return the queued pieces of a rank and the more urgent ones."""
         return sum(queued.rank <= rank for queued in self._queued)
 
+    def first_near(self, now: float, service_s: float) -> str:
+        """Return the wished data centre of the most urgent piece."""
+        first = min(
+            self._queued,
+            key=lambda queued: _urgency(queued, now + service_s),
+        )
+        return first.near
+
     def ranks(self) -> list[int]:
         """Return the ranks of the queued pieces, most urgent first."""
         return sorted({queued.rank for queued in self._queued})
@@ -146,22 +170,23 @@
         self._queued = kept
         return hopeless
 
-    def take(
-        self,
-        now: float,
-        service_s: float,
-        room_bytes: float,
-    ) -> list[QueuedPiece]:
+    def take(self, now: float, target: IdleTarget) -> list[QueuedPiece]:
         """Remove and return the pieces of the next call.
 
-        `service_s` is the time that a call takes, `room_bytes` the space
-        for results at the target.
+        Groups that can wait for a target in their data centre stay.
         """
-        done_at = now + service_s
-        self._queued.sort(key=lambda queued: _urgency(queued, done_at))
-        chosen = self._whole_groups(room_bytes)
-        if not chosen and self._queued:
-            chosen = self._part_of_first(room_bytes)
+        done_at = now + target.service_s
+        self._queued.sort(
+            key=lambda queued: _urgency(queued, done_at, target.data_centre),
+        )
+        offered = [
+            queued
+            for queued in self._queued
+            if not _can_wait(queued, now, target)
+        ]
+        chosen = self._whole_groups(offered, target.room_bytes)
+        if not chosen and offered:
+            chosen = self._part_of_first(offered, target.room_bytes)
         taken = set(map(id, chosen))
         self._queued = [
             queued for queued in self._queued if id(queued) not in taken
@@ -175,7 +200,11 @@
         for queued in self._queued:
             queued.is_begun = queued.is_begun or _group_of(queued) in begun
 
-    def _whole_groups(self, room_bytes: float) -> list[QueuedPiece]:
+    def _whole_groups(
+        self,
+        offered: list[QueuedPiece],
+        room_bytes: float,
+    ) -> list[QueuedPiece]:
         """Return the most urgent groups that fit into a call as a whole.
 
         A stage of a request is done with its last piece, so splitting it
@@ -184,7 +213,7 @@
         have passed it several times.
         """
         chosen: list[QueuedPiece] = []
-        for _, members in itertools.groupby(self._queued, key=_group_of):
+        for _, members in itertools.groupby(offered, key=_group_of):
             group = list(members)
             slots = self.pieces_per_call - len(chosen)
             fitting = _fitting(group, slots, room_bytes)
@@ -200,20 +229,25 @@
                 group[0].passed += 1
         return chosen
 
-    def _part_of_first(self, room_bytes: float) -> list[QueuedPiece]:
-        first = _group_of(self._queued[0])
-        group = [
-            queued for queued in self._queued if _group_of(queued) == first
-        ]
+    def _part_of_first(
+        self,
+        offered: list[QueuedPiece],
+        room_bytes: float,
+    ) -> list[QueuedPiece]:
+        first = _group_of(offered[0])
+        group = [queued for queued in offered if _group_of(queued) == first]
         return _fitting(group, self.pieces_per_call, room_bytes)
 
 
 def _urgency(
     queued: QueuedPiece,
     done_at: float,
+    data_centre: str = '',
 ) -> tuple[bool, bool, float, str, int]:
     is_late = queued.due_at < done_at and queued.held_share < MAX_HELD_SHARE
     due_at = queued.due_at + queued.rank * RANK_DELAY_S
+    if queued.near not in {'', data_centre}:
+        due_at += REMOTE_DELAY_S
     return (
         not queued.is_begun,
         is_late,
@@ -223,6 +257,14 @@
     )
 
 
+def _can_wait(queued: QueuedPiece, now: float, target: IdleTarget) -> bool:
+    """Return whether a piece waits for another target in its data centre."""
+    if queued.near == target.data_centre or queued.near not in target.places:
+        return False
+    spare_s = queued.due_at - now - target.service_s
+    return spare_s > NEAR_SPARE_S and not queued.is_begun
+
+
 def _fitting(
     group: list[QueuedPiece],
     slots: int,
--- a/hornbeamline/batching/_speeds.py
+++ b/hornbeamline/batching/_speeds.py
@@ -2,15 +2,61 @@
 
 from __future__ import annotations
 
+from collections import deque
+from collections.abc import Mapping, Sequence
 from typing import Final
 
-from hornbeamline.batching.const import REST_S, SPEED_WEIGHT
+from hornbeamline.batching._types import BatchTarget
+from hornbeamline.batching.const import (
+    NEAR_MAX_SLOWNESS,
+    NEAR_WAIT_S,
+    RATE_WINDOW_S,
+    REMOTE_COST_S,
+    REST_S,
+    SPEED_WEIGHT,
+)
 from hornbeamline.helpers.clock import Clock
 
 # A call that ends sooner than half of its time computed little.
 _MIN_RATIO: Final = 0.5
 
 
+# Share of the best rate that targets are expected to reach at least.
+_MIN_RATE_SHARE: Final = 0.25
+
+
+class PieceRate:
+    """Pieces a second that the targets of a service compute."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Take the time source."""
+        self._clock = clock
+        # Time and number of pieces of the last calls.
+        self._finished: deque[tuple[float, int]] = deque()
+
+    def note_call(self, pieces: int) -> None:
+        """Count the pieces of a call that has ended."""
+        self._finished.append((self._clock.monotonic(), pieces))
+        self._forget_old()
+
+    def rate(self, best_rate: float, *, is_backlogged: bool) -> float:
+        """Return the measured rate, bounded by the best possible one.
+
+        Without a backlog, the finished pieces say nothing of the speed.
+        """
+        if not is_backlogged:
+            return best_rate
+        self._forget_old()
+        done = sum(count for _, count in self._finished)
+        measured = done / RATE_WINDOW_S
+        return min(max(measured, best_rate * _MIN_RATE_SHARE), best_rate)
+
+    def _forget_old(self) -> None:
+        oldest = self._clock.monotonic() - RATE_WINDOW_S
+        while self._finished and self._finished[0][0] < oldest:
+            self._finished.popleft()
+
+
 class TargetSpeeds:
     """Smoothed time of calls, as a multiple of the expected time."""
 
@@ -24,6 +70,47 @@
         """Return 1 for a target that works as fast as expected."""
         return self._slowness_by_target.get(target_id, 1)
 
+    def best(
+        self,
+        targets: Sequence[BatchTarget],
+        call_s: float,
+        near: str,
+    ) -> BatchTarget:
+        """Return the fastest target, one in the wished data centre first.
+
+        `call_s` is the time of a call at a target of usual speed.
+        """
+
+        def cost_s(target: BatchTarget) -> float:
+            is_remote = near not in {'', target.data_centre}
+            away_s = REMOTE_COST_S if is_remote else 0
+            return call_s * self.slowness(target.id) + away_s
+
+        return min(targets, key=cost_s)
+
+    def places_of_idle(
+        self,
+        targets: Sequence[BatchTarget],
+        ends_by_target: Mapping[str, float],
+    ) -> frozenset[str]:
+        """Return the data centres of targets that are worth waiting for.
+
+        `ends_by_target` has the expected ends of the calls in progress.
+        """
+        now = self._clock.monotonic()
+
+        def is_soon_idle(target: BatchTarget) -> bool:
+            ends_at = ends_by_target.get(target.id, now)
+            return abs(ends_at - now) <= NEAR_WAIT_S
+
+        return frozenset(
+            target.data_centre
+            for target in targets
+            if not self.is_resting(target.id)
+            and self.slowness(target.id) <= NEAR_MAX_SLOWNESS
+            and is_soon_idle(target)
+        )
+
     def note_call(
         self,
         target_id: str,
--- a/hornbeamline/batching/_types.py
+++ b/hornbeamline/batching/_types.py
@@ -2,7 +2,19 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
+
+
+class BatchTarget(Protocol):
+    """What a worker needs to know of a target."""
+
+    @property
+    def id(self) -> str:
+        """Return the id of this start of the target."""
+
+    @property
+    def data_centre(self) -> str:
+        """Return where the target is."""
 
 
 class Piece(NamedTuple):
@@ -39,3 +51,5 @@
     # Share of the space of the targets before that the inputs take until
     # the pieces are computed.
     held_share: float = 0
+    # Data centre with the inputs or the next user; '' when any will do.
+    near: str = ''
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final, Protocol
 
 from hornbeamline.batching._metrics import CALL_SECONDS, CALLS, PIECES
-from hornbeamline.batching._queue import BatchQueue, QueuedPiece
+from hornbeamline.batching._queue import BatchQueue, IdleTarget, QueuedPiece
 from hornbeamline.batching._releases import FreeResults, ResultReleases
 from hornbeamline.batching._room import ResultRoom, RoomShare
-from hornbeamline.batching._speeds import TargetSpeeds
-from hornbeamline.batching._types import Piece, PieceResult
+from hornbeamline.batching._speeds import PieceRate, TargetSpeeds
+from hornbeamline.batching._types import BatchTarget, Piece, PieceResult
 from hornbeamline.batching.const import (
     CALL_PATIENCE,
     CALL_PATIENCE_MIN_S,
@@ -20,7 +19,6 @@
     FULL_S,
     GATHER_S,
     MAX_PIECE_ATTEMPTS,
-    RATE_WINDOW_S,
 )
 from hornbeamline.batching.errors import CallLostError, CallRefusedError
 from hornbeamline.core import TaskSet
@@ -36,14 +34,6 @@
 _POLL_S: Final = 0.25
 
 
-class BatchTarget(Protocol):
-    """What the worker needs to know of a target."""
-
-    @property
-    def id(self) -> str:
-        """Return the id of this start of the target."""
-
-
 class BatchTimes(Protocol):
     """Times of calls of one service."""
 
@@ -103,10 +93,10 @@
         self._clock = clock
         self._queue = BatchQueue(times.pieces_per_call)
         self._arrived = asyncio.Event()
-        self._busy: set[str] = set()
+        # When the calls in progress are expected to end.
+        self._ends_by_target: dict[str, float] = {}
         self._speeds = TargetSpeeds(clock)
-        # Time and number of pieces of the last calls.
-        self._finished: deque[tuple[float, int]] = deque()
+        self._finished = PieceRate(clock)
         self._share = RoomShare()
         self._room_by_target: dict[str, ResultRoom] = {}
         self._tasks = TaskSet()
@@ -166,19 +156,12 @@
 
     def _rate(self) -> float:
         """Return the pieces a second that the targets compute."""
-        now = self._clock.monotonic()
-        oldest = now - RATE_WINDOW_S
-        while self._finished and self._finished[0][0] < oldest:
-            self._finished.popleft()
-        queued = len(self._queue)
         targets = max(len(self._targets(self.service)), 1)
         batch = self._times.pieces_per_call
-        best_rate = targets * batch / self._expected_s(batch)
-        done = sum(count for _, count in self._finished)
-        # Without a backlog, the finished pieces say nothing of the speed.
-        is_backlogged = queued > targets * batch
-        rate = max(done / RATE_WINDOW_S, best_rate / 4)
-        return min(rate, best_rate) if is_backlogged else best_rate
+        return self._finished.rate(
+            targets * batch / self._expected_s(batch),
+            is_backlogged=len(self._queue) > targets * batch,
+        )
 
     async def _run(self) -> None:
         while True:
@@ -199,39 +182,48 @@
         service_s = self._expected_s(1)
         for hopeless in self._queue.drop_hopeless(now, service_s, self._rate()):
             hopeless.settle(PieceResult(failure=FAILURE_LATE))
-        for target in self._idle_targets():
-            if not len(self._queue):
-                return
-            slowness = self._speeds.slowness(target.id)
-            room = self._room_by_target.setdefault(target.id, ResultRoom())
-            if room.is_full(now):
-                continue
-            free_bytes = self._room_bytes - room.used(now)
-            chosen = self._queue.take(
-                now,
+        idle = self._idle_targets()
+        while idle and len(self._queue):
+            near = self._queue.first_near(now, service_s)
+            target = self._speeds.best(idle, service_s, near)
+            idle.remove(target)
+            self._fill(target, now)
+
+    def _fill(self, target: BatchTarget, now: float) -> None:
+        """Begin a call at an idle target, if there is space for results."""
+        room = self._room_by_target.setdefault(target.id, ResultRoom())
+        if room.is_full(now):
+            return
+        slowness = self._speeds.slowness(target.id)
+        chosen = self._queue.take(
+            now,
+            IdleTarget(
                 self._expected_s(1) * slowness,
-                free_bytes,
-            )
-            if not chosen:
-                continue
-            room.reserve(_size_of(chosen))
-            self._busy.add(target.id)
-            self._tasks.spawn(
-                self._run_call(target, chosen),
-                f'batch at {target.id}',
-            )
+                self._room_bytes - room.used(now),
+                target.data_centre,
+                self._speeds.places_of_idle(
+                    self._targets(self.service),
+                    self._ends_by_target,
+                ),
+            ),
+        )
+        if not chosen:
+            return
+        room.reserve(_size_of(chosen))
+        call_s = self._expected_s(len(chosen)) * slowness
+        self._ends_by_target[target.id] = now + call_s
+        self._tasks.spawn(
+            self._run_call(target, chosen),
+            f'batch at {target.id}',
+        )
 
     def _idle_targets(self) -> list[BatchTarget]:
-        idle = [
+        return [
             target
             for target in self._targets(self.service)
-            if target.id not in self._busy
+            if target.id not in self._ends_by_target
             and not self._speeds.is_resting(target.id)
         ]
-        return sorted(
-            idle,
-            key=lambda target: self._speeds.slowness(target.id),
-        )
 
     async def _run_call(
         self,
@@ -257,7 +249,9 @@
             'batching.call',
             service=self.service,
             target=target.id,
+            data_centre=target.data_centre,
             pieces=len(chosen),
+            remote=_count_remote(chosen, target.data_centre),
             queued=len(self._queue),
             expected_s=self._expected_s(len(chosen)),
             slowness=self._speeds.slowness(target.id),
@@ -273,8 +267,10 @@
         began: float,
     ) -> str:
         """Call a target and return a summary of the outcome."""
+        slowness = self._speeds.slowness(target.id)
+        expected_s = self._expected_s(len(chosen)) * slowness
         try:
-            async with asyncio.timeout(self._patience_s(target, len(chosen))):
+            async with asyncio.timeout(_patience_s(expected_s)):
                 results = await self._call(
                     target,
                     [queued.piece for queued in chosen],
@@ -299,21 +295,13 @@
         self._learn(target, chosen, results, began)
         return _summary(results)
 
-    def _patience_s(self, target: BatchTarget, pieces: int) -> float:
-        slowness = self._speeds.slowness(target.id)
-        expected_s = self._expected_s(pieces) * slowness
-        return max(
-            expected_s * CALL_PATIENCE,
-            expected_s + CALL_PATIENCE_MIN_S,
-        )
-
     def _end_call(
         self,
         target: BatchTarget,
         chosen: list[QueuedPiece],
     ) -> None:
         self._room_by_target[target.id].unreserve(_size_of(chosen))
-        self._busy.discard(target.id)
+        self._ends_by_target.pop(target.id, None)
         self._arrived.set()
 
     def _learn(
@@ -328,7 +316,7 @@
         CALL_SECONDS.observe(now - began)
         for outcome in results:
             PIECES.labels(outcome.failure or 'computed').inc()
-        self._finished.append((now, len(chosen)))
+        self._finished.note_call(len(chosen))
         computed = sum(bool(made.handle) for made in results)
         if computed:
             self._speeds.note_call(
@@ -388,11 +376,21 @@
         return self._times.call_s + pieces * self._times.piece_s
 
 
+def _patience_s(expected_s: float) -> float:
+    """Return after how long a call is given up."""
+    return max(expected_s * CALL_PATIENCE, expected_s + CALL_PATIENCE_MIN_S)
+
+
 def _note_fetched(chosen: Sequence[QueuedPiece]) -> None:
     for queued in chosen:
         queued.note_fetched()
 
 
+def _count_remote(chosen: Sequence[QueuedPiece], data_centre: str) -> int:
+    """Return the pieces that are better computed elsewhere."""
+    return sum(queued.near not in {'', data_centre} for queued in chosen)
+
+
 def _summary(results: Sequence[PieceResult]) -> str:
     failures = sorted(outcome.failure for outcome in results if outcome.failure)
     return ','.join(failures) or 'done'
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -40,6 +40,20 @@
 # Pieces of a less urgent rank count as due later by this time, so that
 # they wait first when the targets are busy and still get their turn.
 RANK_DELAY_S: Final = 1.0
+# A group counts as due later by this time at a target in another data
+# centre than the wished one: between two calls of a target, which take
+# 0.3 s and more, another one nearer by mostly becomes idle.
+REMOTE_DELAY_S: Final = 0.3
+# A group waits for a target in the wished data centre whose call ends within
+# this time, a third of a typical call, if it has several times as much to
+# spare: the stages after it wait as well.
+NEAR_WAIT_S: Final = 0.12
+NEAR_SPARE_S: Final = 0.4
+# Targets slower than this multiple of the usual are not waited for.
+NEAR_MAX_SLOWNESS: Final = 1.5
+# An idle target in the wished data centre is used unless its calls take
+# longer by this time than those of another: a third of a typical call.
+REMOTE_COST_S: Final = 0.1
 # Inputs that take more than this share of a target's space are used
 # without regard to whether the request is late.
 MAX_HELD_SHARE: Final = 0.05
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -26,6 +26,7 @@
     BudgetSettings,
     Forwarder,
     GatewayApp,
+    Placement,
     RepeatBudget,
     ResultReleaser,
     RoutingTable,
@@ -116,11 +117,17 @@
             self._budget,
             self._clock,
         )
+        placement = Placement(wire, self._targets, self._picker)
         self._app = GatewayApp(
             wire,
             self._targets,
             forwarder,
-            StageRunner(self._batching, self._stage_waits, self._clock),
+            StageRunner(
+                self._batching,
+                self._stage_waits,
+                placement,
+                self._clock,
+            ),
             self._budget,
             self._clock,
             rng,
--- a/hornbeamline/gateway/__init__.py
+++ b/hornbeamline/gateway/__init__.py
@@ -6,6 +6,7 @@
 from hornbeamline.gateway._forwarder import Forwarder
 from hornbeamline.gateway._http import TargetHttp
 from hornbeamline.gateway._picker import TargetPicker
+from hornbeamline.gateway._placement import Placement
 from hornbeamline.gateway._release import ResultReleaser
 from hornbeamline.gateway._stages import StageRunner
 from hornbeamline.gateway._table import RoutingTable, group_by_host
@@ -47,6 +48,7 @@
     'MayHaveRunError',
     'NotRunError',
     'PromptPart',
+    'Placement',
     'Refusal',
     'RefusedError',
     'RepeatBudget',
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final
 
 from hornbeamline.batching import PiecesFailedError
 from hornbeamline.gateway._admission import judge
-from hornbeamline.gateway._forwarder import Forwarder, Job
+from hornbeamline.gateway._forwarder import Forwarder
+from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._metrics import (
     ANSWERS,
     CALLERS_LEFT,
@@ -283,11 +285,11 @@
             inputs = results.last_handles(job.route)
             await self._forwarder.forward(
                 job._replace(
-                    inputs=inputs,
-                    input_bytes_by_data_centre=self._bytes_by_data_centre(
-                        job.route,
-                        results,
-                        set(inputs),
+                    inputs=list(itertools.chain.from_iterable(inputs.values())),
+                    input_bytes_by_data_centre=(
+                        self._stages.placement.bytes_by_data_centre(
+                            job.route, inputs
+                        )
                     ),
                     on_inputs_fetched=lambda: self._stages.release_all(
                         results,
@@ -317,16 +319,7 @@
                     self._retry_after_s(job),
                 ),
             )
-        return await self._stages.run(
-            job.request,
-            job.route,
-            table,
-            min(
-                job.deadline_at,
-                job.request.received_at + job.route.first_event_patience_s,
-            ),
-            job.rank,
-        )
+        return await self._stages.run(job, table)
 
     def _retry_after_s(self, job: Job) -> float:
         """Return when the queues of the stages have become short.
@@ -340,23 +333,6 @@
         )
         return max(wait_s, _RETRY_AFTER_S) * self._rng.uniform(*_SPREAD)
 
-    def _bytes_by_data_centre(
-        self,
-        route: Route,
-        results: StageResults,
-        inputs: set[str],
-    ) -> dict[str, int]:
-        total: dict[str, int] = {}
-        for number, handles in results.handles_by_stage.items():
-            size = route.stages[number].result_bytes
-            for handle in inputs.intersection(handles):
-                address = self._wire.address_of(handle)
-                target = self._targets.at_address(address)
-                if target is not None:
-                    place = target.data_centre
-                    total[place] = total.get(place, 0) + size
-        return total
-
     def _choose_service(self, route: Route) -> str:
         services = list(route.weight_by_service)
         if len(services) == 1:
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from hornbeamline.gateway._events import EventSplitter, StreamEvent
 from hornbeamline.gateway._http import TargetHttp, TargetResponse
+from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._metrics import ATTEMPTS
-from hornbeamline.gateway._picker import TargetPicker, Wish
+from hornbeamline.gateway._picker import TargetPicker, Wish, remote_bytes
 from hornbeamline.gateway._reply import Reply
 from hornbeamline.gateway._targets import TargetDirectory
 from hornbeamline.gateway._types import (
-    Account,
     AnswerHead,
-    CallerRequest,
     Refusal,
-    Route,
     RouteKind,
     Target,
 )
@@ -53,23 +50,6 @@
 _HTTP_UNAVAILABLE: Final = 503
 
 
-class Job(NamedTuple):
-    """A request with everything that decides how it is sent."""
-
-    request: CallerRequest
-    body: bytes
-    route: Route
-    service: str
-    account: Account | None
-    rank: int
-    deadline_at: float
-    # Handles of the results that the target needs.
-    inputs: list[str]
-    input_bytes_by_data_centre: dict[str, int]
-    # The target has fetched the inputs.
-    on_inputs_fetched: Callable[[], None]
-
-
 class _WholeAnswer(NamedTuple):
     head: AnswerHead
     body: bytes
@@ -373,6 +353,11 @@
             'request.attempt',
             request=job.request.id,
             target=target.id,
+            data_centre=target.data_centre,
+            remote_bytes=remote_bytes(
+                job.input_bytes_by_data_centre,
+                target.data_centre,
+            ),
             outcome=outcome,
             attempt=len(attempts.tried),
             since_received_s=self._clock.monotonic() - job.request.received_at,
--- a/hornbeamline/gateway/_picker.py
+++ b/hornbeamline/gateway/_picker.py
@@ -26,7 +26,7 @@
 # (50 to 60 tokens/ms); inputs that cross data centres wait for the link.
 _RUNNING_COST_S: Final = 0.005
 _TOKEN_COST_S: Final = 1 / 20_000
-_REMOTE_MB_COST_S: Final = 0.03
+_REMOTE_BYTE_COST_S: Final = 30e-9
 # Length of the memory for where parts of prompts were read.
 _REMEMBERED_PARTS: Final = 4096
 _CACHE_TTL_S: Final = 30.0
@@ -183,11 +183,6 @@
         wish: Wish,
         homes: Mapping[str, str],
     ) -> float:
-        remote_bytes = sum(
-            size
-            for data_centre, size in wish.input_bytes_by_data_centre.items()
-            if data_centre != target.data_centre
-        )
         unread = sum(
             part.tokens
             for part in wish.request.prompt[:-1]
@@ -196,7 +191,11 @@
         return (
             self._expected_load(target) * _RUNNING_COST_S
             + unread * _TOKEN_COST_S
-            + remote_bytes / 1_000_000 * _REMOTE_MB_COST_S
+            + remote_bytes(
+                wish.input_bytes_by_data_centre,
+                target.data_centre,
+            )
+            * _REMOTE_BYTE_COST_S
         )
 
     def _is_read(
@@ -228,6 +227,18 @@
         return self._clock.monotonic() - failures.at < EJECT_S
 
 
+def remote_bytes(
+    bytes_by_data_centre: Mapping[str, int],
+    data_centre: str,
+) -> int:
+    """Return the bytes that lie in other data centres."""
+    return sum(
+        size
+        for place, size in bytes_by_data_centre.items()
+        if place != data_centre
+    )
+
+
 def _homes(
     targets: Sequence[Target],
     request: CallerRequest,
--- /dev/null
+++ b/hornbeamline/gateway/_placement.py
@@ -0,0 +1,104 @@
+"""Data centres in which the stages of a request are best computed."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Mapping
+from typing import Final
+
+from hornbeamline.gateway._job import Job
+from hornbeamline.gateway._picker import TargetPicker, Wish
+from hornbeamline.gateway._targets import TargetDirectory
+from hornbeamline.gateway._types import CallerRequest, Route, RouteKind
+from hornbeamline.gateway._wire import Wire
+
+# Below it, moving results costs less than any deviation from due times.
+_MIN_BYTES: Final = 50_000
+
+HandlesByStage = Mapping[int, Collection[str]]
+
+
+class Placement:
+    """Where results lie, and where they will be needed.
+
+    Answers a load of large results: a stage whose result the engine needs
+    is computed in the data centre of the engine that holds the prompt, and
+    a stage with large inputs in the data centre of its inputs.
+    """
+
+    def __init__(
+        self,
+        wire: Wire,
+        targets: TargetDirectory,
+        picker: TargetPicker,
+    ) -> None:
+        """Take the translation of handles, the targets and their choice."""
+        self._wire = wire
+        self._targets = targets
+        self._picker = picker
+
+    def bytes_by_data_centre(
+        self,
+        route: Route,
+        handles_by_stage: HandlesByStage,
+    ) -> dict[str, int]:
+        """Return the expected size of results by where they lie."""
+        total: Counter[str] = Counter()
+        for number, handles in handles_by_stage.items():
+            for handle in handles:
+                address = self._wire.address_of(handle)
+                target = self._targets.at_address(address)
+                if target is not None:
+                    size = route.stages[number].result_bytes
+                    total[target.data_centre] += size
+        return dict(total)
+
+    def near(
+        self,
+        job: Job,
+        number: int,
+        handles_by_stage: HandlesByStage,
+    ) -> str:
+        """Return the best data centre for a stage; '' when any will do."""
+        stage = job.route.stages[number]
+        needed = {
+            earlier: handles_by_stage.get(earlier, ())
+            for earlier in stage.after
+        }
+        # Each piece of the stage fetches all inputs.
+        pieces = job.request.pieces_of(number)
+        weights = Counter(
+            {
+                place: size * pieces
+                for place, size in self.bytes_by_data_centre(
+                    job.route,
+                    needed,
+                ).items()
+            },
+        )
+        if _is_last(job.route, job.request, number):
+            engine = self._engine_data_centre(job)
+            weights[engine] += pieces * stage.result_bytes
+        place, size = max(
+            weights.items(),
+            key=lambda weight: weight[1],
+            default=('', 0),
+        )
+        return place if size >= _MIN_BYTES else ''
+
+    def _engine_data_centre(self, job: Job) -> str:
+        if job.route.kind is not RouteKind.STREAM:
+            return ''
+        engine = self._picker.pick_engine(
+            self._targets.of_service(job.service),
+            Wish(job.request, {}, ()),
+        )
+        return '' if engine is None else engine.data_centre
+
+
+def _is_last(route: Route, request: CallerRequest, number: int) -> bool:
+    """Return whether no other stage uses the results of a stage."""
+    return not any(
+        number in later.after and request.pieces_of(position)
+        for position, later in enumerate(route.stages)
+    )
--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -13,6 +13,8 @@
     PiecesFailedError,
     PieceTerms,
 )
+from hornbeamline.gateway._job import Job
+from hornbeamline.gateway._placement import Placement
 from hornbeamline.gateway._table import RoutingTable
 from hornbeamline.gateway._types import (
     BatchLimits,
@@ -62,7 +64,7 @@
         self._released.add(number)
         return self.handles_by_stage.get(number, [])
 
-    def last_handles(self, route: Route) -> list[str]:
+    def last_handles(self, route: Route) -> dict[int, list[str]]:
         """Return the handles of the stages that no other stage follows."""
         followed = {
             earlier
@@ -70,12 +72,11 @@
             if self.handles_by_stage.get(number)
             for earlier in stage.after
         }
-        return [
-            handle
+        return {
+            number: self.handles_by_stage[number]
             for number in sorted(self.handles_by_stage)
             if number not in followed
-            for handle in self.handles_by_stage[number]
-        ]
+        }
 
     def _is_used_up(
         self,
@@ -86,7 +87,7 @@
         followers = [
             later
             for later, stage in enumerate(route.stages)
-            if number in stage.after and _count(request, later)
+            if number in stage.after and request.pieces_of(later)
         ]
         return bool(followers) and all(
             later in self.fetched for later in followers
@@ -100,22 +101,23 @@
         self,
         batching: BatchingService,
         waits: Callable[[int], Mapping[str, float]],
+        placement: Placement,
         clock: Clock,
     ) -> None:
         """Take the batching service, published waits by rank, and time."""
         self._batching = batching
         self.waits = waits
+        self.placement = placement
         self._clock = clock
 
-    async def run(
-        self,
-        request: CallerRequest,
-        route: Route,
-        table: RoutingTable,
-        deadline_at: float,
-        rank: int,
-    ) -> StageResults:
+    async def run(self, job: Job, table: RoutingTable) -> StageResults:
         """Return the results of all stages; raises `PiecesFailedError`."""
+        request = job.request
+        route = job.route
+        deadline_at = min(
+            job.deadline_at,
+            request.received_at + route.first_event_patience_s,
+        )
         outcome = StageResults()
         tasks: dict[int, asyncio.Task[None]] = {}
         after_s = _time_after_stages(route, table)
@@ -133,9 +135,14 @@
                 PieceTerms(
                     due_at - now,
                     min(deadline_at - now, live_s),
-                    rank,
+                    job.rank,
                     stage.result_bytes,
                     _held_share(request, route, table, number),
+                    self.placement.near(
+                        job,
+                        number,
+                        outcome.handles_by_stage,
+                    ),
                 ),
                 lambda: self._note_fetched(outcome, route, request, number),
             )
@@ -190,7 +197,7 @@
     return [
         number
         for number, _ in enumerate(route.stages)
-        if _count(request, number)
+        if request.pieces_of(number)
     ]
 
 
@@ -208,7 +215,7 @@
     for number, stage in enumerate(route.stages):
         start = max((ends_at.get(early, 0) for early in stage.after), default=0)
         limits = _limits(table, stage.service)
-        pieces = _count(request, number)
+        pieces = request.pieces_of(number)
         spent: float = 0
         if limits is not None and pieces:
             wait_s = wait_s_by_service.get(stage.service, 0)
@@ -217,11 +224,6 @@
     return max(ends_at.values(), default=0)
 
 
-def _count(request: CallerRequest, stage: int) -> int:
-    counts = request.pieces_by_stage
-    return counts[stage] if stage < len(counts) else 0
-
-
 def _pieces(
     request: CallerRequest,
     stage: int,
@@ -232,7 +234,7 @@
     key = request.piece_key if is_first else ''
     return [
         Piece(request.id, stage, number, key, inputs)
-        for number in range(_count(request, stage))
+        for number in range(request.pieces_of(stage))
     ]
 
 
@@ -248,7 +250,7 @@
         stage = route.stages[earlier]
         limits = _limits(table, stage.service)
         if limits is not None and limits.results_mb:
-            held_bytes = _count(request, earlier) * stage.result_bytes
+            held_bytes = request.pieces_of(earlier) * stage.result_bytes
             shares.append(held_bytes / (limits.results_mb * _BYTES_PER_MB))
     return max(shares)
 
--- a/hornbeamline/gateway/_types.py
+++ b/hornbeamline/gateway/_types.py
@@ -139,6 +139,12 @@
     # Id of the last event that the caller holds, when it resumes a stream.
     last_event_id: int | None
 
+    def pieces_of(self, stage: int) -> int:
+        """Return the number of pieces of a stage."""
+        if stage < len(self.pieces_by_stage):
+            return self.pieces_by_stage[stage]
+        return 0
+
 
 class TargetLoad(NamedTuple):
     """Load that a target reports with an answer."""
--- a/tests/batching/test_queue.py
+++ b/tests/batching/test_queue.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import pytest
+
 from hornbeamline.batching import BatchQueue, Piece, PieceTerms, QueuedPiece
+from hornbeamline.batching._queue import IdleTarget
 from hornbeamline.batching._room import ResultRoom
+from hornbeamline.batching._speeds import TargetSpeeds
 from hornbeamline.batching.const import MAX_PASSED
+from hornbeamline.helpers.clock import ManualClock
+from tests.gateway.builders import make_target
 
 NO_LIMIT = 1e9
 
@@ -16,9 +22,10 @@
     rank: int = 0,
     size: int = 1,
     expires_s: float = 100,
+    near: str = '',
 ) -> list[QueuedPiece]:
     """Return the queued pieces of one stage of a request."""
-    terms = PieceTerms(due_s, expires_s, rank, size)
+    terms = PieceTerms(due_s, expires_s, rank, size, near=near)
     return [
         QueuedPiece(Piece(request, 0, number, 'key', []), terms, 0)
         for number in range(count)
@@ -35,8 +42,14 @@
     queue = BatchQueue(2)
     queue.add(pieces('late', 2, due_s=0.1))
     queue.add(pieces('fresh', 2, due_s=5))
-    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['fresh', 'fresh']
-    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['late', 'late']
+    assert requests_of(queue.take(0, IdleTarget(0.5, NO_LIMIT))) == [
+        'fresh',
+        'fresh',
+    ]
+    assert requests_of(queue.take(0, IdleTarget(0.5, NO_LIMIT))) == [
+        'late',
+        'late',
+    ]
 
 
 def test_urgent_rank_goes_first_at_similar_due_times() -> None:
@@ -44,7 +57,65 @@
     queue = BatchQueue(1)
     queue.add(pieces('common', 1, due_s=2.0, rank=2))
     queue.add(pieces('urgent', 1, due_s=2.3, rank=0))
-    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['urgent']
+    assert requests_of(queue.take(0, IdleTarget(0.5, NO_LIMIT))) == ['urgent']
+
+
+def test_large_results_stay_in_their_data_centre() -> None:
+    """Load: a backlog of large results for engines of two data centres."""
+    queue = BatchQueue(1)
+    queue.add(pieces('south', 1, due_s=2.0, near='south'))
+    queue.add(pieces('north', 1, due_s=2.2, near='north'))
+    assert requests_of(queue.take(0, IdleTarget(0.5, NO_LIMIT, 'north'))) == [
+        'north'
+    ]
+
+
+def test_remote_work_is_not_starved() -> None:
+    """Load: a steady flow of near work beside older work for elsewhere."""
+    queue = BatchQueue(1)
+    queue.add(pieces('south', 1, due_s=2.0, near='south'))
+    queue.add(pieces('north', 1, due_s=2.5, near='north'))
+    assert requests_of(queue.take(0, IdleTarget(0.5, NO_LIMIT, 'north'))) == [
+        'south'
+    ]
+
+
+def test_group_waits_for_a_near_target_that_is_soon_idle() -> None:
+    """Load: one request with time to spare while its near target works."""
+    queue = BatchQueue(1)
+    queue.add(pieces('south', 1, due_s=2.0, near='south'))
+    both = frozenset(('north', 'south'))
+    assert not queue.take(0, IdleTarget(0.5, NO_LIMIT, 'north', both))
+    south = IdleTarget(0.5, NO_LIMIT, 'south', both)
+    assert requests_of(queue.take(0, south)) == ['south']
+
+
+@pytest.mark.parametrize(
+    ('due_s', 'places'),
+    [(0.8, {'north', 'south'}), (2.0, {'north'})],
+)
+def test_group_does_not_wait_in_vain(due_s, places) -> None:
+    """Load: an urgent request, or no idle target in its data centre."""
+    queue = BatchQueue(1)
+    queue.add(pieces('south', 1, due_s=due_s, near='south'))
+    north = IdleTarget(0.5, NO_LIMIT, 'north', frozenset(places))
+    assert requests_of(queue.take(0, north)) == ['south']
+
+
+def test_target_whose_call_ends_soon_is_waited_for() -> None:
+    """A slow, resting or overdue target is not."""
+    clock = ManualClock()
+    speeds = TargetSpeeds(clock)
+    clock.advance(10)
+    targets = [
+        make_target(name, data_centre=name)
+        for name in ('soon', 'long', 'overdue', 'idle', 'rests', 'slow')
+    ]
+    speeds.rest('rests')
+    for _ in range(10):
+        speeds.note_call('slow', 1.0, 0.25)
+    ends = {'soon': 10.1, 'long': 10.3, 'overdue': 9.5}
+    assert speeds.places_of_idle(targets, ends) == {'soon', 'idle'}
 
 
 def test_less_urgent_rank_is_not_starved() -> None:
@@ -52,7 +123,7 @@
     queue = BatchQueue(1)
     queue.add(pieces('common', 1, due_s=1.0, rank=2))
     queue.add(pieces('urgent', 1, due_s=3.0, rank=0))
-    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['common']
+    assert requests_of(queue.take(0, IdleTarget(0.5, NO_LIMIT))) == ['common']
 
 
 def test_stage_of_a_request_is_not_split_over_two_calls() -> None:
@@ -60,16 +131,19 @@
     queue = BatchQueue(9)
     for number in range(3):
         queue.add(pieces(f'r{number}', 4, due_s=5 + number))
-    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['r0'] * 4 + ['r1'] * 4
-    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['r2'] * 4
+    assert (
+        requests_of(queue.take(0, IdleTarget(0.5, NO_LIMIT)))
+        == ['r0'] * 4 + ['r1'] * 4
+    )
+    assert requests_of(queue.take(0, IdleTarget(0.5, NO_LIMIT))) == ['r2'] * 4
 
 
 def test_stage_larger_than_a_call_is_split() -> None:
     """Guards against a stage that is never computed."""
     queue = BatchQueue(3)
     queue.add(pieces('large', 4))
-    assert len(queue.take(0, 0.5, NO_LIMIT)) == 3
-    assert len(queue.take(0, 0.5, NO_LIMIT)) == 1
+    assert len(queue.take(0, IdleTarget(0.5, NO_LIMIT))) == 3
+    assert len(queue.take(0, IdleTarget(0.5, NO_LIMIT))) == 1
 
 
 def test_call_fits_into_the_room_for_results() -> None:
@@ -77,8 +151,8 @@
     queue = BatchQueue(9)
     queue.add(pieces('large', 3, due_s=5, size=800))
     queue.add(pieces('small', 2, due_s=6, size=8))
-    assert requests_of(queue.take(0, 0.5, 2000)) == ['small'] * 2
-    assert requests_of(queue.take(0, 0.5, 2000)) == ['large'] * 2
+    assert requests_of(queue.take(0, IdleTarget(0.5, 2000))) == ['small'] * 2
+    assert requests_of(queue.take(0, IdleTarget(0.5, 2000))) == ['large'] * 2
 
 
 def test_expired_pieces_are_returned_once() -> None:
@@ -96,7 +170,7 @@
     queue.add(pieces('left', 2))
     queue.add(pieces('stays', 1))
     assert len(queue.drop_request('left')) == 2
-    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['stays']
+    assert requests_of(queue.take(0, IdleTarget(0.5, NO_LIMIT))) == ['stays']
 
 
 def test_room_counts_calls_results_and_expiry() -> None:
@@ -132,7 +206,7 @@
     taken = []
     for number in range(8):
         queue.add(pieces(f'small{number}', 2, due_s=9, size=800))
-        taken += requests_of(queue.take(0, 0.5, 4000))
+        taken += requests_of(queue.take(0, IdleTarget(0.5, 4000)))
     assert taken.count('large') == 8
 
 
@@ -143,7 +217,7 @@
     taken = []
     for number in range(MAX_PASSED + 8):
         queue.add(pieces(f'small{number}', 1, due_s=9, size=800))
-        taken += requests_of(queue.take(0, 0.5, 2000))
+        taken += requests_of(queue.take(0, IdleTarget(0.5, 2000)))
     assert taken.count('medium') == 4
 
 
@@ -151,9 +225,11 @@
     """Load: a burst keeps every target's space full with first parts."""
     queue = BatchQueue(3)
     queue.add(pieces('large', 4, due_s=5))
-    assert requests_of(queue.take(0, 0.5, NO_LIMIT)) == ['large'] * 3
+    assert (
+        requests_of(queue.take(0, IdleTarget(0.5, NO_LIMIT))) == ['large'] * 3
+    )
     queue.add(pieces('newer', 3, due_s=1))
-    assert requests_of(queue.take(0, 0.5, NO_LIMIT))[0] == 'large'
+    assert requests_of(queue.take(0, IdleTarget(0.5, NO_LIMIT)))[0] == 'large'
 
 
 def test_lasting_overload_gives_up_what_will_not_have_its_turn() -> None:
@@ -177,5 +253,5 @@
     """Its first results are paid for."""
     queue = BatchQueue(5)
     queue.add(pieces('r', 8, due_s=2, expires_s=1))
-    queue.take(0, 0.2, NO_LIMIT)
+    queue.take(0, IdleTarget(0.2, NO_LIMIT))
     assert not queue.drop_hopeless(now=0.9, service_s=0.2, rate=1)
--- a/tests/batching/test_service.py
+++ b/tests/batching/test_service.py
@@ -47,6 +47,7 @@
     """A target of the service."""
 
     id: str
+    data_centre: str = 'north'
 
 
 class FakeTargets:
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -17,7 +17,7 @@
     TargetDirectory,
     TargetPicker,
 )
-from hornbeamline.gateway._forwarder import Job
+from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._reply import Reply
 from hornbeamline.gateway.errors import (
     AnswerBrokenError,
