--- a/hornbeamline/batching/_speeds.py
+++ b/hornbeamline/batching/_speeds.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Mapping, Sequence
 from typing import Final
 
 from hornbeamline.batching._types import BatchTarget
 from hornbeamline.batching.const import (
+    MAX_REST_S,
     NEAR_MAX_SLOWNESS,
     NEAR_WAIT_S,
     RATE_WINDOW_S,
@@ -65,6 +66,7 @@
         self._clock = clock
         self._slowness_by_target: dict[str, float] = {}
         self._rests_until_by_target: dict[str, float] = {}
+        self._failures_in_a_row: Counter[str] = Counter()
 
     def slowness(self, target_id: str) -> float:
         """Return 1 for a target that works as fast as expected."""
@@ -124,9 +126,17 @@
         self._slowness_by_target[target_id] = after
 
     def rest(self, target_id: str) -> None:
-        """Give a target no call for a while."""
-        until = self._clock.monotonic() + REST_S
-        self._rests_until_by_target[target_id] = until
+        """Give a target no call for a while, longer each time."""
+        failures = self._failures_in_a_row[target_id]
+        self._failures_in_a_row[target_id] += 1
+        rest_s = min(REST_S * 2**failures, MAX_REST_S)
+        self._rests_until_by_target[target_id] = (
+            self._clock.monotonic() + rest_s
+        )
+
+    def recovered(self, target_id: str) -> None:
+        """Forget the failures of a target that computed pieces."""
+        self._failures_in_a_row.pop(target_id, None)
 
     def is_resting(self, target_id: str) -> bool:
         """Return whether a target gets no call now."""
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -319,6 +319,7 @@
         self._finished.note_call(len(chosen))
         computed = sum(bool(made.handle) for made in results)
         if computed:
+            self._speeds.recovered(target.id)
             self._speeds.note_call(
                 target.id,
                 now - began,
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -11,8 +11,11 @@
 # faster even when the work is done again.
 CALL_PATIENCE: Final = 2.2
 CALL_PATIENCE_MIN_S: Final = 0.25
-# A target that failed or was too slow rests before it is used again.
-REST_S: Final = 2.0
+# A target that failed or was too slow rests before it is used again: a
+# moment after a lost packet, longer with each failure in a row, up to the
+# time in which a crashed process starts again.
+REST_S: Final = 0.25
+MAX_REST_S: Final = 2.0
 # Calls that may include a piece before it counts as failed.
 MAX_PIECE_ATTEMPTS: Final = 3
 # Owners are asked whether they still work on pieces; an owner that misses
--- a/tests/batching/test_queue.py
+++ b/tests/batching/test_queue.py
@@ -118,6 +118,30 @@
     assert speeds.places_of_idle(targets, ends) == {'soon', 'idle'}
 
 
+def test_rest_after_one_failure_is_short() -> None:
+    """Load: a backlog at three targets, one of which lost a packet."""
+    clock = ManualClock()
+    speeds = TargetSpeeds(clock)
+    speeds.rest('t1')
+    assert speeds.is_resting('t1')
+    clock.advance(0.3)
+    assert not speeds.is_resting('t1')
+
+
+def test_rest_grows_with_each_failure_in_a_row() -> None:
+    """A target that is down gets few calls, and more once it computes."""
+    clock = ManualClock()
+    speeds = TargetSpeeds(clock)
+    for _ in range(4):
+        speeds.rest('t1')
+    clock.advance(1.9)
+    assert speeds.is_resting('t1')
+    speeds.recovered('t1')
+    speeds.rest('t1')
+    clock.advance(0.3)
+    assert not speeds.is_resting('t1')
+
+
 def test_less_urgent_rank_is_not_starved() -> None:
     """Load: a steady flow of urgent requests beside old common ones."""
     queue = BatchQueue(1)
