Keep inputs until a stage call is sent, and at slow targets until its end

Cause: inputs were freed 60 ms after a call was begun. Change: the time until inputs count as fetched begins when the request is written, for stage calls and for engines; calls at targets slower than 1.5 times the usual keep their inputs; a lost call teaches at once how slow the target is at least.

--- a/hornbeamline/batching/_speeds.py
+++ b/hornbeamline/batching/_speeds.py
@@ -9,7 +9,7 @@
 from hornbeamline.batching._types import BatchTarget
 from hornbeamline.batching.const import (
     MAX_REST_S,
-    NEAR_MAX_SLOWNESS,
+    MAX_USUAL_SLOWNESS,
     NEAR_WAIT_S,
     RATE_WINDOW_S,
     REMOTE_COST_S,
@@ -109,7 +109,7 @@
             target.data_centre
             for target in targets
             if not self.is_resting(target.id)
-            and self.slowness(target.id) <= NEAR_MAX_SLOWNESS
+            and self.slowness(target.id) <= MAX_USUAL_SLOWNESS
             and is_soon_idle(target)
         )
 
@@ -125,6 +125,18 @@
         after = before + SPEED_WEIGHT * (ratio - before)
         self._slowness_by_target[target_id] = after
 
+    def note_lost(
+        self,
+        target_id: str,
+        took_s: float,
+        expected_s: float,
+    ) -> None:
+        """Learn from a call that was given up: it takes longer than that."""
+        self._slowness_by_target[target_id] = max(
+            took_s / expected_s,
+            self.slowness(target_id),
+        )
+
     def rest(self, target_id: str) -> None:
         """Give a target no call for a while, longer each time."""
         failures = self._failures_in_a_row[target_id]
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -19,11 +19,13 @@
     FULL_S,
     GATHER_S,
     MAX_PIECE_ATTEMPTS,
+    MAX_USUAL_SLOWNESS,
 )
 from hornbeamline.batching.errors import CallLostError, CallRefusedError
 from hornbeamline.core import TaskSet
 from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
+from hornbeamline.helpers.delayed import DelayedCall
 from hornbeamline.telemetry import log_event
 
 FAILURE_LATE: Final = 'late'
@@ -59,7 +61,7 @@
 
 
 CallTarget = Callable[
-    [BatchTarget, Sequence[Piece], Sequence[float]],
+    [BatchTarget, Sequence[Piece], Sequence[float], Callable[[], None]],
     Awaitable[list[PieceResult]],
 ]
 
@@ -231,17 +233,17 @@
         chosen: list[QueuedPiece],
     ) -> None:
         began = self._clock.monotonic()
+        slow = self._speeds.slowness(target.id) > MAX_USUAL_SLOWNESS
         used_bytes = self._room_by_target[target.id].used(began)
         for queued in chosen:
             queued.attempts += 1
             queued.is_begun = True
-        fetched = asyncio.get_running_loop().call_later(
-            FETCH_S,
-            _note_fetched,
-            chosen,
-        )
+        fetched = DelayedCall(FETCH_S, lambda: _note_fetched(chosen))
+        # The call at a slow target is more likely to be given up, and then
+        # its pieces need their inputs again.
+        on_sent = _do_nothing if slow else fetched.schedule
         try:
-            summary = await self._call_target(target, chosen, began)
+            summary = await self._call_target(target, chosen, began, on_sent)
         finally:
             fetched.cancel()
             self._end_call(target, chosen)
@@ -265,6 +267,7 @@
         target: BatchTarget,
         chosen: list[QueuedPiece],
         began: float,
+        on_sent: Callable[[], None],
     ) -> str:
         """Call a target and return a summary of the outcome."""
         slowness = self._speeds.slowness(target.id)
@@ -275,6 +278,7 @@
                     target,
                     [queued.piece for queued in chosen],
                     [queued.expires_at - began for queued in chosen],
+                    on_sent,
                 )
         except CallRefusedError as error:
             self._speeds.rest(target.id)
@@ -282,7 +286,7 @@
             self._queue_again(chosen, free=error.free)
             return str(error)
         except (CallLostError, TimeoutError) as error:
-            self._speeds.note_call(
+            self._speeds.note_lost(
                 target.id,
                 self._clock.monotonic() - began,
                 self._expected_s(len(chosen)),
@@ -377,6 +381,10 @@
         return self._times.call_s + pieces * self._times.piece_s
 
 
+def _do_nothing() -> None:
+    """Stand for the release of inputs that stay."""
+
+
 def _patience_s(expected_s: float) -> float:
     """Return after how long a call is given up."""
     return max(expected_s * CALL_PATIENCE, expected_s + CALL_PATIENCE_MIN_S)
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -52,8 +52,9 @@
 # spare: the stages after it wait as well.
 NEAR_WAIT_S: Final = 0.12
 NEAR_SPARE_S: Final = 0.4
-# Targets slower than this multiple of the usual are not waited for.
-NEAR_MAX_SLOWNESS: Final = 1.5
+# Targets slower than this multiple of the usual are not waited for, and the
+# inputs of their calls are kept until the end.
+MAX_USUAL_SLOWNESS: Final = 1.5
 # An idle target in the wished data centre is used unless its calls take
 # longer by this time than those of another: a third of a typical call.
 REMOTE_COST_S: Final = 0.1
--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -124,8 +124,12 @@
         target: BatchTarget,
         pieces: Sequence[Piece],
         left_s: Sequence[float],
+        on_sent: Callable[[], None],
     ) -> list[PieceResult]:
-        """Return the results; `CallRefusedError`, `CallLostError`."""
+        """Return the results; `CallRefusedError`, `CallLostError`.
+
+        `on_sent` is called when the call is on its way.
+        """
         assert isinstance(target, Target)
         path, headers, body = self._wire.stage_call(target, pieces, left_s)
         try:
@@ -135,6 +139,7 @@
                 path,
                 headers,
                 body,
+                on_sent,
             )
         except NotRunError as error:
             raise CallRefusedError(str(error), free=True) from error
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Final, NamedTuple
 
 from hornbeamline.gateway._events import EventSplitter, StreamEvent
@@ -33,9 +32,11 @@
 )
 from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
+from hornbeamline.helpers.delayed import DelayedCall
 from hornbeamline.telemetry import log_event
 
-# An engine that has a free slot fetches the inputs of a request at once.
+# An engine that has a free slot fetches the inputs of a request as soon as
+# it has the request.
 FETCH_S: Final = 0.1
 # Attempts that targets refuse before the request is refused.
 MAX_REFUSED_ATTEMPTS: Final = 3
@@ -196,10 +197,7 @@
             ),
         )
         self._picker.began(target)
-        fetched = asyncio.get_running_loop().call_later(
-            FETCH_S,
-            job.on_inputs_fetched,
-        )
+        fetched = DelayedCall(FETCH_S, job.on_inputs_fetched)
         began = self._clock.monotonic()
         try:
             async with self._http.send(
@@ -208,6 +206,7 @@
                 job.request.raw_target,
                 headers,
                 job.body or None,
+                fetched.schedule,
             ) as response:
                 attempts.head_s = self._clock.monotonic() - began
                 await self._take_answer(job, target, attempts, reply, response)
--- a/hornbeamline/gateway/_http.py
+++ b/hornbeamline/gateway/_http.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import functools
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Any, Final
 
 import aiohttp
@@ -119,14 +119,16 @@
         raw_target: str,
         headers: Sequence[tuple[str, str]],
         body: bytes | None = None,
+        on_sent: Callable[[], None] | None = None,
     ) -> AsyncIterator[TargetResponse]:
         """Send a request and yield the answer once its head is there.
 
-        Raises `TargetGoneError` when nothing was sent, `MayHaveRunError`
-        otherwise. The caller bounds the time.
+        `on_sent` is called when the connection is there. Raises
+        `TargetGoneError` when nothing was sent, `MayHaveRunError` otherwise.
+        The caller bounds the time.
         """
         assert self._session is not None
-        progress = SendProgress(None)
+        progress = SendProgress(on_sent)
         url = yarl.URL(f'http://{address}{raw_target}', encoded=True)
         try:
             with sending(progress):
@@ -152,9 +154,10 @@
         raw_target: str,
         headers: Sequence[tuple[str, str]] = (),
         body: bytes | None = None,
+        on_sent: Callable[[], None] | None = None,
     ) -> tuple[TargetResponse, bytes]:
         """Return a whole answer; raises as `send` does."""
-        sent = self.send(address, method, raw_target, headers, body)
+        sent = self.send(address, method, raw_target, headers, body, on_sent)
         async with sent as response:
             return response, await response.body()
 
--- a/tests/batching/test_service.py
+++ b/tests/batching/test_service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 import pytest
@@ -12,6 +12,7 @@
 from hornbeamline.batching import (
     BatchingService,
     CallLostError,
+    CallRefusedError,
     Piece,
     PieceResult,
     PiecesFailedError,
@@ -56,6 +57,8 @@
     def __init__(self, count: int = 2) -> None:
         self.targets = [FakeTarget(f't{number}') for number in range(count)]
         self.losing: set[str] = set()
+        self.unreachable: set[str] = set()
+        self.slowness = 1
         self.calls: list[tuple[str, list[Piece]]] = []
         self.freed: list[str] = []
 
@@ -64,10 +67,15 @@
         target: Any,
         pieces: Sequence[Piece],
         left_s: Sequence[float],
+        on_sent: Callable[[], None],
     ) -> list[PieceResult]:
         """Compute pieces, or lose the call."""
         self.calls.append((target.id, list(pieces)))
-        await asyncio.sleep(CALL_S)
+        if target.id in self.unreachable:
+            await asyncio.sleep(CALL_S)
+            raise CallRefusedError('no connection', free=True)
+        on_sent()
+        await asyncio.sleep(CALL_S * self.slowness)
         if target.id in self.losing:
             raise CallLostError('reset')
         return [
@@ -110,7 +118,12 @@
             service.update({SERVICE: Times()})
         await service.start()
 
-    def compute(self, host: str, count: int = 3) -> asyncio.Future[list[str]]:
+    def compute(
+        self,
+        host: str,
+        count: int = 3,
+        on_fetched: Callable[[], None] = lambda: None,
+    ) -> asyncio.Future[list[str]]:
         """Submit pieces of a request at a host."""
         pieces = [Piece('r1', 0, number, 'k', []) for number in range(count)]
         return asyncio.ensure_future(
@@ -118,7 +131,7 @@
                 SERVICE,
                 pieces,
                 PieceTerms(2.0, 8.0, 0, 1000),
-                lambda: None,
+                on_fetched,
             ),
         )
 
@@ -211,6 +224,32 @@
     assert not fleet.targets.calls
 
 
+async def test_inputs_are_kept_until_a_call_is_sent(fleet) -> None:
+    """Fault: a connection is not established, so the pieces go elsewhere."""
+    fleet.targets.unreachable = {'t0', 't1'}
+    fetched: list[float] = []
+    now = asyncio.get_running_loop().time
+    work = fleet.compute(OWNERS[2], on_fetched=lambda: fetched.append(now()))
+    await asyncio.sleep(CALL_S * 0.9)
+    assert not fetched
+    fleet.targets.unreachable = set()
+    await work
+    assert len(fetched) == 1
+
+
+async def test_inputs_are_kept_while_a_slow_target_works(fleet) -> None:
+    """Load: a target at a third of its speed, whose calls may be given up."""
+    fleet.targets.targets = [FakeTarget('t0')]
+    fleet.targets.slowness = 3
+    for _ in range(3):
+        await fleet.compute(OWNERS[2])
+    fetched: list[float] = []
+    work = fleet.compute(OWNERS[2], on_fetched=lambda: fetched.append(0))
+    await asyncio.sleep(CALL_S * 2)
+    assert not fetched
+    await work
+
+
 async def test_released_results_are_freed(fleet) -> None:
     """Space for results is given back by the owner."""
     handles = await fleet.compute(OWNERS[2])
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, NamedTuple
 
 import pytest
@@ -78,6 +78,7 @@
         raw_target: str,
         headers: list[tuple[str, str]],
         body: bytes | None = None,
+        on_sent: Callable[[], None] | None = None,
     ) -> AsyncIterator[FakeResponse]:
         """Answer by the next script."""
         self.sent.append(dict(headers))
