Count pieces that earlier stages still work on at admission

Change: every host publishes the pieces that its admitted requests will queue at later stages; waits at admission include them, by rank.

--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import secrets
 from collections import Counter
@@ -23,6 +24,7 @@
 from hornbeamline.directory.const import ROLE_ENTRY
 from hornbeamline.documents import InvalidDocumentError, StoredDocument
 from hornbeamline.gateway import (
+    BatchLimits,
     BudgetSettings,
     Forwarder,
     GatewayApp,
@@ -30,11 +32,14 @@
     RepeatBudget,
     ResultReleaser,
     RoutingTable,
+    StageLoad,
     StageRunner,
     TargetDirectory,
     TargetHttp,
     TargetPicker,
     Wire,
+    rate_of,
+    wait_by_service,
 )
 from hornbeamline.helpers.clock import Clock, SystemClock
 from hornbeamline.helpers.http_server import HttpServer
@@ -88,6 +93,7 @@
         )
         self._picker = TargetPicker(settings.data_centre, self._clock, rng)
         self._targets = TargetDirectory(self._clock)
+        self._limits_by_service: dict[str, BatchLimits] = {}
         self._budget = RepeatBudget(settings.budget, self._clock)
         self._member = DirectoryMember(
             self._peering,
@@ -118,16 +124,17 @@
             self._clock,
         )
         placement = Placement(wire, self._targets, self._picker)
+        self._stages = StageRunner(
+            self._batching,
+            self._stage_waits,
+            placement,
+            self._clock,
+        )
         self._app = GatewayApp(
             wire,
             self._targets,
             forwarder,
-            StageRunner(
-                self._batching,
-                self._stage_waits,
-                placement,
-                self._clock,
-            ),
+            self._stages,
             self._budget,
             self._clock,
             rng,
@@ -197,6 +204,7 @@
             settings.data_centre,
             self._picker.in_flight_by_target,
             self._batching.waits_by_service(),
+            self._stages.coming.by_service(),
             self._drain.is_draining,
         )
 
@@ -210,24 +218,26 @@
         }
 
     def _stage_waits(self, rank: int) -> dict[str, float]:
-        """Return the longest known wait of a rank at each stage service."""
-        published = [
-            self._batching.waits_by_service(),
+        """Return how long a rank waits at each stage service."""
+        loads = [
+            StageLoad(
+                self._batching.waits_by_service(),
+                self._stages.coming.by_service(),
+            ),
             *(
-                presence.waits_by_service
+                StageLoad(presence.waits_by_service, presence.coming_by_service)
                 for presence in self._member.present()
                 if presence.name != self._settings.name
             ),
         ]
-        waits: dict[str, float] = {}
-        for waits_by_service in published:
-            for service, by_rank in waits_by_service.items():
-                wait_s = max(
-                    (by_rank[known] for known in by_rank if known <= rank),
-                    default=0,
-                )
-                waits[service] = max(waits.get(service, 0), wait_s)
-        return waits
+        return wait_by_service(loads, rank, self._best_rate)
+
+    def _best_rate(self, service: str) -> float:
+        limits = self._limits_by_service.get(service)
+        if limits is None:
+            # A host with a newer document has work for this service.
+            return math.inf
+        return rate_of(limits, len(self._targets.of_service(service)))
 
     def _take_present(self, present: Sequence[Presence]) -> None:
         """Note what the other entry hosts have in progress."""
@@ -253,13 +263,12 @@
                 error=str(error),
             )
             return
-        self._batching.update(
-            {
-                service.name: service.batch
-                for service in table.services_by_name.values()
-                if service.batch is not None
-            },
-        )
+        self._limits_by_service = {
+            service.name: service.batch
+            for service in table.services_by_name.values()
+            if service.batch is not None
+        }
+        self._batching.update(self._limits_by_service)
         self._app.take_table(table)
 
 
--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -19,6 +19,8 @@
     in_flight_by_target: dict[str, int] = {}
     # Waiting times by rank of the stage queues that the process owns.
     waits_by_service: dict[str, dict[int, float]] = {}
+    # Pieces by rank that its requests will queue at stage services.
+    coming_by_service: dict[str, dict[int, int]] = {}
     # The process stops; it takes over no shared work any more.
     is_leaving: bool = False
 
--- a/hornbeamline/gateway/__init__.py
+++ b/hornbeamline/gateway/__init__.py
@@ -26,6 +26,7 @@
     Target,
     TargetLoad,
 )
+from hornbeamline.gateway._waits import StageLoad, rate_of, wait_by_service
 from hornbeamline.gateway._wire import Answer, Headers, TargetHeaders, Wire
 from hornbeamline.gateway.errors import (
     MayHaveRunError,
@@ -58,6 +59,7 @@
     'RoutingTable',
     'Service',
     'Stage',
+    'StageLoad',
     'StageRunner',
     'Target',
     'TargetDirectory',
@@ -66,5 +68,7 @@
     'TargetLoad',
     'TargetPicker',
     'Wire',
+    'rate_of',
+    'wait_by_service',
     'group_by_host',
 )
--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -22,6 +22,7 @@
     Route,
     Stage,
 )
+from hornbeamline.gateway._waits import ComingPieces
 from hornbeamline.helpers.clock import Clock
 
 # Typical fill of a call and wait for a target, as a multiple of the time
@@ -108,6 +109,7 @@
         self._batching = batching
         self.waits = waits
         self.placement = placement
+        self.coming = ComingPieces()
         self._clock = clock
 
     async def run(self, job: Job, table: RoutingTable) -> StageResults:
@@ -124,7 +126,10 @@
 
         async def run_stage(number: int) -> None:
             stage = route.stages[number]
-            await _wait_for(tasks, stage)
+            try:
+                await _wait_for(tasks, stage)
+            finally:
+                self._count_coming(job, number, -1)
             inputs = outcome.inputs_of(stage)
             now = self._clock.monotonic()
             due_at = request.received_at + route.aim_s - after_s[number]
@@ -151,6 +156,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 for number in _wanted_stages(request, route):
+                    self._count_coming(job, number, 1)
                     tasks[number] = group.create_task(run_stage(number))
         except* PiecesFailedError as failures:
             self.release_all(outcome, route)
@@ -162,6 +168,13 @@
         for number in tuple(outcome.handles_by_stage):
             self._release(outcome, route, number)
 
+    def _count_coming(self, job: Job, number: int, sign: int) -> None:
+        """Count a stage with others before it, or take it back."""
+        stage = job.route.stages[number]
+        if stage.after:
+            pieces = job.request.pieces_of(number)
+            self.coming.add(stage.service, job.rank, sign * pieces)
+
     def _note_fetched(
         self,
         outcome: StageResults,
--- /dev/null
+++ b/tests/gateway/test_waits.py
@@ -0,0 +1,47 @@
+"""Waits at stages that requests will reach later."""
+
+from __future__ import annotations
+
+import pytest
+
+from hornbeamline.gateway import StageLoad, wait_by_service
+from hornbeamline.gateway._waits import ComingPieces
+
+RATE = 40.0
+
+
+def test_burst_in_the_first_stage_counts_at_the_second() -> None:
+    """Load: a burst that the queue of the second stage does not show."""
+    coming = ComingPieces()
+    for _ in range(10):
+        coming.add('second', 1, 8)
+    loads = [
+        StageLoad({'second': {1: 0.5}}, {}),
+        StageLoad({}, coming.by_service()),
+    ]
+    waits = wait_by_service(loads, 1, lambda _service: RATE)
+    assert waits['second'] == pytest.approx(0.5 + 80 / RATE)
+
+
+def test_urgent_rank_does_not_wait_for_others() -> None:
+    """Load: a burst of common requests."""
+    loads = [StageLoad({'second': {2: 3.0}}, {'second': {2: 80}})]
+    waits = wait_by_service(loads, 0, lambda _service: RATE)
+    assert not waits['second']
+
+
+def test_queued_pieces_are_no_longer_coming() -> None:
+    """Guards against requests that count twice, or for ever."""
+    coming = ComingPieces()
+    coming.add('second', 1, 8)
+    coming.add('second', 1, -8)
+    assert not coming.by_service()
+
+
+def test_two_owners_share_the_targets() -> None:
+    """Fault: two hosts own one service until their views agree."""
+    loads = [
+        StageLoad({'second': {0: 0.5}}, {}),
+        StageLoad({'second': {0: 2.0}}, {}),
+    ]
+    assert wait_by_service(loads, 0, lambda _service: RATE) == {'second': 2.0}
