Log each admission and the route of refused and ended requests

Cause: an admitted request had no line of its own, so nobody could tell from the log why it was admitted and came late; refusals and ends did not name the route.

--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -198,6 +198,7 @@
         route = table.find_route(request.host, request.path)
         if route is None:
             raise RefusedError(Refusal(_NOT_FOUND, REASON_NO_ROUTE))
+        reply.route_name = route.name
         if self.refuses_streams and route.kind is RouteKind.STREAM:
             raise RefusedError(
                 Refusal(_UNAVAILABLE, REASON_HOST_STOPS, retry_after_s=0),
@@ -309,6 +310,17 @@
             self._stages.waits(job.rank),
             self._clock.monotonic(),
         )
+        log_event(
+            'request.judged',
+            request=job.request.id,
+            route=job.route.name,
+            rank=job.rank,
+            admitted=verdict.is_admitted,
+            expected_s=verdict.expected_s,
+            limit_s=verdict.limit_s,
+            document=table.number,
+            list_age_s=self._targets.age_s,
+        )
         if not verdict.is_admitted:
             raise RefusedError(
                 Refusal(
@@ -352,6 +364,7 @@
         log_event(
             'request.refused',
             request=_id_of(request),
+            route=reply.route_name,
             status=refusal.status,
             reason=refusal.reason,
             detail=refusal.detail,
@@ -375,6 +388,7 @@
         log_event(
             'request.end',
             request=request.id,
+            route=reply.route_name,
             status=reply.status,
             outcome=outcome,
             took_s=took_s,
--- a/hornbeamline/gateway/_reply.py
+++ b/hornbeamline/gateway/_reply.py
@@ -20,6 +20,8 @@
         self._closes = closes
         self.status = 0
         self.is_complete = False
+        # For log lines; empty until the route is known.
+        self.route_name = ''
 
     @property
     def has_begun(self) -> bool:
