--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -14,7 +14,6 @@
     SubmitPieces,
 )
 from hornbeamline.batching._owner import OwnedQueues, TargetAccess
-from hornbeamline.batching._ownership import owners_of
 from hornbeamline.batching._remote import OwnerClient
 from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
 from hornbeamline.batching._worker import FAILURE_GONE, BatchTimes
@@ -22,6 +21,7 @@
 from hornbeamline.core import TaskSet
 from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
+from hornbeamline.helpers.rendezvous import rendezvous_order
 from hornbeamline.peering import Peering
 
 _LINK_INTERVAL_S: Final = 0.5
@@ -189,7 +189,7 @@
         hosts = set(self._hosts())
         if not (self.is_leaving and hosts):
             hosts.add(self._peering.name)
-        return owners_of(service, hosts)
+        return rendezvous_order(service, hosts)
 
     async def _keep_links(self) -> None:
         while True:
--- a/hornbeamline/daemons/keeper.py
+++ b/hornbeamline/daemons/keeper.py
@@ -42,6 +42,8 @@
     controls_by_name: dict[str, str]
     is_first_start: bool
     storage: StorageSettings
+    # The data folder outlives the process and its host's power.
+    is_durable: bool
     voters: int
     operator_address: str
     metrics_address: str
@@ -89,6 +91,7 @@
             settings.peering.address,
             ROLE_CONTROL,
             settings.data_centre,
+            is_durable=settings.is_durable,
         )
         registry = DirectoryRegistry(peering, machine, own, clock)
         log.keep_voters(registry.controls, settings.voters)
@@ -122,6 +125,7 @@
             peering=settings.peering.address,
             controls=','.join(settings.controls_by_name),
             first_start=settings.is_first_start,
+            durable=settings.is_durable,
         )
         code = await self.kernel.run()
         log_event('control.stopped', code=code)
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -17,11 +17,13 @@
     ENROL_INTERVAL_S,
     ENROL_TIMEOUT_S,
     PRESENCE_SILENCE_S,
+    PRESENT_SOURCES,
     ROLE_CONTROL,
 )
 from hornbeamline.documents import StoredDocument
 from hornbeamline.exceptions import PeeringError
 from hornbeamline.helpers.clock import Clock
+from hornbeamline.helpers.rendezvous import rendezvous_order
 from hornbeamline.peering import Peering
 from hornbeamline.telemetry import log_event
 
@@ -102,7 +104,11 @@
             try:
                 reply = await self._peering.call(
                     control,
-                    Enrol(self._describe(), self.document.number),
+                    Enrol(
+                        self._describe(),
+                        self.document.number,
+                        self._wants_present(control),
+                    ),
                     EnrolReply,
                     ENROL_TIMEOUT_S,
                 )
@@ -114,6 +120,16 @@
             spent_s = self._clock.monotonic() - began
             await asyncio.sleep(max(ENROL_INTERVAL_S - spent_s, 0))
 
+    def _wants_present(self, control: str) -> bool:
+        """Return whether a control process is asked for the others.
+
+        Until enough of them answer, all are asked.
+        """
+        if len(self._answering) < PRESENT_SOURCES:
+            return True
+        sources = rendezvous_order(self._describe().name, self._answering)
+        return control in sources[:PRESENT_SOURCES]
+
     def _note_answer(self, control: str, error: str) -> None:
         if not error and control not in self._answering:
             self._answering.add(control)
@@ -128,7 +144,7 @@
             self._seen_by_name[presence.name] = _Seen(presence, now)
             if presence.role == ROLE_CONTROL:
                 self._follow(presence.name, presence.address)
-        if self.on_present is not None:
+        if reply.present and self.on_present is not None:
             self.on_present(self.present())
         if reply.document is not None:
             self._take_document(reply.document, 'enrol')
--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -23,6 +23,8 @@
     coming_by_service: dict[str, dict[int, int]] = {}
     # The process stops; it takes over no shared work any more.
     is_leaving: bool = False
+    # The process keeps what it stores over a restart.
+    is_durable: bool = True
 
 
 @message('directory.enrol')
@@ -31,11 +33,13 @@
 
     presence: Presence
     document_number: int
+    # The reply is to name the present processes.
+    wants_present: bool = True
 
 
 @message('directory.enrol_reply')
 class EnrolReply(NamedTuple):
-    """Present processes, and the document if the sender's is older."""
+    """Present processes if wanted, and a document newer than the sender's."""
 
     present: list[Presence]
     document: StoredDocument | None
--- a/hornbeamline/directory/_registry.py
+++ b/hornbeamline/directory/_registry.py
@@ -17,6 +17,7 @@
 from hornbeamline.documents import DocumentMachine
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.peering import Peering
+from hornbeamline.replog import ControlHost
 from hornbeamline.telemetry import log_event
 
 
@@ -56,10 +57,10 @@
             *(seen.presence for seen in self._seen_by_name.values()),
         ]
 
-    def controls(self) -> dict[str, str]:
-        """Return the peering addresses of present control processes."""
+    def controls(self) -> dict[str, ControlHost]:
+        """Return the present control processes by name."""
         return {
-            presence.name: presence.address
+            presence.name: ControlHost(presence.address, presence.is_durable)
             for presence in self.present()
             if presence.role == ROLE_CONTROL
         }
@@ -79,7 +80,10 @@
         )
         document = self._machine.current
         is_newer = document.number > request.document_number
-        return EnrolReply(self.present(), document if is_newer else None)
+        return EnrolReply(
+            self.present() if request.wants_present else [],
+            document if is_newer else None,
+        )
 
     def _push(self) -> None:
         document = self._machine.current
--- a/hornbeamline/directory/const.py
+++ b/hornbeamline/directory/const.py
@@ -9,6 +9,9 @@
 
 # A change must be in force within 2 s also when its push was lost.
 ENROL_INTERVAL_S: Final = 0.4
+# Control processes that a process asks for the others. Each reply grows with
+# the fleet; two of them bear the loss of one.
+PRESENT_SOURCES: Final = 2
 ENROL_TIMEOUT_S: Final = 0.8
 # Four lost enrolments; a host beyond it gets no new shared work.
 PRESENCE_SILENCE_S: Final = 1.6
--- a/hornbeamline/helpers/rendezvous.py
+++ b/hornbeamline/helpers/rendezvous.py
@@ -1,4 +1,4 @@
-"""Which host owns the queue of a service; needs no network."""
+"""Order of hosts on which all processes agree; needs no network."""
 
 from __future__ import annotations
 
@@ -6,16 +6,16 @@
 from collections.abc import Iterable
 
 
-def owners_of(service: str, hosts: Iterable[str]) -> list[str]:
-    """Return the hosts in the order in which they own a service.
+def rendezvous_order(key: str, hosts: Iterable[str]) -> list[str]:
+    """Return the hosts in the order in which a key belongs to them.
 
-    All hosts that see the same hosts agree without talking, and the loss
-    of a host moves only the services that it owned.
+    All processes that see the same hosts agree without talking, and the
+    loss of a host moves only the keys that belonged to it.
     """
     return sorted(
         hosts,
         key=lambda host: hashlib.blake2b(
-            f'{service}/{host}'.encode(),
+            f'{key}/{host}'.encode(),
             digest_size=8,
         ).digest(),
     )
--- a/hornbeamline/platform/_run.py
+++ b/hornbeamline/platform/_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import tempfile
 from collections.abc import Callable
 from pathlib import Path
 from typing import Final
@@ -88,9 +89,10 @@
             controls_by_name=_controls(settings),
             is_first_start=settings.is_first_start,
             storage=StorageSettings(
-                data_folder=settings.data_folder,
+                data_folder=settings.data_folder or tempfile.mkdtemp(),
                 snapshot_entries=_SNAPSHOT_ENTRIES,
             ),
+            is_durable=bool(settings.data_folder),
             voters=2 * settings.tolerated_losses + 1,
             operator_address=settings.operator_address,
             metrics_address=f'{settings.ip}:{_CONTROL_METRICS_PORT}',
--- a/hornbeamline/platform/_settings.py
+++ b/hornbeamline/platform/_settings.py
@@ -65,6 +65,7 @@
     control_ips: list[str]
     # The whole fleet starts for the first time, with empty disks.
     is_first_start: bool
+    # Empty on hosts without a disk.
     data_folder: str
     caller_address: str
     readiness_address: str
--- a/hornbeamline/replog/__init__.py
+++ b/hornbeamline/replog/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hornbeamline.replog._caretaker import ControlHost
 from hornbeamline.replog._disk import Disk
 from hornbeamline.replog._entries import Member, Members
 from hornbeamline.replog._interface import ReplicatedLog, ReplicatedMachine
@@ -20,6 +21,7 @@
 __all__ = (
     'CommandTooLargeError',
     'DataFolderError',
+    'ControlHost',
     'Disk',
     'LogBusyError',
     'LogStoppedError',
--- a/hornbeamline/replog/_caretaker.py
+++ b/hornbeamline/replog/_caretaker.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from typing import Final
+from typing import Final, NamedTuple
 
 from hornbeamline.exceptions import ReplicatedLogError
 from hornbeamline.replog._entries import Member
@@ -28,8 +28,17 @@
 # Learners that are gone hold no vote and are kept for a while.
 LEARNER_SILENCE_S: Final = 15.0
 
-# Peering addresses of the control processes that were heard recently.
-ControlsSource = Callable[[], Mapping[str, str]]
+
+class ControlHost(NamedTuple):
+    """A control process as the directory knows it."""
+
+    address: str
+    # It keeps its log over a restart; others must not vote.
+    is_durable: bool = True
+
+
+# Control processes that were heard recently, by name.
+ControlsSource = Callable[[], Mapping[str, ControlHost]]
 
 
 class Caretaker:
@@ -38,7 +47,7 @@
     Runs on every voter and acts on the leader only. Emptied voters come
     back as learners under their new identity, new control processes become
     learners, and a learner that has caught up takes the place of a voter
-    that is silent or missing.
+    that is silent or missing. Processes without a disk stay learners.
     """
 
     def __init__(
@@ -104,9 +113,9 @@
         return None
 
     def _add_new(self, leadership: Leadership) -> VoterChange | None:
-        for name, address in sorted(self._controls().items()):
+        for name, host in sorted(self._controls().items()):
             if name not in leadership.members.members_by_name:
-                return VoterChange(CHANGE_ADD_LEARNER, name, '', address)
+                return VoterChange(CHANGE_ADD_LEARNER, name, '', host.address)
         return None
 
     def _fill_vote(self, leadership: Leadership) -> VoterChange | None:
@@ -114,7 +123,9 @@
         ready = [
             member
             for _, member in sorted(members.members_by_name.items())
-            if not member.is_voter and leadership.table.is_caught_up(member)
+            if not member.is_voter
+            and self._is_durable(member.name)
+            and leadership.table.is_caught_up(member)
         ]
         if not ready:
             return None
@@ -125,6 +136,10 @@
             return VoterChange(CHANGE_REMOVE, silent.name)
         return None
 
+    def _is_durable(self, name: str) -> bool:
+        host = self._controls().get(name)
+        return host is not None and host.is_durable
+
     def _drop_learner(self, leadership: Leadership) -> VoterChange | None:
         learners = [
             member
--- a/hornbeamline/replog/_replica.py
+++ b/hornbeamline/replog/_replica.py
@@ -134,8 +134,8 @@
     def keep_voters(self, controls: ControlsSource, voters: int) -> None:
         """Change voters without an operator; call before `start`.
 
-        `controls` returns the peering addresses of the control processes
-        that are present, by name; `voters` is the wished number.
+        `controls` returns the control processes that are present, by name;
+        `voters` is the wished number.
         """
         self._caretaker = Caretaker(
             self._node,
--- a/tests/batching/test_service.py
+++ b/tests/batching/test_service.py
@@ -19,8 +19,8 @@
     PieceTerms,
     TargetAccess,
 )
-from hornbeamline.batching._ownership import owners_of
 from hornbeamline.helpers.budget import BudgetSettings, RepeatBudget
+from hornbeamline.helpers.rendezvous import rendezvous_order
 from tests.local_network import LocalNetwork
 from tests.replog.group import LoopClock
 
@@ -28,7 +28,7 @@
 
 SERVICE = 'stage'
 HOSTS = [f'host-{number}' for number in range(4)]
-OWNERS = owners_of(SERVICE, HOSTS)
+OWNERS = rendezvous_order(SERVICE, HOSTS)
 # A caller notices a lost owner well within this time, in seconds.
 NOTICED_S = 1.6
 CALL_S = 0.3
--- /dev/null
+++ b/tests/directory/test_member.py
@@ -0,0 +1,95 @@
+"""Processes find one another through the control processes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from hornbeamline.directory import (
+    DirectoryMember,
+    DirectoryRegistry,
+    Presence,
+)
+from hornbeamline.directory.const import (
+    ENROL_INTERVAL_S,
+    PRESENT_SOURCES,
+    ROLE_CONTROL,
+    ROLE_ENTRY,
+)
+from hornbeamline.documents import DocumentMachine
+from tests.local_network import LocalNetwork
+from tests.replog.group import LoopClock
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+CONTROLS = [f'control-{number}' for number in range(4)]
+ENTRIES = [f'entry-{number}' for number in range(6)]
+
+
+class FakeDirectory:
+    """Control and entry processes over the in-process network."""
+
+    def __init__(self) -> None:
+        self.network = LocalNetwork(random.Random(1))
+        self.members: dict[str, DirectoryMember] = {}
+
+    async def start(self) -> None:
+        """Start all processes."""
+        clock = LoopClock()
+        for name in CONTROLS:
+            endpoint = self.network.endpoint(name)
+            own = Presence(name, 'x', ROLE_CONTROL, 'dc')
+            DirectoryRegistry(endpoint, DocumentMachine(), own, clock)
+        for name in ENTRIES:
+            own = Presence(name, 'x', ROLE_ENTRY, 'dc')
+            member = DirectoryMember(
+                self.network.endpoint(name),
+                clock,
+                dict.fromkeys(CONTROLS, 'x'),
+                lambda own=own: own,
+            )
+            self.members[name] = member
+            await member.start()
+
+    def seen_by(self, name: str) -> set[str]:
+        """Return the processes that a process takes for present."""
+        return {presence.name for presence in self.members[name].present()}
+
+
+@pytest.fixture
+async def directory():
+    processes = FakeDirectory()
+    yield processes
+    for member in processes.members.values():
+        await member.stop()
+
+
+async def test_all_processes_are_seen(directory) -> None:
+    """No fault: everybody knows everybody."""
+    await directory.start()
+    await asyncio.sleep(3 * ENROL_INTERVAL_S)
+    for name in ENTRIES:
+        assert directory.seen_by(name) == {*CONTROLS, *ENTRIES}
+
+
+async def test_two_lost_controls_hide_nobody(directory) -> None:
+    """Fault: the two control processes that were asked are lost."""
+    await directory.start()
+    await asyncio.sleep(3 * ENROL_INTERVAL_S)
+    for name in CONTROLS[:2]:
+        directory.network.endpoints_by_name[name].close()
+    for _ in range(40):
+        await asyncio.sleep(0.1)
+        for name in ENTRIES:
+            assert directory.seen_by(name) >= set(ENTRIES)
+
+
+async def test_few_controls_are_asked_for_the_others(directory) -> None:
+    """Load: replies that name all processes of a large fleet."""
+    await directory.start()
+    await asyncio.sleep(3 * ENROL_INTERVAL_S)
+    member = directory.members[ENTRIES[0]]
+    asked = [name for name in CONTROLS if member._wants_present(name)]
+    assert len(asked) == PRESENT_SOURCES
--- a/tests/replog/group.py
+++ b/tests/replog/group.py
@@ -18,7 +18,7 @@
     PeeringSettings,
     StorageSettings,
 )
-from hornbeamline.replog import Disk, RaftLog
+from hornbeamline.replog import ControlHost, Disk, RaftLog
 from tests.local_network import LocalNetwork
 
 MACHINE = 'list'
@@ -220,6 +220,8 @@
         self.folder = folder
         # Voters that the group keeps without an operator; 0 for none.
         self.kept_voters = kept_voters
+        # Control processes without a disk.
+        self.diskless: set[str] = set()
         self.rng = random.Random(seed)
         self.network = network or LocalNetwork(random.Random(seed + 1))
         # Called with the state of a machine after every change of it.
@@ -241,9 +243,12 @@
         await asyncio.sleep(self.rng.uniform(0, 0.001))
         return outcome
 
-    def present(self) -> dict[str, str]:
-        """Return the addresses of the processes that run."""
-        return {voter.name: ADDRESS for voter in self.running}
+    def present(self) -> dict[str, ControlHost]:
+        """Return the processes that run."""
+        return {
+            voter.name: ControlHost(ADDRESS, voter.name not in self.diskless)
+            for voter in self.running
+        }
 
     def add(self, name: str) -> Voter:
         """Return a further voter, which joins when it starts."""
--- a/tests/replog/test_caretaker.py
+++ b/tests/replog/test_caretaker.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from tests.replog.group import eventually
@@ -107,3 +109,39 @@
     await eventually(lambda: group.votes() == FIRST)
     await victim.start()
     await eventually(lambda: bool(victim.machine.commands))
+
+
+async def test_process_without_a_disk_learns_but_never_votes(new_group) -> None:
+    """Deployment: control also runs on hosts that keep nothing."""
+    group = await new_group(3, kept_voters=5)
+    group.diskless = {'control-4'}
+    for name in ('control-4', 'control-5', 'control-6'):
+        await group.add(name).start()
+    names = {*FIRST, 'control-5', 'control-6'}
+    await has_votes(group, names, CATCH_UP_S)
+    victim = group.voters['control-5']
+    await victim.stop()
+    await group.propose(b'first')
+    await asyncio.sleep(2 * CATCH_UP_S)
+    assert 'control-4' not in group.votes()
+    learner = group.voters['control-4']
+    assert learner.machine.commands[-1][1] == b'first'
+
+
+async def test_two_lost_disks_of_five_lose_nothing(new_group) -> None:
+    """Fault: two voters lose their disks at once, two losses are borne."""
+    group = await new_group(3, kept_voters=5)
+    for name in ('control-4', 'control-5'):
+        await group.add(name).start()
+    names = {*FIRST, 'control-4', 'control-5'}
+    await has_votes(group, names, CATCH_UP_S)
+    await group.propose(b'first')
+    leader = await group.leader()
+    victims = [leader, next(v for v in group.running if v is not leader)]
+    for victim in victims:
+        await victim.empty()
+        victim.options['join'] = True
+    for victim in victims:
+        await victim.start()
+    assert await group.propose(b'second') == b'2'
+    await has_votes(group, names, 2 * CATCH_UP_S)
