Add a soak of the programs that run on the platform

Real entry and control processes on loopback addresses, stand-ins of the list and of three kinds of servers (one file a kind: plain, stream, stage calls in batches), clients that keep connections, an operator in storms. Checks from what clients and servers saw: runs, refusals, bodies, streams, inputs of stages, account, configurations read and kept.

--- a/hornbeamline/local_fleet/_processes.py
+++ b/hornbeamline/local_fleet/_processes.py
@@ -7,12 +7,13 @@
 import subprocess  # the tool, not a daemon, starts these processes
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
-from types import TracebackType
+from types import MappingProxyType, TracebackType
 from typing import IO, Final
 
 STOP_TIMEOUT_S: Final = 20
+_NO_VARIABLES: Final[Mapping[str, str]] = MappingProxyType({})
 
 
 class ProcessGroup:
@@ -36,16 +37,29 @@
         """Stop all processes."""
         self.stop(tuple(self._processes_by_name))
 
-    def start(self, name: str, arguments: list[str]) -> None:
-        """Start or restart a process; its log is appended to."""
+    def start(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        module: str = 'hornbeamline',
+        environment: Mapping[str, str] = _NO_VARIABLES,
+    ) -> None:
+        """Start or restart a process; its log is appended to.
+
+        `environment` has variables beside those of this process.
+        """
         with self._open_log(name) as log:
             self._processes_by_name[name] = subprocess.Popen(
-                [sys.executable, '-m', 'hornbeamline', *arguments],
+                [sys.executable, '-m', module, *arguments],
                 stdout=log,
                 stderr=log,
                 # Ctrl-C reaches the tool only, which then stops the group.
                 start_new_session=True,
-                env={**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path)},
+                env={
+                    **os.environ,
+                    'PYTHONPATH': os.pathsep.join(sys.path),
+                    **environment,
+                },
             )
 
     def names(self) -> tuple[str, ...]:
--- /dev/null
+++ b/tests/soak/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Soak of the programs that run on the municipal platform."""
--- /dev/null
+++ b/tests/soak/platform/clients.py
@@ -0,0 +1,188 @@
+"""Clients and an operator that judge every answer they get."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import Final
+
+import aiohttp
+
+from tests.soak.platform.fleet import (
+    FRONT_PORT,
+    HOST_NAME,
+    KEY,
+    TENANT,
+    PlatformFleet,
+    put_until_acknowledged,
+)
+from tests.soak.platform.world import NOT_RUN, Sent, body_of, events_of
+
+ROUTES: Final = ('read', 'act', 'plan', 'ask')
+CLIENTS: Final = 16
+DEADLINE_S: Final = 6.0
+ATTEMPTS: Final = 3
+# Bounds of the platform: from the acknowledgement until it is in force.
+APPLY_S: Final = 2.0
+ACK_S: Final = 30.0
+_TIMEOUT: Final = aiohttp.ClientTimeout(total=DEADLINE_S + 2)
+_LOST: Final = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+class Clients:
+    """Concurrent clients with kept connections, and one operator."""
+
+    def __init__(self, fleet: PlatformFleet, seed: int) -> None:
+        self._fleet = fleet
+        self._seed = seed
+        self._stopping = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self.version = 1
+
+    def start(self) -> None:
+        """Begin to send."""
+        for number in range(CLIENTS):
+            rng = random.Random(self._seed * 1000 + number)
+            self._tasks.append(asyncio.create_task(self._client(rng)))
+        self._tasks.append(asyncio.create_task(self._operator()))
+        self._tasks.append(asyncio.create_task(self._reader()))
+
+    async def stop(self) -> None:
+        """End after the requests in progress."""
+        self._stopping = True
+        await asyncio.gather(*self._tasks)
+
+    async def _client(self, rng: random.Random) -> None:
+        async with aiohttp.ClientSession(timeout=_TIMEOUT) as session:
+            while not self._stopping:
+                await self.request(session, rng, rng.choice(ROUTES))
+                await asyncio.sleep(rng.uniform(0, 0.2))
+
+    async def request(
+        self,
+        session: aiohttp.ClientSession,
+        rng: random.Random,
+        route: str,
+        entry: str = '',
+    ) -> bool:
+        """Send a request, repeat it where that is allowed; whether served."""
+        path = f'/{route}/{rng.getrandbits(32):x}?q=%2f'
+        for _ in range(ATTEMPTS):
+            chosen = entry or rng.choice(self._fleet.entries)
+            status = await self._attempt(session, rng, route, path, chosen)
+            if status == 200:
+                self._fleet.world.served[route] += 1
+                return True
+            may_repeat = status in NOT_RUN or route in {'read', 'ask'}
+            if not may_repeat:
+                return False
+            await asyncio.sleep(rng.uniform(0.05, 0.3))
+        return False
+
+    async def _attempt(
+        self,
+        session: aiohttp.ClientSession,
+        rng: random.Random,
+        route: str,
+        path: str,
+        entry: str,
+    ) -> int:
+        """Return the status, or 0 when there is no complete answer."""
+        world = self._fleet.world
+        request_id = f'{rng.getrandbits(64):016x}'
+        method = 'GET' if route == 'read' else 'POST'
+        body = b'' if method == 'GET' else rng.randbytes(rng.randrange(1, 3000))
+        headers = {
+            'Host': HOST_NAME,
+            'X-Request-Id': request_id,
+            'X-Api-Key': KEY,
+            'X-Tenant': 'somebody-else',
+            'X-Deadline-Ms': str(int(DEADLINE_S * 1000)),
+        }
+        sent = Sent(method, path, body, TENANT, route in {'read', 'ask'})
+        if route in {'plan', 'ask'}:
+            headers |= {
+                'X-Model': 'm',
+                'X-Token-Count': '1460,80',
+                'X-Prompt-Prefix': f'5c1e:{800},{request_id}:250',
+            }
+        if route == 'plan':
+            pieces = (rng.randrange(1, 4), rng.randrange(1, 5))
+            sent = sent._replace(pieces=pieces, piece_key=f'k-{request_id}')
+            headers |= {
+                'X-Pieces': ','.join(map(str, pieces)),
+                'X-Piece-Key': sent.piece_key,
+            }
+        world.sent_by_id[request_id] = sent
+        url = f'http://{self._fleet.ip(entry)}:{FRONT_PORT}{path}'
+        try:
+            async with session.request(
+                method,
+                aiohttp.client.URL(url, encoded=True),
+                headers=headers,
+                data=body or None,
+            ) as reply:
+                signed = 'X-Server-Stamp' in reply.headers
+                status = reply.status
+                world.note_answer(request_id, status, is_signed=signed)
+                answer = await reply.read()
+        except _LOST:
+            return 0
+        if status == 200:
+            self._check_body(request_id, sent, route, answer)
+        return status
+
+    def _check_body(
+        self,
+        request_id: str,
+        sent: Sent,
+        route: str,
+        answer: bytes,
+    ) -> None:
+        expected = body_of(request_id, sent)
+        if route in {'plan', 'ask'}:
+            expected = b''.join(
+                f'id: {number}\ndata: {request_id}-{number}\n\n'.encode()
+                for number in range(1, events_of(request_id) + 1)
+            )
+        if answer != expected:
+            self._fleet.world.violate(f'MIXED {request_id}: {answer[:300]!r}')
+
+    async def _operator(self) -> None:
+        """Store one configuration after the other, sometimes a storm."""
+        rng = random.Random(self._seed)
+        async with aiohttp.ClientSession() as session:
+            while not self._stopping:
+                self.version += rng.randrange(1, 4)
+                await put_until_acknowledged(
+                    self._fleet,
+                    session,
+                    self.version,
+                    ACK_S,
+                )
+                await asyncio.sleep(rng.choice((0.06, 0.06, 1.0)))
+
+    async def _reader(self) -> None:
+        """Read configurations: none may be older than acknowledged."""
+        rng = random.Random(self._seed + 1)
+        world = self._fleet.world
+        async with aiohttp.ClientSession() as session:
+            while not self._stopping:
+                began = time.monotonic()
+                oldest = max(
+                    (
+                        version
+                        for at, version in world.acknowledged
+                        if at < began - APPLY_S
+                    ),
+                    default=0,
+                )
+                control = rng.choice(self._fleet.controls)
+                shown = await self._fleet.get(session, control)
+                if shown is not None and shown['version'] < oldest:
+                    world.violate(
+                        f'CONFIG {control} shows {shown["version"]}, '
+                        f'{oldest} is acknowledged',
+                    )
+                await asyncio.sleep(rng.uniform(0, 0.3))
--- /dev/null
+++ b/tests/soak/platform/fleet.py
@@ -0,0 +1,263 @@
+"""Processes of the platform on loopback addresses, and its servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import shutil
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+
+from hornbeamline.local_fleet import ProcessGroup
+from tests.common import write_toml
+from tests.soak.platform.standins.desk import DeskServer
+from tests.soak.platform.standins.engine import EngineServer
+from tests.soak.platform.standins.listing import StandinList
+from tests.soak.platform.standins.server import StandinServer
+from tests.soak.platform.standins.stages import StageServer
+from tests.soak.platform.world import World
+
+CONTROLS = (1, 2, 3)
+HOSTS = (1, 2, 3, 4)
+FRONT_PORT: Final = 8625
+CONTROL_PORT: Final = 8628
+GRACE_S: Final = 8
+HOST_NAME: Final = 'soak.example'
+KEY: Final = 'key-of-the-client'
+TENANT: Final = 'exporter'
+KINDS: Final[dict[str, type[StandinServer]]] = {
+    'desk': DeskServer,
+    'llm': EngineServer,
+    'ledger': StageServer,
+    'registry': StageServer,
+}
+SERVERS_OF_KIND: Final = 3
+_CALL_TIMEOUT: Final = aiohttp.ClientTimeout(total=2)
+
+
+def document(version: int) -> dict[str, Any]:
+    """Return a configuration; its number is also a path of one route."""
+    common = {
+        'host': HOST_NAME,
+        'timeout-ms': 6000,
+        'target-latency-ms': 1500,
+        'max-attempts': 3,
+    }
+    plain = {'service': 'desk', 'route-type': 'idempotent', **common}
+    stages = [
+        {'service': 'ledger', 'after': [], 'bytes': 8000},
+        {'service': 'registry', 'after': [0], 'bytes': 6000},
+    ]
+    stream = {
+        'service': 'llm',
+        'route-type': 'streaming',
+        'gap-aim-ms': 400,
+        **common,
+    }
+    pieces = {
+        'slots': 1,
+        'queue': 2,
+        'batch': 6,
+        'call-ms': 30,
+        'item-ms': 5,
+        'headroom-mb': 2,
+        'handle-s': 4,
+    }
+    return {
+        'version': version,
+        'routes': [
+            {'name': 'read', 'path-prefix': '/read/', **plain},
+            {'name': 'numbered', 'path-prefix': f'/v{version}/', **plain},
+            {
+                'name': 'act',
+                'path-prefix': '/act/',
+                **plain,
+                'route-type': 'non_idempotent',
+            },
+            {
+                'name': 'plan',
+                'path-prefix': '/plan/',
+                'stages': stages,
+                'stream-resume': False,
+                **stream,
+            },
+            {
+                'name': 'ask',
+                'path-prefix': '/ask/',
+                'stream-resume': True,
+                **stream,
+            },
+        ],
+        'services': [
+            {'name': 'desk'},
+            {'name': 'llm', 'engine': {'slots': 64, 'kv-capacity': 100000}},
+            {'name': 'ledger', 'pieces': pieces},
+            {'name': 'registry', 'pieces': pieces},
+        ],
+        'tenants': [{'name': TENANT, 'api-keys': [KEY], 'priority': 0}],
+    }
+
+
+class PlatformFleet:
+    """Four hosts with an entry process, three of them with control."""
+
+    def __init__(
+        self,
+        folder: Path,
+        rng: random.Random,
+        group: ProcessGroup,
+    ) -> None:
+        self.folder = folder
+        self.rng = rng
+        self.group = group
+        self.world = World()
+        self.servers: list[StandinServer] = []
+        self.listing = StandinList(lambda: self.servers)
+        # Runs at the same time on one machine use different addresses.
+        pid = os.getpid()
+        self._net = f'127.{1 + pid % 200}.{1 + pid // 200 % 250}'
+        self.entries = [f'entry-{number}' for number in HOSTS]
+        self.controls = [f'control-{number}' for number in CONTROLS]
+
+    def ip(self, name: str) -> str:
+        """Return the address of the host of a process."""
+        return f'{self._net}.{name.rpartition("-")[2]}'
+
+    async def start_servers(self) -> None:
+        """Start the list and all servers."""
+        for service in KINDS:
+            for _ in range(SERVERS_OF_KIND):
+                await self.add_server(service)
+        await self.listing.start()
+
+    async def add_server(self, service: str) -> StandinServer:
+        """Start a server under a new id."""
+        server = KINDS[service](self.world, service, self.rng)
+        await server.start()
+        self.servers.append(server)
+        return server
+
+    async def stop_servers(self) -> None:
+        """Stop the list and all servers."""
+        await self.listing.stop()
+        for server in self.servers:
+            await server.crash()
+
+    def start(self, name: str, *, is_first: bool = False) -> None:
+        """Start a process."""
+        role = name.partition('-')[0]
+        path = self.folder / f'{name}.toml'
+        write_toml(path, self._settings(name, is_first=is_first))
+        self.group.start(
+            name,
+            [role],
+            'hornbeamline.platform',
+            {'HORNBEAMLINE_SETTINGS': str(path)},
+        )
+
+    def wipe(self, name: str) -> None:
+        """Lose the disk of a control process that does not run."""
+        shutil.rmtree(self._disk(name))
+
+    async def put(
+        self,
+        session: aiohttp.ClientSession,
+        control: str,
+        version: int,
+    ) -> int:
+        """Send a configuration; return the status, 0 without an answer."""
+        url = f'http://{self.ip(control)}:{CONTROL_PORT}/config/put'
+        body = document(version)
+        try:
+            async with session.post(
+                url,
+                json=body,
+                timeout=_CALL_TIMEOUT,
+            ) as reply:
+                await reply.read()
+                return reply.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0
+
+    async def get(
+        self,
+        session: aiohttp.ClientSession,
+        control: str,
+    ) -> dict[str, Any] | None:
+        """Return the configuration that a control process shows."""
+        url = f'http://{self.ip(control)}:{CONTROL_PORT}/config/get'
+        try:
+            async with session.get(url, timeout=_CALL_TIMEOUT) as reply:
+                shown = await reply.json() if reply.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+        return shown
+
+    def _disk(self, name: str) -> Path:
+        return self.folder / f'disk-{name}'
+
+    def _settings(self, name: str, *, is_first: bool) -> dict[str, Any]:
+        ip = self.ip(name)
+        disk = self._disk(name)
+        if name in self.controls:
+            disk.mkdir(exist_ok=True)
+        seeds = [
+            f'{self.ip(control)}:{CONTROL_PORT}' for control in self.controls
+        ]
+        return {
+            'node': name,
+            'ip': ip,
+            'zone': 'z1',
+            'internal-ports': [7740, 7755],
+            'seeds': seeds,
+            'bootstrap': is_first,
+            'data-dir': str(disk) if name in self.controls else '',
+            'listen': {
+                'front': f'{ip}:{FRONT_PORT}',
+                'readiness-addr': f'{ip}:8621',
+                'control': f'{ip}:{CONTROL_PORT}',
+            },
+            'fault-tolerance': {'machines': 1},
+            'bounds': {'grace-s': GRACE_S},
+            'cloud-api': {'address': self.listing.address, 'rate-per-s': 40},
+        }
+
+
+@contextlib.asynccontextmanager
+async def platform_fleet(
+    folder: Path,
+    rng: random.Random,
+) -> AsyncIterator[PlatformFleet]:
+    """Run a fleet that serves its first configuration."""
+    with ProcessGroup(folder) as group:
+        fleet = PlatformFleet(folder, rng, group)
+        await fleet.start_servers()
+        try:
+            for name in (*fleet.controls, *fleet.entries):
+                fleet.start(name, is_first=True)
+            yield fleet
+        finally:
+            await fleet.stop_servers()
+
+
+async def put_until_acknowledged(
+    fleet: PlatformFleet,
+    session: aiohttp.ClientSession,
+    version: int,
+    timeout_s: float,
+) -> None:
+    """Send a configuration to any control process until it is stored."""
+    until = time.monotonic() + timeout_s
+    while time.monotonic() < until:
+        control = fleet.rng.choice(fleet.controls)
+        if await fleet.put(session, control, version) == 200:
+            fleet.world.acknowledged.append((time.monotonic(), version))
+            return
+        await asyncio.sleep(0.1)
+    fleet.world.violate(f'configuration {version} is not acknowledged')
--- /dev/null
+++ b/tests/soak/platform/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform: its list of servers and its servers."""
--- /dev/null
+++ b/tests/soak/platform/test_platform_soak.py
@@ -0,0 +1,94 @@
+"""Promises of the platform's pages while processes and links fail."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from pathlib import Path
+
+import aiohttp
+
+from tests.soak.platform.clients import ROUTES, Clients
+from tests.soak.platform.faults import Faults
+from tests.soak.platform.fleet import (
+    PlatformFleet,
+    platform_fleet,
+    put_until_acknowledged,
+)
+
+# Bounds of the platform: first configuration, and service after the faults.
+START_S = 30
+RECOVERY_S = 12
+MAX_SHOWN = 20
+
+
+async def test_promises_under_faults(
+    tmp_path: Path,
+    soak_seed: int,
+    soak_seconds: float,
+) -> None:
+    """Guards against broken rules that only combined faults show."""
+    rng = random.Random(soak_seed)
+    async with platform_fleet(tmp_path, rng) as fleet:
+        clients = Clients(fleet, soak_seed)
+        async with aiohttp.ClientSession() as session:
+            await put_until_acknowledged(fleet, session, 1, START_S)
+            await until_served(fleet, clients, START_S)
+            faults = Faults(fleet, random.Random(soak_seed + 1))
+            clients.start()
+            try:
+                await faults.run(soak_seconds)
+                await until_served(fleet, clients, RECOVERY_S)
+                await clients.stop()
+                await check_end(fleet, session)
+            finally:
+                # pytest shows this when the test fails.
+                print(f'seed {soak_seed}', *faults.log, sep='\n')
+        codes = await asyncio.to_thread(
+            fleet.group.stop,
+            [*fleet.entries, *fleet.controls],
+        )
+    world = fleet.world
+    print(
+        f'{len(world.sent_by_id)} attempts, {sum(world.runs_by_id.values())} '
+        f'runs, {len(world.refused)} refused, served {dict(world.served)}, '
+        f'{len(world.acknowledged)} configurations',
+    )
+    violations = world.violations + [
+        f'{name} ended with {code}' for name, code in codes.items() if code
+    ]
+    assert not violations, '\n'.join([*faults.log, *violations[:MAX_SHOWN]])
+
+
+async def until_served(
+    fleet: PlatformFleet,
+    clients: Clients,
+    timeout_s: float,
+) -> None:
+    """Wait until every entry process serves every kind of request."""
+    # Ids must differ between calls.
+    rng = random.Random(f'{time.monotonic()}')
+    until = time.monotonic() + timeout_s
+    async with aiohttp.ClientSession() as session:
+        for entry in fleet.entries:
+            for route in ROUTES:
+                while not await clients.request(session, rng, route, entry):
+                    assert time.monotonic() < until, f'{entry}: no {route}'
+                    await asyncio.sleep(0.1)
+
+
+async def check_end(
+    fleet: PlatformFleet,
+    session: aiohttp.ClientSession,
+) -> None:
+    """Check that nothing acknowledged is lost."""
+    newest = max(version for _, version in fleet.world.acknowledged)
+    for control in fleet.controls:
+        until = time.monotonic() + RECOVERY_S
+        shown = None
+        while shown is None and time.monotonic() < until:
+            shown = await fleet.get(session, control)
+            await asyncio.sleep(0.1)
+        if shown is None or shown['version'] < newest:
+            fleet.world.violate(f'LOST {control} shows {shown}, not {newest}')
