Read the list of targets on control hosts for all, keep diskless logs in memory

Change: control processes with a disk read the list each 0.6 s and hand it on in directory replies with its age; entry hosts read it when theirs is older than 1.3 s. An older list never replaces a newer one; ages count the time for which a host is suspended. The pause between reads counts pages. Change: logs of hosts without a disk live in memory. Ruled out: pushes of the list, since a late push could show an old one.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SECONDS ?= 60
 SEED ?= 1
 
-.PHONY: install test lint format types demo soak measure clean
+.PHONY: install test lint format types demo soak soak-platform measure clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -36,5 +36,8 @@
 soak: install
 	$(PYTHON) -m pytest tests/soak --soak-seconds $(SECONDS) --soak-seed $(SEED)
 
+soak-platform: install
+	$(PYTHON) -m pytest tests/soak/platform --soak-seconds $(SECONDS) --soak-seed $(SEED)
+
 clean:
 	rm -rf $(VENV) build .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable, Mapping, Sequence
-from typing import Any, Final, Protocol
+from typing import Any, Final
 
 from hornbeamline.batching import (
     BatchingService,
@@ -15,23 +14,16 @@
     Piece,
     PieceResult,
 )
-from hornbeamline.core import TaskSet
-from hornbeamline.exceptions import GatewayError
 from hornbeamline.gateway import (
     GatewayApp,
     MayHaveRunError,
     NotRunError,
     Target,
-    TargetDirectory,
     TargetHttp,
     Wire,
 )
 from hornbeamline.telemetry import log_event
 
-_LIST_TIMEOUT_S: Final = 0.9
-_FIRST_READS_S: Final = 0.25
-# Share of the allowed calls to the list that the pauses aim at.
-_RATE_SHARE: Final = 0.7
 # The balancer needs two failed checks, one a second.
 BALANCER_WAIT_S: Final = 2.3
 _DRAIN_POLL_S: Final = 0.1
@@ -40,77 +32,6 @@
 _HTTP_OK: Final = 200
 
 
-class ReadTargets(Protocol):
-    """The platform's list of targets."""
-
-    async def read(self) -> list[Target]:
-        """Return the whole list; raises `GatewayError`."""
-
-
-class ListPoller:
-    """Reads the list again and again."""
-
-    def __init__(
-        self,
-        source: ReadTargets,
-        targets: TargetDirectory,
-        interval_s: float,
-        rate_per_s: float,
-        rng: random.Random,
-    ) -> None:
-        """Take the list, what follows it, pause and rate of the reads.
-
-        `rate_per_s` bounds the calls of all hosts together.
-        """
-        self._source = source
-        self._targets = targets
-        self._interval_s = interval_s
-        self._rate_per_s = rate_per_s * _RATE_SHARE
-        self._hosts = 1
-        self._rng = rng
-        self._tasks = TaskSet()
-        self._works = False
-
-    async def start(self) -> None:
-        """Begin to read."""
-        self._tasks.spawn(self._run(), 'target list')
-
-    async def stop(self) -> None:
-        """Stop reading."""
-        await self._tasks.cancel_all()
-
-    def note_hosts(self, count: int) -> None:
-        """Take the number of hosts that read the list."""
-        self._hosts = max(count, 1)
-
-    @property
-    def pause_s(self) -> float:
-        """Return the pause between two reads."""
-        pause_s = self._interval_s if self._works else _FIRST_READS_S
-        return max(pause_s, self._hosts / self._rate_per_s)
-
-    async def _run(self) -> None:
-        while True:
-            await self._read()
-            pause_s = self.pause_s
-            # Hosts that start together must not read together.
-            await asyncio.sleep(pause_s * self._rng.uniform(0.9, 1.1))
-
-    async def _read(self) -> None:
-        try:
-            async with asyncio.timeout(_LIST_TIMEOUT_S):
-                targets = await self._source.read()
-        except (GatewayError, TimeoutError) as error:
-            if self._works:
-                log_event('targets.list_lost', error=repr(error))
-            self._works = False
-            return
-        if not self._works:
-            log_event('targets.list_regained', entries=len(targets))
-        self._works = True
-        self._targets.take_list(targets)
-
-
 class StageCaller:
     """Calls a target with pieces."""
 
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -13,13 +13,12 @@
 from hornbeamline.core import Kernel
 from hornbeamline.daemons._gateway_services import (
     GatewayDrain,
-    ListPoller,
-    ReadTargets,
     ReadyApp,
     StageCaller,
 )
 from hornbeamline.daemons._memory import CollectorService
 from hornbeamline.daemons._settings_watch import SettingsWatch
+from hornbeamline.daemons._target_list import ListPoller, ReadTargets
 from hornbeamline.directory import DirectoryMember, Presence
 from hornbeamline.directory.const import ROLE_ENTRY
 from hornbeamline.documents import InvalidDocumentError, StoredDocument
@@ -41,7 +40,7 @@
     rate_of,
     wait_by_service,
 )
-from hornbeamline.helpers.clock import Clock, SystemClock
+from hornbeamline.helpers.clock import BootClock, Clock, SystemClock
 from hornbeamline.helpers.http_server import HttpServer
 from hornbeamline.inventory import PeeringSettings
 from hornbeamline.peering import PynngPeering
@@ -61,6 +60,8 @@
     readiness_address: str
     metrics_address: str
     list_interval_s: float
+    # The list is read when no control process had it read so recently.
+    list_fresh_s: float
     # Calls a second to the list that all hosts may make together.
     list_rate_per_s: float
     stop_timeout_s: float
@@ -92,7 +93,7 @@
             self._clock,
         )
         self._picker = TargetPicker(settings.data_centre, self._clock, rng)
-        self._targets = TargetDirectory(self._clock)
+        self._targets = TargetDirectory(BootClock())
         self._limits_by_service: dict[str, BatchLimits] = {}
         self._budget = RepeatBudget(settings.budget, self._clock)
         self._member = DirectoryMember(
@@ -100,6 +101,7 @@
             self._clock,
             settings.controls_by_name,
             self._describe,
+            self._targets,
         )
         self._member.on_document = self._take_document
         self._member.on_present = self._take_present
@@ -147,6 +149,7 @@
             settings.list_interval_s,
             settings.list_rate_per_s,
             rng,
+            settings.list_fresh_s,
         )
         self.kernel.register('peering', self._peering)
         self.kernel.register('http', http)
--- a/hornbeamline/daemons/keeper.py
+++ b/hornbeamline/daemons/keeper.py
@@ -9,6 +9,7 @@
 from hornbeamline.control_link import LeaderServer
 from hornbeamline.core import Kernel
 from hornbeamline.daemons._settings_watch import SettingsWatch
+from hornbeamline.daemons._target_list import ListPoller, ReadTargets
 from hornbeamline.directory import (
     DirectoryMember,
     DirectoryRegistry,
@@ -16,7 +17,8 @@
 )
 from hornbeamline.directory.const import ROLE_CONTROL
 from hornbeamline.documents import DocumentMachine, DocumentService
-from hornbeamline.helpers.clock import SystemClock
+from hornbeamline.gateway import TargetDirectory, TargetHttp
+from hornbeamline.helpers.clock import BootClock, SystemClock
 from hornbeamline.helpers.http_server import HttpServer
 from hornbeamline.inventory import (
     ControlSettings,
@@ -26,7 +28,7 @@
     StorageSettings,
 )
 from hornbeamline.peering import PynngPeering
-from hornbeamline.replog import RaftLog
+from hornbeamline.replog import MemoryDisk, RaftLog
 from hornbeamline.telemetry import log_event, metrics_app
 
 
@@ -47,6 +49,11 @@
     voters: int
     operator_address: str
     metrics_address: str
+    list_interval_s: float
+    # Calls a second to the list that all hosts may make together, and the
+    # control processes that are expected to make them.
+    list_rate_per_s: float
+    list_readers: int
     stop_timeout_s: float
 
 
@@ -58,9 +65,10 @@
         settings: KeeperSettings,
         number_of: Callable[[bytes], int],
         operator_app: Callable[[DocumentService], Any],
+        open_list: Callable[[TargetHttp], ReadTargets],
         read_controls: Callable[[], Mapping[str, str]],
     ) -> None:
-        """Take settings, validation and the operator's interface."""
+        """Take settings and the adapter of the platform."""
         clock = SystemClock()
         self.host = settings.host
         self._settings = settings
@@ -77,6 +85,7 @@
             peering,
             clock,
             random.Random(),
+            disk=None if settings.is_durable else MemoryDisk(),
         )
         log.on_stopped(self.kernel.fail)
         machine = DocumentMachine()
@@ -93,18 +102,32 @@
             settings.data_centre,
             is_durable=settings.is_durable,
         )
-        registry = DirectoryRegistry(peering, machine, own, clock)
+        targets = TargetDirectory(BootClock())
+        registry = DirectoryRegistry(peering, machine, own, targets, clock)
         log.keep_voters(registry.controls, settings.voters)
+        http = TargetHttp()
+        poller = ListPoller(
+            open_list(http),
+            targets,
+            settings.list_interval_s,
+            settings.list_rate_per_s,
+            random.Random(),
+        )
+        poller.note_hosts(settings.list_readers)
         member = DirectoryMember(
             peering,
             clock,
             settings.controls_by_name,
             lambda: own,
+            targets,
         )
         watch = SettingsWatch(read_controls, member)
         self.kernel.on_reload(watch.reload)
         self.kernel.register('peering', peering)
         self.kernel.register('replog', log)
+        if settings.is_durable:
+            self.kernel.register('http', http)
+            self.kernel.register('targets', poller)
         self.kernel.register('directory', member)
         self.kernel.register('settings', watch)
         self.kernel.register(
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -11,6 +11,7 @@
     DocumentPush,
     Enrol,
     EnrolReply,
+    ListedTargets,
     Presence,
 )
 from hornbeamline.directory.const import (
@@ -22,6 +23,7 @@
 )
 from hornbeamline.documents import StoredDocument
 from hornbeamline.exceptions import PeeringError
+from hornbeamline.gateway import TargetDirectory
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.helpers.rendezvous import rendezvous_order
 from hornbeamline.peering import Peering
@@ -47,15 +49,18 @@
         clock: Clock,
         controls_by_name: Mapping[str, str],
         describe: Callable[[], Presence],
+        targets: TargetDirectory,
     ) -> None:
         """Take the network and the control processes known at start.
 
-        `describe` returns the presence of this process.
+        `describe` returns the presence of this process; `targets` takes
+        the lists that control processes have read.
         """
         self._peering = peering
         self._clock = clock
         self._controls_by_name = dict(controls_by_name)
         self._describe = describe
+        self._targets = targets
         self._seen_by_name: dict[str, _Seen] = {}
         self._tasks = TaskSet()
         self._tasks_by_control: dict[str, asyncio.Task[None]] = {}
@@ -101,13 +106,15 @@
     async def _enrol_forever(self, control: str) -> None:
         while True:
             began = self._clock.monotonic()
+            asked_at = self._targets.now()
             try:
                 reply = await self._peering.call(
                     control,
                     Enrol(
                         self._describe(),
                         self.document.number,
-                        self._wants_present(control),
+                        self._is_source(control),
+                        self._targets.digest,
                     ),
                     EnrolReply,
                     ENROL_TIMEOUT_S,
@@ -117,19 +124,31 @@
             else:
                 self._note_answer(control, '')
                 self._take_reply(reply)
+                self._take_listed(reply.listed, asked_at)
             spent_s = self._clock.monotonic() - began
             await asyncio.sleep(max(ENROL_INTERVAL_S - spent_s, 0))
 
-    def _wants_present(self, control: str) -> bool:
-        """Return whether a control process is asked for the others.
+    def _is_source(self, control: str) -> bool:
+        """Return whether a control process is asked for everything.
 
         Until enough of them answer, all are asked.
         """
-        if len(self._answering) < PRESENT_SOURCES:
+        durable = [
+            name for name in self._answering if self._may_be_durable(name)
+        ]
+        if len(durable) < PRESENT_SOURCES:
             return True
-        sources = rendezvous_order(self._describe().name, self._answering)
+        sources = rendezvous_order(self._describe().name, durable)
         return control in sources[:PRESENT_SOURCES]
 
+    def _may_be_durable(self, control: str) -> bool:
+        """Return whether a control process may have a disk.
+
+        Only those read the list of targets.
+        """
+        seen = self._seen_by_name.get(control)
+        return seen is None or seen.presence.is_durable
+
     def _note_answer(self, control: str, error: str) -> None:
         if not error and control not in self._answering:
             self._answering.add(control)
@@ -149,6 +168,20 @@
         if reply.document is not None:
             self._take_document(reply.document, 'enrol')
 
+    def _take_listed(
+        self,
+        listed: ListedTargets | None,
+        asked_at: float,
+    ) -> None:
+        """Take a list that was read `age_s` before `asked_at` or later."""
+        if listed is None:
+            return
+        read_at = asked_at - listed.age_s
+        if self._targets.confirm(listed.digest, read_at):
+            return
+        if listed.targets is not None:
+            self._targets.take_list(listed.targets, read_at)
+
     async def _on_push(self, _sender: str, push: DocumentPush) -> None:
         self._take_document(push.document, 'push')
 
--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from hornbeamline.documents import StoredDocument
+from hornbeamline.gateway import Target
 from hornbeamline.peering import message
 
 
@@ -27,22 +28,36 @@
     is_durable: bool = True
 
 
+class ListedTargets(NamedTuple):
+    """The list of targets as a control process holds it."""
+
+    digest: bytes
+    # Seconds since it was read.
+    age_s: float
+    # None when the sender holds the same list.
+    targets: list[Target] | None
+
+
 @message('directory.enrol')
 class Enrol(NamedTuple):
     """Tells a control process that the sender is there."""
 
     presence: Presence
     document_number: int
-    # The reply is to name the present processes.
-    wants_present: bool = True
+    # The reply is to name the present processes and the list of targets.
+    is_full: bool = True
+    # Digest of the list of targets that the sender holds.
+    list_digest: bytes = b''
 
 
 @message('directory.enrol_reply')
 class EnrolReply(NamedTuple):
-    """Present processes if wanted, and a document newer than the sender's."""
+    """What a process needs to know of the others; see `Enrol.is_full`."""
 
     present: list[Presence]
+    # If the sender's is older.
     document: StoredDocument | None
+    listed: ListedTargets | None = None
 
 
 @message('directory.document')
--- a/hornbeamline/directory/_registry.py
+++ b/hornbeamline/directory/_registry.py
@@ -8,6 +8,7 @@
     DocumentPush,
     Enrol,
     EnrolReply,
+    ListedTargets,
     Presence,
 )
 from hornbeamline.directory.const import (
@@ -15,6 +16,7 @@
     ROLE_CONTROL,
 )
 from hornbeamline.documents import DocumentMachine
+from hornbeamline.gateway import TargetDirectory
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.peering import Peering
 from hornbeamline.replog import ControlHost
@@ -34,12 +36,14 @@
         peering: Peering,
         machine: DocumentMachine,
         own: Presence,
+        targets: TargetDirectory,
         clock: Clock,
     ) -> None:
-        """Take the network, the document and this process's presence."""
+        """Take the network, document, own presence and list of targets."""
         self._peering = peering
         self._machine = machine
         self._own = own
+        self._targets = targets
         self._clock = clock
         self._seen_by_name: dict[str, _Seen] = {}
         machine.on_change = self._push
@@ -81,8 +85,20 @@
         document = self._machine.current
         is_newer = document.number > request.document_number
         return EnrolReply(
-            self.present() if request.wants_present else [],
+            self.present() if request.is_full else [],
             document if is_newer else None,
+            self._listed(request) if request.is_full else None,
+        )
+
+    def _listed(self, request: Enrol) -> ListedTargets | None:
+        targets = self._targets
+        if not targets.is_known:
+            return None
+        is_same = request.list_digest == targets.digest
+        return ListedTargets(
+            targets.digest,
+            targets.age_s,
+            None if is_same else targets.targets(),
         )
 
     def _push(self) -> None:
--- a/hornbeamline/gateway/_targets.py
+++ b/hornbeamline/gateway/_targets.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterable
 
 from hornbeamline.gateway._types import Target
 from hornbeamline.helpers.clock import Clock
+from hornbeamline.helpers.codec import encode
 from hornbeamline.telemetry import log_event
 
 
@@ -19,6 +21,8 @@
         """Start without a list."""
         self._clock = clock
         self.read_at: float | None = None
+        # Equal on all hosts with the same list; empty without one.
+        self.digest = b''
         self._targets_by_service: dict[str, list[Target]] = {}
         self._targets_by_id: dict[str, Target] = {}
         self._targets_by_address: dict[str, Target] = {}
@@ -35,14 +39,43 @@
             return 0
         return self._clock.monotonic() - self.read_at
 
-    def take_list(self, targets: Iterable[Target]) -> None:
-        """Replace the list."""
+    def now(self) -> float:
+        """Return the clock that `read_at` is told by, in seconds."""
+        return self._clock.monotonic()
+
+    def targets(self) -> list[Target]:
+        """Return all targets of the list, those that leave included."""
+        return list(self._targets_by_id.values())
+
+    def confirm(self, digest: bytes, read_at: float) -> bool:
+        """Note that the list was still the same at a later time.
+
+        Returns whether a list with this digest is held.
+        """
+        if digest != self.digest or self.read_at is None:
+            return False
+        self.read_at = max(self.read_at, read_at)
+        return True
+
+    def take_list(
+        self,
+        targets: Iterable[Target],
+        read_at: float | None = None,
+    ) -> None:
+        """Replace the list, unless it is older than the one that is held.
+
+        `read_at` is when the list was read, now by default.
+        """
+        at = self.now() if read_at is None else read_at
+        if self.read_at is not None and at < self.read_at:
+            return
         known = {target.id: target for target in targets}
         if self.is_known:
             self._log_changes(known)
         else:
             log_event('targets.first_list', entries=len(known))
-        self.read_at = self._clock.monotonic()
+        self.read_at = at
+        self.digest = _digest(known.values())
         by_service: dict[str, list[Target]] = {}
         for listed in known.values():
             if not listed.is_leaving:
@@ -77,3 +110,7 @@
                 )
         for gone in before.keys() - known.keys():
             log_event('targets.gone', target=gone, list_age_s=self.age_s)
+
+
+def _digest(targets: Iterable[Target]) -> bytes:
+    return hashlib.blake2b(encode(sorted(targets)), digest_size=8).digest()
--- a/hornbeamline/gateway/_types.py
+++ b/hornbeamline/gateway/_types.py
@@ -103,8 +103,6 @@
     data_centre: str
     slots: int
     is_leaving: bool
-    # Time until the target works at full speed, when the list was read.
-    warmup_s: float
 
 
 class PromptPart(NamedTuple):
--- a/hornbeamline/helpers/clock.py
+++ b/hornbeamline/helpers/clock.py
@@ -30,6 +30,18 @@
         return time.time_ns() // 1_000_000
 
 
+class BootClock(SystemClock):
+    """Clock that goes on while the host is suspended.
+
+    For ages of what other hosts tell: a monotonic clock would take a list
+    from before the suspension for a fresh one.
+    """
+
+    def monotonic(self) -> float:
+        """Return the time since the host was started in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """Clock that a test or a virtual-time run moves by hand."""
 
--- a/hornbeamline/platform/_list.py
+++ b/hornbeamline/platform/_list.py
@@ -11,7 +11,6 @@
 from hornbeamline.gateway import Target, TargetHttp
 from hornbeamline.telemetry import log_event
 
-_MS_PER_S: Final = 1000
 _HTTP_OK: Final = 200
 _MAX_PAGES: Final = 400
 _states: Final = {'ready': False, 'draining': True}
@@ -28,7 +27,6 @@
     zone: str
     state: str
     slots: int = 1
-    warmup_left_ms: float = 0
 
 
 class _PageBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -37,20 +35,26 @@
 
 
 class ServerList:
-    """Reads the whole list, page by page."""
+    """Reads the whole list, page by page.
+
+    `calls` is the number of pages that the last read took.
+    """
 
     def __init__(self, http: TargetHttp, address: str) -> None:
         """Take the client and the address of the list."""
         self._http = http
         self._address = address
         self._unreadable = 0
+        self.calls = 1
 
     async def read(self) -> list[Target]:
         """Return all readable entries; raises `ListUnavailableError`."""
         targets: list[Target] = []
         unreadable = 0
         token: str | None = None
-        for _ in range(_MAX_PAGES):
+        pages = 0
+        while pages < _MAX_PAGES:
+            pages += 1
             page = await self._read_page(token)
             for raw in page.instances:
                 target = _read_entry(raw)
@@ -61,6 +65,7 @@
             token = page.next
             if not token:
                 break
+        self.calls = pages
         if unreadable != self._unreadable:
             self._unreadable = unreadable
             log_event('targets.unreadable_entries', count=unreadable)
@@ -99,5 +104,4 @@
         data_centre=entry.zone,
         slots=entry.slots,
         is_leaving=_states[entry.state],
-        warmup_s=entry.warmup_left_ms / _MS_PER_S,
     )
--- a/hornbeamline/platform/_run.py
+++ b/hornbeamline/platform/_run.py
@@ -32,8 +32,14 @@
 _SILENCE_S: Final = 1.2
 # A document may have some 100 KB; the disk has 64 MB.
 _SNAPSHOT_ENTRIES: Final = 48
-# A leaving server must get nothing 3 s after the list shows it.
+# A leaving server must get nothing 3 s after the list shows it. Control
+# processes read the list for all; an entry process reads it itself when
+# that is late, with time left for one call that fails.
 _LIST_INTERVAL_S: Final = 1.0
+_CONTROL_LIST_INTERVAL_S: Final = 0.6
+_LIST_FRESH_S: Final = 1.3
+# Control processes of the largest fleets so far.
+_LIST_READERS: Final = 8
 _ENTRY_METRICS_PORT: Final = 9464
 _CONTROL_METRICS_PORT: Final = 9465
 
@@ -61,6 +67,7 @@
             readiness_address=settings.readiness_address,
             metrics_address=f'{settings.ip}:{_ENTRY_METRICS_PORT}',
             list_interval_s=_LIST_INTERVAL_S,
+            list_fresh_s=_LIST_FRESH_S,
             list_rate_per_s=settings.list_rate_per_s,
             stop_timeout_s=settings.stop_timeout_s,
             budget=BudgetSettings(
@@ -89,17 +96,22 @@
             controls_by_name=_controls(settings),
             is_first_start=settings.is_first_start,
             storage=StorageSettings(
-                data_folder=settings.data_folder or tempfile.mkdtemp(),
+                # Files of a host without a disk are kept in memory.
+                data_folder=settings.data_folder or tempfile.gettempdir(),
                 snapshot_entries=_SNAPSHOT_ENTRIES,
             ),
             is_durable=bool(settings.data_folder),
             voters=2 * settings.tolerated_losses + 1,
             operator_address=settings.operator_address,
             metrics_address=f'{settings.ip}:{_CONTROL_METRICS_PORT}',
+            list_interval_s=_CONTROL_LIST_INTERVAL_S,
+            list_rate_per_s=settings.list_rate_per_s,
+            list_readers=_LIST_READERS,
             stop_timeout_s=settings.stop_timeout_s,
         ),
         number_of,
         operator_app,
+        lambda http: ServerList(http, settings.list_address),
         _control_reader(path),
     )
 
--- a/hornbeamline/replog/__init__.py
+++ b/hornbeamline/replog/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from hornbeamline.replog._caretaker import ControlHost
-from hornbeamline.replog._disk import Disk
+from hornbeamline.replog._disk import Disk, MemoryDisk
 from hornbeamline.replog._entries import Member, Members
 from hornbeamline.replog._interface import ReplicatedLog, ReplicatedMachine
 from hornbeamline.replog._replica import RaftLog
@@ -27,6 +27,7 @@
     'LogStoppedError',
     'Member',
     'Members',
+    'MemoryDisk',
     'NotLeaderError',
     'ProposalUnknownError',
     'RaftLog',
--- a/hornbeamline/replog/_disk.py
+++ b/hornbeamline/replog/_disk.py
@@ -4,6 +4,7 @@
 
 import errno
 import fcntl
+import itertools
 import os
 from pathlib import Path
 
@@ -65,3 +66,56 @@
     def remove(self, path: Path) -> None:
         """Remove a file; the removal need not be durable."""
         path.unlink(missing_ok=True)
+
+
+class MemoryDisk(Disk):
+    """Files of a process on a host without a disk; lost with the process."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._files_by_path: dict[Path, bytes] = {}
+        self._paths_by_descriptor: dict[int, Path] = {}
+        self._descriptors = itertools.count(1)
+
+    def lock(self, path: Path) -> int:
+        """Open a file; no other process sees it."""
+        return self.open(path)
+
+    def read(self, path: Path) -> bytes | None:
+        """Return the content of a file, or None without the file."""
+        return self._files_by_path.get(path)
+
+    def replace(self, path: Path, content: bytes) -> None:
+        """Replace a file in one step."""
+        self._files_by_path[path] = content
+
+    def open(self, path: Path) -> int:
+        """Open a file for writing at offsets."""
+        descriptor = next(self._descriptors)
+        self._files_by_path.setdefault(path, b'')
+        self._paths_by_descriptor[descriptor] = path
+        return descriptor
+
+    def write(self, descriptor: int, content: bytes, offset: int) -> None:
+        """Write all bytes at an offset."""
+        path = self._paths_by_descriptor[descriptor]
+        before = self._files_by_path.get(path, b'')
+        start = before[:offset].ljust(offset, b'\0')
+        end = before[offset + len(content) :]
+        self._files_by_path[path] = start + content + end
+
+    def sync(self, descriptor: int) -> None:
+        """Do nothing: memory keeps nothing over a loss of power."""
+
+    def truncate(self, descriptor: int, size: int) -> None:
+        """Cut a file."""
+        path = self._paths_by_descriptor[descriptor]
+        self._files_by_path[path] = self._files_by_path[path][:size]
+
+    def close(self, descriptor: int) -> None:
+        """Close a descriptor."""
+        self._paths_by_descriptor.pop(descriptor)
+
+    def remove(self, path: Path) -> None:
+        """Remove a file."""
+        self._files_by_path.pop(path, None)
--- a/tests/directory/test_member.py
+++ b/tests/directory/test_member.py
@@ -19,6 +19,8 @@
     ROLE_ENTRY,
 )
 from hornbeamline.documents import DocumentMachine
+from hornbeamline.gateway import TargetDirectory
+from tests.gateway.builders import make_target
 from tests.local_network import LocalNetwork
 from tests.replog.group import LoopClock
 
@@ -34,6 +36,7 @@
     def __init__(self) -> None:
         self.network = LocalNetwork(random.Random(1))
         self.members: dict[str, DirectoryMember] = {}
+        self.lists: dict[str, TargetDirectory] = {}
 
     async def start(self) -> None:
         """Start all processes."""
@@ -41,14 +44,18 @@
         for name in CONTROLS:
             endpoint = self.network.endpoint(name)
             own = Presence(name, 'x', ROLE_CONTROL, 'dc')
-            DirectoryRegistry(endpoint, DocumentMachine(), own, clock)
+            targets = TargetDirectory(clock)
+            self.lists[name] = targets
+            DirectoryRegistry(endpoint, DocumentMachine(), own, targets, clock)
         for name in ENTRIES:
             own = Presence(name, 'x', ROLE_ENTRY, 'dc')
+            self.lists[name] = TargetDirectory(clock)
             member = DirectoryMember(
                 self.network.endpoint(name),
                 clock,
                 dict.fromkeys(CONTROLS, 'x'),
                 lambda own=own: own,
+                self.lists[name],
             )
             self.members[name] = member
             await member.start()
@@ -91,5 +98,48 @@
     await directory.start()
     await asyncio.sleep(3 * ENROL_INTERVAL_S)
     member = directory.members[ENTRIES[0]]
-    asked = [name for name in CONTROLS if member._wants_present(name)]
+    asked = [name for name in CONTROLS if member._is_source(name)]
     assert len(asked) == PRESENT_SOURCES
+
+
+async def test_lists_of_control_processes_reach_all(directory) -> None:
+    """Load: entry hosts that would all read the list of targets."""
+    await directory.start()
+    await asyncio.sleep(3 * ENROL_INTERVAL_S)
+    for name in CONTROLS:
+        directory.lists[name].take_list([make_target('t1')])
+    await asyncio.sleep(2 * ENROL_INTERVAL_S)
+    for name in ENTRIES:
+        held = directory.lists[name]
+        assert [target.id for target in held.of_service('service')] == ['t1']
+        assert held.age_s < 3 * ENROL_INTERVAL_S
+
+
+async def test_older_list_does_not_replace_a_newer_one(directory) -> None:
+    """Fault: a control process that cannot read the list shows an old one."""
+    await directory.start()
+    for name in CONTROLS[:2]:
+        directory.lists[name].take_list([make_target('t1')])
+    await asyncio.sleep(1)
+    for name in CONTROLS[2:]:
+        leaving = make_target('t1', is_leaving=True)
+        directory.lists[name].take_list([leaving])
+    for name in ENTRIES:
+        directory.lists[name].take_list([make_target('t1', is_leaving=True)])
+    for _ in range(20):
+        await asyncio.sleep(0.1)
+        for name in ENTRIES:
+            assert not directory.lists[name].of_service('service')
+
+
+async def test_unchanged_list_is_confirmed_not_sent(directory) -> None:
+    """Load: a list of many targets that rarely changes."""
+    await directory.start()
+    for name in (*CONTROLS, *ENTRIES):
+        directory.lists[name].take_list([make_target('t1')])
+    await asyncio.sleep(1)
+    for name in CONTROLS:
+        directory.lists[name].take_list([make_target('t1')])
+    await asyncio.sleep(2 * ENROL_INTERVAL_S)
+    for name in ENTRIES:
+        assert directory.lists[name].age_s < 3 * ENROL_INTERVAL_S
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -69,7 +69,6 @@
         'data_centre': 'dc-1',
         'slots': 6,
         'is_leaving': False,
-        'warmup_s': 0.0,
     }
     return Target(**{**fields, **changes})
 
--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -4,12 +4,22 @@
 
 import random
 
-from hornbeamline.daemons._gateway_services import ListPoller
-from hornbeamline.gateway import TargetDirectory
+from hornbeamline.daemons._target_list import ListPoller
+from hornbeamline.gateway import Target, TargetDirectory
 from hornbeamline.helpers.clock import ManualClock
 from tests.gateway.builders import make_target
 
 
+class FakeList:
+    """List of three pages."""
+
+    calls = 3
+
+    async def read(self) -> list[Target]:
+        """Return nothing."""
+        return []
+
+
 def test_leaving_and_gone_targets_get_no_new_work() -> None:
     """Planned work: one target drains, another has left the list."""
     targets = TargetDirectory(ManualClock())
@@ -29,6 +39,6 @@
 def test_many_hosts_stay_below_the_rate_of_the_list() -> None:
     """Load: 96 hosts share 47 calls a second."""
     targets = TargetDirectory(ManualClock())
-    poller = ListPoller(None, targets, 1.0, 47.0, random.Random(1))
+    poller = ListPoller(FakeList(), targets, 1.0, 47.0, random.Random(1))
     poller.note_hosts(96)
-    assert 96 / poller.pause_s < 47
+    assert 96 * FakeList.calls / poller.pause_s < 47
--- a/tests/replog/test_caretaker.py
+++ b/tests/replog/test_caretaker.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from hornbeamline.replog import MemoryDisk
 from tests.replog.group import eventually
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
@@ -15,6 +16,14 @@
 FIRST = {'control-1', 'control-2', 'control-3'}
 
 
+class DisklessHost(MemoryDisk):
+    """Memory of a host, which a loss of power empties."""
+
+    def crash(self) -> None:
+        """Forget everything."""
+        self._files_by_path.clear()
+
+
 async def has_votes(group, names: set[str], timeout_s: float) -> None:
     """Wait until exactly these hosts vote under their present identity."""
 
@@ -116,7 +125,10 @@
     group = await new_group(3, kept_voters=5)
     group.diskless = {'control-4'}
     for name in ('control-4', 'control-5', 'control-6'):
-        await group.add(name).start()
+        voter = group.add(name)
+        if name in group.diskless:
+            voter.disk = DisklessHost()
+        await voter.start()
     names = {*FIRST, 'control-5', 'control-6'}
     await has_votes(group, names, CATCH_UP_S)
     victim = group.voters['control-5']
