--- a/hornbeamline/batching/_speeds.py
+++ b/hornbeamline/batching/_speeds.py
@@ -20,8 +20,6 @@
 
 # A call that ends sooner than half of its time computed little.
 _MIN_RATIO: Final = 0.5
-
-
 # Share of the best rate that targets are expected to reach at least.
 _MIN_RATE_SHARE: Final = 0.25
 
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Final, Protocol
 
 from hornbeamline.batching._metrics import CALL_SECONDS, CALLS, PIECES
@@ -204,7 +204,11 @@
                 self._room_bytes - room.used(now),
                 target.data_centre,
                 self._speeds.places_of_idle(
-                    self._targets(self.service),
+                    _with_room(
+                        self._targets(self.service),
+                        self._room_by_target,
+                        now,
+                    ),
                     self._ends_by_target,
                 ),
             ),
@@ -381,6 +385,19 @@
         return self._times.call_s + pieces * self._times.piece_s
 
 
+def _with_room(
+    targets: Sequence[BatchTarget],
+    rooms: Mapping[str, ResultRoom],
+    now: float,
+) -> list[BatchTarget]:
+    """Return the targets that have not just refused results."""
+    return [
+        target
+        for target in targets
+        if target.id not in rooms or not rooms[target.id].is_full(now)
+    ]
+
+
 def _do_nothing() -> None:
     """Stand for the release of inputs that stay."""
 
--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -123,13 +123,12 @@
         outcome = StageResults()
         tasks: dict[int, asyncio.Task[None]] = {}
         after_s = _time_after_stages(route, table)
+        coming = self.coming.of_job(job)
 
         async def run_stage(number: int) -> None:
             stage = route.stages[number]
-            try:
-                await _wait_for(tasks, stage)
-            finally:
-                self._count_coming(job, number, -1)
+            await _wait_for(tasks, stage)
+            coming.arrived(number)
             inputs = outcome.inputs_of(stage)
             now = self._clock.monotonic()
             due_at = request.received_at + route.aim_s - after_s[number]
@@ -156,11 +155,13 @@
         try:
             async with asyncio.TaskGroup() as group:
                 for number in _wanted_stages(request, route):
-                    self._count_coming(job, number, 1)
                     tasks[number] = group.create_task(run_stage(number))
         except* PiecesFailedError as failures:
             self.release_all(outcome, route)
             raise _first(failures) from failures
+        finally:
+            # Tasks that were cancelled before their first step, too.
+            coming.end()
         return outcome
 
     def release_all(self, outcome: StageResults, route: Route) -> None:
@@ -168,13 +169,6 @@
         for number in tuple(outcome.handles_by_stage):
             self._release(outcome, route, number)
 
-    def _count_coming(self, job: Job, number: int, sign: int) -> None:
-        """Count a stage with others before it, or take it back."""
-        stage = job.route.stages[number]
-        if stage.after:
-            pieces = job.request.pieces_of(number)
-            self.coming.add(stage.service, job.rank, sign * pieces)
-
     def _note_fetched(
         self,
         outcome: StageResults,
--- a/hornbeamline/gateway/_waits.py
+++ b/hornbeamline/gateway/_waits.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple, TypeVar
 
+from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._types import BatchLimits
 
 Figure = TypeVar('Figure', int, float)
@@ -35,6 +36,10 @@
         """Start without requests."""
         self._counts: dict[str, dict[int, int]] = {}
 
+    def of_job(self, job: Job) -> JobPieces:
+        """Count the pieces of the later stages of a request."""
+        return JobPieces(self, job)
+
     def add(self, service: str, rank: int, pieces: int) -> None:
         """Count pieces; a negative number takes them back."""
         by_rank = self._counts.setdefault(service, {})
@@ -51,6 +56,38 @@
         }
 
 
+class JobPieces:
+    """The pieces of one request that are coming."""
+
+    def __init__(self, coming: ComingPieces, job: Job) -> None:
+        """Count all stages that have others before them."""
+        self._coming = coming
+        self._job = job
+        self._stages = {
+            number
+            for number, stage in enumerate(job.route.stages)
+            if stage.after and job.request.pieces_of(number)
+        }
+        for number in self._stages:
+            self._add(number, 1)
+
+    def arrived(self, number: int) -> None:
+        """Stop counting a stage, whose pieces are queued now."""
+        if number in self._stages:
+            self._stages.discard(number)
+            self._add(number, -1)
+
+    def end(self) -> None:
+        """Stop counting all stages."""
+        for number in tuple(self._stages):
+            self.arrived(number)
+
+    def _add(self, number: int, sign: int) -> None:
+        service = self._job.route.stages[number].service
+        pieces = self._job.request.pieces_of(number)
+        self._coming.add(service, self._job.rank, sign * pieces)
+
+
 def wait_by_service(
     loads: Iterable[StageLoad],
     rank: int,
--- a/tests/gateway/test_waits.py
+++ b/tests/gateway/test_waits.py
@@ -2,14 +2,29 @@
 
 from __future__ import annotations
 
+import asyncio
+from types import SimpleNamespace
+
 import pytest
 
-from hornbeamline.gateway import StageLoad, wait_by_service
+from hornbeamline.gateway import StageLoad, StageRunner, wait_by_service
+from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._waits import ComingPieces
+from hornbeamline.helpers.clock import SystemClock
+from tests.gateway.builders import CHAIN, make_request, make_route, make_table
 
 RATE = 40.0
 
 
+class SilentBatching:
+    """Batching service that never has a result."""
+
+    async def compute(self, *_: object) -> list[str]:
+        """Wait for ever."""
+        await asyncio.Event().wait()
+        return []
+
+
 def test_burst_in_the_first_stage_counts_at_the_second() -> None:
     """Load: a burst that the queue of the second stage does not show."""
     coming = ComingPieces()
@@ -38,6 +53,37 @@
     assert not coming.by_service()
 
 
+async def test_cancelled_request_is_no_longer_coming() -> None:
+    """Fault: the caller leaves before the first stage has begun."""
+    placement = SimpleNamespace(near=lambda *_: '')
+    runner = StageRunner(
+        SilentBatching(),
+        lambda _rank: {},
+        placement,
+        SystemClock(),
+    )
+    route = make_route(stages=CHAIN)
+    job = Job(
+        make_request(pieces_by_stage=(1, 4)),
+        b'',
+        route,
+        'service',
+        None,
+        0,
+        15.0,
+        [],
+        {},
+        lambda: None,
+    )
+    for steps in range(4):
+        work = asyncio.ensure_future(runner.run(job, make_table(route)))
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        work.cancel()
+        await asyncio.wait({work})
+        assert not runner.coming.by_service()
+
+
 def test_two_owners_share_the_targets() -> None:
     """Fault: two hosts own one service until their views agree."""
     loads = [
