Let emptied learners come back as learners

Each restart of a control process without a disk made it a voter, and a spare with a lost disk a fourth one. Change: such a learner is removed and joins again. Test: fails before for both kinds of learner.

--- a/hornbeamline/replog/_caretaker.py
+++ b/hornbeamline/replog/_caretaker.py
@@ -109,7 +109,11 @@
             member = leadership.members.members_by_name.get(name)
             if member is None or progress.identity in {'', member.identity}:
                 continue
-            return VoterChange(CHANGE_REPLACE, name, progress.identity)
+            if member.is_voter:
+                return VoterChange(CHANGE_REPLACE, name, progress.identity)
+            # A replaced member becomes a voter; a learner that comes back
+            # empty joins again as a learner.
+            return VoterChange(CHANGE_REMOVE, name)
         return None
 
     def _add_new(self, leadership: Leadership) -> VoterChange | None:
--- a/tests/replog/group.py
+++ b/tests/replog/group.py
@@ -18,7 +18,7 @@
     PeeringSettings,
     StorageSettings,
 )
-from hornbeamline.replog import ControlHost, Disk, RaftLog
+from hornbeamline.replog import ControlHost, Disk, MemoryDisk, RaftLog
 from tests.local_network import LocalNetwork
 
 MACHINE = 'list'
@@ -123,6 +123,19 @@
         self._synced_sizes.clear()
 
 
+class DisklessHost(MemoryDisk):
+    """Memory of a host, which a crash of its process empties."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sync_fails = False
+        self.bytes_until_full: int | None = None
+
+    def crash(self) -> None:
+        """Forget everything."""
+        self._files_by_path.clear()
+
+
 def control_settings(
     name: str,
     voters: list[str],
--- a/tests/replog/schedule.py
+++ b/tests/replog/schedule.py
@@ -130,6 +130,9 @@
 class Schedule:
     """Runs clients and operators while steps inject faults."""
 
+    # Voters that the group keeps without an operator.
+    kept_voters = 0
+
     def __init__(self, folder: Path, seed: int, voters: int) -> None:
         self.rng = random.Random(seed)
         self.oracle = Oracle()
@@ -140,6 +143,7 @@
             seed=seed,
             snapshot_entries=SNAPSHOT_ENTRIES,
             network=self.network,
+            kept_voters=self.kept_voters,
         )
         self.group.on_machine_change = self.oracle.machine_changed
         self._is_ending = False
@@ -307,11 +311,14 @@
             lost = self._unrepaired
             if lost is None or leader is None:
                 continue
-            change = VoterChange('replace', lost.name)
-            await outcome_of(leader.log.change_voter(change))
+            await self._order_repair(leader, lost)
             if await self._is_repaired(lost):
                 self._unrepaired = None
 
+    async def _order_repair(self, leader: Voter, lost: Voter) -> None:
+        change = VoterChange('replace', lost.name)
+        await outcome_of(leader.log.change_voter(change))
+
     async def _is_repaired(self, lost: Voter) -> bool:
         leader = self._self_declared_leader()
         if leader is None or lost.log is None:
@@ -346,14 +353,19 @@
 CHOICES = (*sorted(FAULTS), *('recover',) * 4)
 
 
-def run_steps(seed: int, voters: int, steps: list[Step]) -> Oracle:
+def run_steps(
+    seed: int,
+    voters: int,
+    steps: list[Step],
+    kind: type[Schedule] = Schedule,
+) -> Oracle:
     """Run one schedule in virtual time and return its checked outcome."""
     # Nothing here waits for threads or sockets, so that time can move on at
     # once instead of after the usual number of idle cycles.
     loop = looptime.new_event_loop(end=LOOP_LIMIT_S, noop_cycles=0)
     try:
         with tempfile.TemporaryDirectory() as folder:
-            schedule = Schedule(Path(folder), seed, voters)
+            schedule = kind(Path(folder), seed, voters)
             return loop.run_until_complete(schedule.run(steps))
     finally:
         loop.close()
--- a/tests/replog/test_caretaker.py
+++ b/tests/replog/test_caretaker.py
@@ -6,8 +6,7 @@
 
 import pytest
 
-from hornbeamline.replog import MemoryDisk
-from tests.replog.group import eventually
+from tests.replog.group import DisklessHost, eventually
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
@@ -16,14 +15,6 @@
 FIRST = {'control-1', 'control-2', 'control-3'}
 
 
-class DisklessHost(MemoryDisk):
-    """Memory of a host, which a loss of power empties."""
-
-    def crash(self) -> None:
-        """Forget everything."""
-        self._files_by_path.clear()
-
-
 async def has_votes(group, names: set[str], timeout_s: float) -> None:
     """Wait until exactly these hosts vote under their present identity."""
 
@@ -157,3 +148,22 @@
         await victim.start()
     assert await group.propose(b'second') == b'2'
     await has_votes(group, names, 2 * CATCH_UP_S)
+
+
+@pytest.mark.parametrize('name', ['control-4', 'control-5'])
+async def test_emptied_learner_comes_back_as_learner(new_group, name) -> None:
+    """Fault: a spare process, with or without a disk, loses everything."""
+    group = await new_group(3, kept_voters=3)
+    group.diskless = {'control-5'}
+    await group.add('control-4').start()
+    group.add('control-5').disk = DisklessHost()
+    await group.voters['control-5'].start()
+    await group.propose(b'first')
+    await asyncio.sleep(CATCH_UP_S)
+    victim = group.voters[name]
+    await victim.empty()
+    await victim.start()
+    for _ in range(4):
+        await asyncio.sleep(CATCH_UP_S / 4)
+        assert group.votes() == FIRST
+    assert victim.machine.commands[-1][1] == b'first'
