Check a credential again where the lease is checked

Not a matter of load: the body is read between the two checks. Change: the request carries the digest that was accepted; where the lease is checked it must still be the account's. Such a request is refused as not run. Test: tests/pipeline/test_repeatable.py.

--- a/hornbeamline/caller_api/_resources.py
+++ b/hornbeamline/caller_api/_resources.py
@@ -228,7 +228,12 @@
             priority,
         )
         request_key = _request_key(req, fleet, pipeline)
-        return PipelineRequest(info, request_key, body.input)
+        return PipelineRequest(
+            info,
+            request_key,
+            body.input,
+            fleet.accounts_by_name[account].credential_sha256,
+        )
 
     async def _read_body(self, req: Request) -> SubmitBody:
         settings = self._api.settings
--- a/hornbeamline/pipeline/_executor.py
+++ b/hornbeamline/pipeline/_executor.py
@@ -38,6 +38,7 @@
 REASON_NO_LEDGER: Final = 'ledger_unavailable'
 REASON_NO_SESSION: Final = 'no_session'
 REASON_UNKNOWN_PIPELINE: Final = 'unknown_pipeline'
+REASON_UNKNOWN_CREDENTIAL: Final = 'unknown_credential'
 _RETRY_AFTER_S: Final = 1.0
 # Bound of asking the ledger before a request is refused.
 _KNOWN_TIMEOUT_S: Final = 0.5
@@ -186,8 +187,23 @@
             return Refusal(REASON_NO_LEASE, _RETRY_AFTER_S)
         if request.info.pipeline not in self._source.fleet.pipelines_by_name:
             return Refusal(REASON_UNKNOWN_PIPELINE, _RETRY_AFTER_S)
+        if not self._is_accepted(request):
+            return Refusal(REASON_UNKNOWN_CREDENTIAL, _RETRY_AFTER_S)
         return self._decisions.admit(request.info)
 
+    def _is_accepted(self, request: PipelineRequest) -> bool:
+        """Return whether the credential is valid in the present revision.
+
+        A revision may come between the check of the credential and the
+        check of the lease, which the same renewal extends.
+        """
+        accounts = self._source.fleet.accounts_by_name
+        account = accounts.get(request.info.account)
+        digest = request.credential_sha256
+        return not digest or (
+            account is not None and account.credential_sha256 == digest
+        )
+
     async def _run_admitted(
         self,
         request: PipelineRequest,
--- a/hornbeamline/pipeline/_types.py
+++ b/hornbeamline/pipeline/_types.py
@@ -51,3 +51,5 @@
     # The caller's idempotency key; empty for repeatable pipelines.
     request_key: str
     input: dict[str, Any]
+    # Digest of the credential that was accepted; empty for none.
+    credential_sha256: str = ''
--- a/tests/pipeline/test_repeatable.py
+++ b/tests/pipeline/test_repeatable.py
@@ -264,3 +264,14 @@
                 request('report', deadline_s=0.2),
             )
     assert outcome.reason == 'target_timed_out'
+
+
+async def test_credential_that_changed_meanwhile_is_refused() -> None:
+    """Fault: a revision and its lease come while the body is read."""
+    async with two_targets(GENERATION, Faults()) as (bench, first, second):
+        old = request('report')._replace(credential_sha256='0' * 64)
+        outcome = await bench.executor.run(old, None)
+        assert outcome.kind is OutcomeKind.not_run
+        assert outcome.reason == 'unknown_credential'
+        assert not first.executions_by_key
+        assert not second.executions_by_key
