Log how long stages wait for their turns and when answers begin

batching.turn, batching.given_up and batching.freed (one line a stage and call), begun_s and aim_s in request.end, room_bytes in batching.call; the counters given_up and aims, a histogram of waits by service. No decision changes.

--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -36,6 +36,7 @@
     def __init__(self, piece: Piece, terms: PieceTerms, now: float) -> None:
         """Take the piece, its terms and the local time that they count from."""
         self.piece = piece
+        self.queued_at = now
         self.due_at = now + terms.due_s
         self.expires_at = now + terms.expires_s
         self.rank = terms.rank
@@ -70,6 +71,16 @@
         return self.outcome is not None and self.outcome.done()
 
 
+def by_stage(
+    pieces: Iterable[QueuedPiece],
+) -> dict[tuple[str, int], list[QueuedPiece]]:
+    """Return pieces by request and stage."""
+    grouped: dict[tuple[str, int], list[QueuedPiece]] = {}
+    for queued in pieces:
+        grouped.setdefault(_group_of(queued), []).append(queued)
+    return grouped
+
+
 class BatchQueue:
     """Pieces for the targets of one service.
 
--- a/hornbeamline/batching/_room.py
+++ b/hornbeamline/batching/_room.py
@@ -16,6 +16,7 @@
 
 class _Held(NamedTuple):
     size: int
+    since: float
     # When the target drops it by itself.
     expires_at: float
 
@@ -78,12 +79,25 @@
         """Stop counting a call that has ended."""
         self._reserved -= size
 
-    def hold(self, handle: str, size: int, expires_at: float) -> None:
+    def hold(
+        self,
+        handle: str,
+        size: int,
+        now: float,
+        expires_at: float,
+    ) -> None:
         """Count a result until it is freed or expires."""
-        self._held_by_handle[handle] = _Held(size, expires_at)
+        self._held_by_handle[handle] = _Held(size, now, expires_at)
 
-    def free(self, handles: Iterable[str]) -> None:
-        """Stop counting results that the target has freed."""
+    def free(self, handles: Iterable[str], now: float) -> list[float]:
+        """Stop counting results that the target has freed.
+
+        Returns how long they were held after their call, in seconds.
+        """
+        held_s: list[float] = []
         for handle in handles:
-            if self._held_by_handle.pop(handle, None) is not None:
+            held = self._held_by_handle.pop(handle, None)
+            if held is not None:
+                held_s.append(now - held.since)
                 self._full_until = 0
+        return held_s
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -11,6 +11,12 @@
 from hornbeamline.batching._releases import FreeResults, ResultReleases
 from hornbeamline.batching._room import ResultRoom, RoomShare
 from hornbeamline.batching._speeds import PieceRate, TargetSpeeds
+from hornbeamline.batching._turns import (
+    EXPIRED,
+    HOPELESS,
+    note_given_up,
+    note_turns,
+)
 from hornbeamline.batching._types import BatchTarget, Piece, PieceResult
 from hornbeamline.batching.const import (
     CALL_PATIENCE,
@@ -179,11 +185,13 @@
 
     def _fill_targets(self) -> None:
         now = self._clock.monotonic()
-        for expired in self._queue.drop_expired(now):
-            expired.settle(PieceResult(failure=FAILURE_LATE))
         service_s = self._expected_s(1)
-        for hopeless in self._queue.drop_hopeless(now, service_s, self._rate()):
-            hopeless.settle(PieceResult(failure=FAILURE_LATE))
+        expired = self._queue.drop_expired(now)
+        hopeless = self._queue.drop_hopeless(now, service_s, self._rate())
+        note_given_up(self.service, expired, EXPIRED, now)
+        note_given_up(self.service, hopeless, HOPELESS, now)
+        for queued in (*expired, *hopeless):
+            queued.settle(PieceResult(failure=FAILURE_LATE))
         idle = self._idle_targets()
         while idle and len(self._queue):
             near = self._queue.first_near(now, service_s)
@@ -218,6 +226,7 @@
         room.reserve(_size_of(chosen))
         call_s = self._expected_s(len(chosen)) * slowness
         self._ends_by_target[target.id] = now + call_s
+        note_turns(self.service, target.id, chosen, now, call_s)
         self._tasks.spawn(
             self._run_call(target, chosen),
             f'batch at {target.id}',
@@ -263,6 +272,7 @@
             slowness=self._speeds.slowness(target.id),
             took_s=self._clock.monotonic() - began,
             used_bytes=used_bytes,
+            room_bytes=self._room_bytes,
             outcome=summary,
         )
 
@@ -349,14 +359,15 @@
     ) -> None:
         again = []
         room = self._room_by_target[target.id]
-        expires_at = self._clock.monotonic() + self._times.result_ttl_s
+        now = self._clock.monotonic()
+        expires_at = now + self._times.result_ttl_s
         for queued, outcome in zip(chosen, results, strict=True):
             if outcome.handle:
-                room.hold(outcome.handle, queued.result_bytes, expires_at)
+                room.hold(outcome.handle, queued.result_bytes, now, expires_at)
                 if queued.is_abandoned:
                     self.release([outcome.handle])
             if outcome.failure == FAILURE_ROOM:
-                room.note_full(self._clock.monotonic() + FULL_S)
+                room.note_full(now + FULL_S)
             if outcome.failure in {'', FAILURE_LATE, FAILURE_GONE}:
                 queued.settle(outcome)
             else:
@@ -377,8 +388,18 @@
         self._arrived.set()
 
     def _note_freed(self, handles: Sequence[str]) -> None:
-        for room in self._room_by_target.values():
-            room.free(handles)
+        now = self._clock.monotonic()
+        held_s = [
+            held
+            for room in self._room_by_target.values()
+            for held in room.free(handles, now)
+        ]
+        log_event(
+            'batching.freed',
+            service=self.service,
+            results=len(handles),
+            held_s=max(held_s, default=0),
+        )
         self._arrived.set()
 
     def _expected_s(self, pieces: int) -> float:
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -13,6 +13,7 @@
 from hornbeamline.gateway._forwarder import Forwarder
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._metrics import (
+    AIMS,
     ANSWERS,
     CALLERS_LEFT,
     IN_PROGRESS,
@@ -66,6 +67,7 @@
 _MAX_STAGE_RUNS: Final = 2
 _RETRY_AFTER_S: Final = 1.0
 
+_HTTP_OK: Final = 200
 _UNAUTHORIZED: Final = 401
 _NOT_FOUND: Final = 404
 _TOO_LARGE: Final = 413
@@ -115,7 +117,11 @@
         if scope['type'] != 'http':
             return
         received_at = self._clock.monotonic()
-        reply = Reply(send, closes=lambda: self.closes_connections)
+        reply = Reply(
+            send,
+            self._clock,
+            closes=lambda: self.closes_connections,
+        )
         self.in_progress += 1
         IN_PROGRESS.set(self.in_progress)
         try:
@@ -199,6 +205,7 @@
         if route is None:
             raise RefusedError(Refusal(_NOT_FOUND, REASON_NO_ROUTE))
         reply.route_name = route.name
+        reply.aim_s = route.aim_s
         if self.refuses_streams and route.kind is RouteKind.STREAM:
             raise RefusedError(
                 Refusal(_UNAVAILABLE, REASON_HOST_STOPS, retry_after_s=0),
@@ -383,7 +390,9 @@
         if request is None:
             return
         took_s = self._clock.monotonic() - request.received_at
+        begun_s = _begun_s(request, reply)
         ANSWERS.labels(str(reply.status)).inc()
+        AIMS.labels(reply.route_name, _aim_outcome(reply, begun_s)).inc()
         LATENCY.observe(took_s)
         log_event(
             'request.end',
@@ -392,10 +401,25 @@
             status=reply.status,
             outcome=outcome,
             took_s=took_s,
+            begun_s=begun_s,
+            aim_s=reply.aim_s,
             document=0 if self._table is None else self._table.number,
         )
 
 
+def _begun_s(request: CallerRequest, reply: Reply) -> float | None:
+    """Return the time until the head of the answer was sent."""
+    if reply.begun_at is None:
+        return None
+    return reply.begun_at - request.received_at
+
+
+def _aim_outcome(reply: Reply, begun_s: float | None) -> str:
+    if reply.aim_s is None or begun_s is None or reply.status != _HTTP_OK:
+        return 'none'
+    return 'in_time' if begun_s <= reply.aim_s else 'late'
+
+
 def _id_of(request: CallerRequest | None) -> str:
     return '' if request is None else request.id
 
--- a/hornbeamline/gateway/_metrics.py
+++ b/hornbeamline/gateway/_metrics.py
@@ -24,6 +24,12 @@
     ('outcome',),
     registry=registry,
 )
+AIMS = Counter(
+    'hornbeamline_gateway_aims',
+    'Requests by route and whether the answer began within the aim.',
+    ('route', 'outcome'),
+    registry=registry,
+)
 CALLERS_LEFT = Counter(
     'hornbeamline_gateway_callers_left',
     'Requests whose callers left before the answer was complete.',
--- a/hornbeamline/gateway/_reply.py
+++ b/hornbeamline/gateway/_reply.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 from hornbeamline.gateway._wire import Answer
+from hornbeamline.helpers.clock import Clock
 
 Send = Callable[[Any], Awaitable[None]]
 _CLOSE: Final = ('Connection', 'close')
@@ -14,14 +15,24 @@
 class Reply:
     """Sends one answer and knows how far it is."""
 
-    def __init__(self, send: Send, *, closes: Callable[[], bool]) -> None:
-        """Take the ASGI send call and whether connections are to end."""
+    def __init__(
+        self,
+        send: Send,
+        clock: Clock,
+        *,
+        closes: Callable[[], bool],
+    ) -> None:
+        """Take the ASGI send call, time and whether connections end."""
         self._send = send
+        self._clock = clock
         self._closes = closes
         self.status = 0
+        # When the head was sent.
+        self.begun_at: float | None = None
         self.is_complete = False
         # For log lines; empty until the route is known.
         self.route_name = ''
+        self.aim_s: float | None = None
 
     @property
     def has_begun(self) -> bool:
@@ -35,6 +46,7 @@
     ) -> None:
         """Send status and headers."""
         self.status = status
+        self.begun_at = self._clock.monotonic()
         all_headers = [*headers, _CLOSE] if self._closes() else headers
         await self._send(
             {
--- a/tests/batching/test_queue.py
+++ b/tests/batching/test_queue.py
@@ -203,10 +203,10 @@
     room.reserve(10)
     assert room.used(0) == 10
     room.unreserve(10)
-    room.hold('a', 6, expires_at=4)
-    room.hold('b', 4, expires_at=9)
+    room.hold('a', 6, 1, expires_at=4)
+    room.hold('b', 4, 0, expires_at=9)
     assert room.used(1) == 10
-    room.free(['b'])
+    assert room.free(['b'], 1) == [1]
     assert room.used(1) == 6
     assert room.used(4) == 0
 
@@ -214,12 +214,12 @@
 def test_full_target_is_used_again_after_a_release() -> None:
     """Guards against calls that fail again and again for want of space."""
     room = ResultRoom()
-    room.hold('a', 6, expires_at=9)
+    room.hold('a', 6, 0, expires_at=9)
     room.note_full(3)
     assert room.is_full(1)
-    room.free(['unknown'])
+    assert not room.free(['unknown'], 1)
     assert room.is_full(1)
-    room.free(['a'])
+    assert room.free(['a'], 1) == [1]
     assert not room.is_full(1)
 
 
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -134,7 +134,8 @@
         lambda: None,
     )
     caller = Caller()
-    await forwarder.forward(job, Reply(caller.send, closes=lambda: False))
+    reply = Reply(caller.send, clock, closes=lambda: False)
+    await forwarder.forward(job, reply)
     return caller
 
 
