Log the patience of callers at admission and the longest pause of answers

The patience that a caller has left, beside the route's time, tells requests that came back after a refusal from first ones; the longest pause excludes broken streams as the reason.

--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -325,6 +325,8 @@
             admitted=verdict.is_admitted,
             expected_s=verdict.expected_s,
             limit_s=verdict.limit_s,
+            patience_s=job.request.patience_s,
+            timeout_s=job.route.timeout_s,
             document=table.number,
             list_age_s=self._targets.age_s,
         )
@@ -403,6 +405,7 @@
             took_s=took_s,
             begun_s=begun_s,
             aim_s=reply.aim_s,
+            longest_pause_s=reply.longest_pause_s,
             document=0 if self._table is None else self._table.number,
         )
 
--- a/hornbeamline/gateway/_reply.py
+++ b/hornbeamline/gateway/_reply.py
@@ -29,6 +29,9 @@
         self.status = 0
         # When the head was sent.
         self.begun_at: float | None = None
+        # Between two parts of the body, in seconds.
+        self.longest_pause_s: float = 0
+        self._last_part_at: float | None = None
         self.is_complete = False
         # For log lines; empty until the route is known.
         self.route_name = ''
@@ -61,6 +64,11 @@
 
     async def add(self, chunk: bytes) -> None:
         """Send a part of the body."""
+        now = self._clock.monotonic()
+        if self._last_part_at is not None:
+            pause_s = now - self._last_part_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_part_at = now
         await self._send(
             {'type': 'http.response.body', 'body': chunk, 'more_body': True},
         )
--- /dev/null
+++ b/tests/gateway/stage_load.py
@@ -0,0 +1,464 @@
+"""Requests of three routes before stage targets, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from types import SimpleNamespace
+from typing import Any, Final, NamedTuple
+
+from hornbeamline.batching import (
+    BatchingService,
+    CallRefusedError,
+    Piece,
+    PieceResult,
+    PiecesFailedError,
+    TargetAccess,
+)
+from hornbeamline.gateway import (
+    BatchLimits,
+    CallerRequest,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    Stage,
+    StageLoad,
+    StageRunner,
+    Target,
+    rate_of,
+    wait_by_service,
+)
+from hornbeamline.gateway._admission import judge
+from hornbeamline.gateway._job import Job
+from hornbeamline.gateway._stages import StageResults
+from hornbeamline.helpers.budget import BudgetSettings, RepeatBudget
+from tests.gateway.builders import make_request, make_route, make_target
+from tests.local_network import LocalNetwork
+from tests.replog.group import LoopClock
+
+HOSTS: Final = tuple(f'host-{number}' for number in range(4))
+# Hosts tell each other their queues in this interval, in seconds.
+ENROL_S: Final = 0.4
+# An engine has read the inputs, and sends the first event.
+ENGINE_FETCH_S: Final = 0.1
+ENGINE_START_S: Final = 0.2
+# The queue of a target, and the range of real sizes of results.
+QUEUE: Final = 2
+SIZES: Final = (0.85, 1.15)
+
+FIRST: Final = 'first'
+SECOND: Final = 'second'
+THIRD: Final = 'third'
+
+IN_TIME: Final = 'in time'
+LATE: Final = 'late'
+REFUSED: Final = 'refused'
+GIVEN_UP: Final = 'given up'
+
+
+class Kind(NamedTuple):
+    """Requests of one route."""
+
+    route: Route
+    pieces: Callable[[random.Random], tuple[int, ...]]
+    # Share of the usual work that a piece of each stage takes.
+    work: tuple[float, ...]
+
+
+class Burst(NamedTuple):
+    """More requests of one kind, or of all when `kind` is empty."""
+
+    at: float
+    for_s: float
+    times: float
+    kind: str = ''
+
+
+class StageTargets:
+    """Targets of one service: one call at a time, space for results."""
+
+    def __init__(
+        self,
+        limits: BatchLimits,
+        count: int,
+        service: str,
+        load: StageLoadModel,
+    ) -> None:
+        self.limits = limits
+        self.targets = [
+            make_target(
+                f'{service}-{number}',
+                service=service,
+                address=f'{service}-{number}:1',
+                data_centre=f'dc-{number}',
+                slots=1,
+            )
+            for number in range(count)
+        ]
+        self.calls: list[int] = []
+        self._load = load
+        self._turns = {
+            target.id: asyncio.Semaphore(1) for target in self.targets
+        }
+        self._waiting: Counter[str] = Counter()
+
+    async def call(
+        self,
+        target: Target,
+        pieces: Sequence[Piece],
+        left_s: Sequence[float],
+    ) -> list[PieceResult]:
+        """Wait for the target, compute what has inputs and space."""
+        if self._waiting[target.id] > QUEUE:
+            raise CallRefusedError('full', free=False)
+        self._waiting[target.id] += 1
+        queued_at = self._load.now
+        async with self._turns[target.id]:
+            self._waiting[target.id] -= 1
+            waited_s = self._load.now - queued_at
+            results = [
+                self._begin(target, piece, spare_s - waited_s)
+                for piece, spare_s in zip(pieces, left_s, strict=True)
+            ]
+            work = sum(
+                self._load.work_of(piece)
+                for piece, result in zip(pieces, results, strict=True)
+                if result.handle
+            )
+            self.calls.append(len(pieces))
+            await asyncio.sleep(
+                self.limits.call_s + work * self.limits.piece_s,
+            )
+        return results
+
+    def _begin(
+        self,
+        target: Target,
+        piece: Piece,
+        left_s: float,
+    ) -> PieceResult:
+        held = self._load.held
+        if left_s <= 0:
+            return PieceResult(failure='late')
+        if any(handle not in held for handle in piece.inputs):
+            return PieceResult(failure='gone')
+        size = self._load.size_of(piece)
+        used = sum(
+            held_size
+            for handle, held_size in held.items()
+            if handle.startswith(f'{target.address}/')
+        )
+        if used + size > self.limits.results_mb * 1_000_000:
+            return PieceResult(failure='room')
+        handle = f'{target.address}/{next(self._load.numbers)}'
+        held[handle] = size
+        asyncio.get_running_loop().call_later(
+            self.limits.result_ttl_s,
+            held.pop,
+            handle,
+            None,
+        )
+        return PieceResult(handle)
+
+
+class StageLoadModel:
+    """Hosts, stage targets and callers; counts what callers get."""
+
+    def __init__(
+        self,
+        kinds: Mapping[str, Kind],
+        limits: Mapping[str, BatchLimits],
+        targets: Mapping[str, int],
+        seed: int,
+    ) -> None:
+        """Take the routes, the services with their targets, and a seed."""
+        self.rng = random.Random(seed)
+        self.kinds = kinds
+        self.numbers = iter(range(1_000_000_000))
+        self.held: dict[str, float] = {}
+        self.outcomes: dict[str, Counter[str]] = {
+            name: Counter() for name in kinds
+        }
+        self.took: dict[str, list[float]] = {name: [] for name in kinds}
+        self._kind_by_request: dict[str, Kind] = {}
+        self._clock = LoopClock()
+        self.services = {
+            name: StageTargets(found, targets[name], name, self)
+            for name, found in limits.items()
+        }
+        self.table = RoutingTable(
+            1,
+            {},
+            {
+                name: Service(name, '/', 50, found, None)
+                for name, found in limits.items()
+            },
+            None,
+        )
+        self._network = LocalNetwork(random.Random(seed))
+        self._batching: dict[str, BatchingService] = {}
+        self._runners: dict[str, StageRunner] = {}
+        self._told: dict[str, StageLoad] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._clock.monotonic()
+
+    def work_of(self, piece: Piece) -> float:
+        """Return the share of the usual work of a piece."""
+        return self._kind_by_request[piece.request_id].work[piece.stage]
+
+    def size_of(self, piece: Piece) -> float:
+        """Return the real size of a result in bytes."""
+        route = self._kind_by_request[piece.request_id].route
+        size = route.stages[piece.stage].result_bytes
+        return size * self.rng.uniform(*SIZES)
+
+    async def run(
+        self,
+        rate_by_kind: Mapping[str, float],
+        for_s: float,
+        bursts: Sequence[Burst] = (),
+    ) -> None:
+        """Send requests for a time, then wait for the last answers."""
+        for name in HOSTS:
+            await self._start_host(name)
+        telling = asyncio.ensure_future(self._tell())
+        sending = [
+            asyncio.ensure_future(self._send(name, rate, for_s, bursts))
+            for name, rate in rate_by_kind.items()
+        ]
+        await asyncio.gather(*sending)
+        await asyncio.gather(*self._tasks)
+        telling.cancel()
+        for batching in self._batching.values():
+            await batching.stop()
+
+    def share(self, kind: str, outcome: str) -> float:
+        """Return the share of the requests of a kind with an outcome."""
+        counts = self.outcomes[kind]
+        return counts[outcome] / max(sum(counts.values()), 1)
+
+    async def _start_host(self, name: str) -> None:
+        budget = RepeatBudget(BudgetSettings(0.2, 10, 64), self._clock)
+        budget.note_hosts(1)
+        others = {other: 'x' for other in HOSTS if other != name}
+        batching = BatchingService(
+            self._network.endpoint(name),
+            self._clock,
+            lambda: others,
+            TargetAccess(
+                lambda service: self.services[service].targets,
+                self._call,
+                self._free,
+            ),
+            budget,
+        )
+        batching.update(
+            {name: found.limits for name, found in self.services.items()},
+        )
+        await batching.start()
+        self._batching[name] = batching
+        placement: Any = SimpleNamespace(near=lambda *_: '')
+        self._runners[name] = StageRunner(
+            batching,
+            lambda rank: self._waits(name, rank),
+            placement,
+            self._clock,
+        )
+
+    async def _call(
+        self,
+        target: Any,
+        pieces: Sequence[Piece],
+        left_s: Sequence[float],
+        on_sent: Callable[[], None],
+    ) -> list[PieceResult]:
+        await asyncio.sleep(0.002)
+        on_sent()
+        return await self.services[target.service].call(target, pieces, left_s)
+
+    async def _free(self, _address: str, handles: Sequence[str]) -> None:
+        await asyncio.sleep(0.002)
+        for handle in handles:
+            self.held.pop(handle, None)
+
+    async def _tell(self) -> None:
+        while True:
+            for name in HOSTS:
+                self._told[name] = self._load_of(name)
+            await asyncio.sleep(ENROL_S)
+
+    def _load_of(self, name: str) -> StageLoad:
+        return StageLoad(
+            self._batching[name].waits_by_service(),
+            self._runners[name].coming.by_service(),
+        )
+
+    def _waits(self, name: str, rank: int) -> dict[str, float]:
+        loads = [
+            self._load_of(name),
+            *(load for other, load in self._told.items() if other != name),
+        ]
+        return wait_by_service(loads, rank, self._rate)
+
+    def _rate(self, service: str) -> float:
+        found = self.services[service]
+        return rate_of(found.limits, len(found.targets))
+
+    async def _send(
+        self,
+        kind: str,
+        rate: float,
+        for_s: float,
+        bursts: Sequence[Burst],
+    ) -> None:
+        started = self.now
+        while self.now - started < for_s:
+            passed = self.now - started
+            times = 1.0
+            for burst in bursts:
+                is_on = burst.at <= passed < burst.at + burst.for_s
+                if is_on and burst.kind in {'', kind}:
+                    times *= burst.times
+            await asyncio.sleep(self.rng.expovariate(rate * times))
+            self._tasks.add(asyncio.ensure_future(self._serve(kind)))
+
+    async def _serve(self, name: str) -> None:
+        kind = self.kinds[name]
+        request = make_request(
+            id=f'r{next(self.numbers)}',
+            received_at=self.now,
+            patience_s=kind.route.timeout_s,
+            pieces_by_stage=kind.pieces(self.rng),
+        )
+        self._kind_by_request[request.id] = kind
+        outcome = await self._outcome(kind.route, request)
+        self.outcomes[name][outcome] += 1
+        if outcome in {IN_TIME, LATE}:
+            self.took[name].append(self.now - request.received_at)
+
+    async def _outcome(self, route: Route, request: CallerRequest) -> str:
+        runner = self._runners[self.rng.choice(HOSTS)]
+        verdict = judge(
+            request,
+            route,
+            self.table,
+            runner.waits(route.rank),
+            self.now,
+        )
+        if not verdict.is_admitted:
+            return REFUSED
+        job = _job_of(route, request)
+        try:
+            results = await runner.run(job, self.table)
+        except PiecesFailedError:
+            return GIVEN_UP
+        return await self._answer(runner, results, route, request)
+
+    async def _answer(
+        self,
+        runner: StageRunner,
+        results: StageResults,
+        route: Route,
+        request: CallerRequest,
+    ) -> str:
+        await asyncio.sleep(ENGINE_FETCH_S)
+        inputs = results.last_handles(route).values()
+        gone = any(
+            handle not in self.held for handles in inputs for handle in handles
+        )
+        runner.release_all(results, route)
+        if gone:
+            return GIVEN_UP
+        await asyncio.sleep(ENGINE_START_S - ENGINE_FETCH_S)
+        is_late = self.now - request.received_at > route.aim_s
+        return LATE if is_late else IN_TIME
+
+
+def _job_of(route: Route, request: CallerRequest) -> Job:
+    return Job(
+        request,
+        b'',
+        route,
+        'service',
+        None,
+        route.rank,
+        request.received_at + route.timeout_s,
+        [],
+        {},
+        lambda: None,
+    )
+
+
+def boards_kinds() -> dict[str, Kind]:
+    """Return a long, a usual and a short kind of request, by rank."""
+    chain = (
+        Stage(FIRST, (), 8000),
+        Stage(SECOND, (0,), 60_000),
+        Stage(THIRD, (1,), 6000),
+    )
+    long_chain = (
+        Stage(FIRST, (), 800_000),
+        Stage(FIRST, (), 8000),
+        Stage(SECOND, (1,), 60_000),
+        Stage(THIRD, (2,), 6000),
+    )
+
+    def third(rng: random.Random) -> int:
+        return max(1, min(15, round(rng.lognormvariate(1.71, 0.4))))
+
+    def extra(rng: random.Random, share: float, mean: float, most: int) -> int:
+        if rng.random() >= share:
+            return 0
+        return max(1, min(most, round(rng.gauss(mean, mean * 0.5))))
+
+    return {
+        'long': Kind(
+            _stream('long', 0, 2.7, 20, long_chain),
+            lambda rng: (extra(rng, 0.4, 1.5, 6), 1, 8, third(rng)),
+            (1, 0.3, 1, 1),
+        ),
+        'usual': Kind(
+            _stream('usual', 1, 2.7, 15, chain),
+            lambda rng: (1, 8, third(rng)),
+            (0.3, 1, 1),
+        ),
+        'short': Kind(
+            _stream('short', 2, 2.8, 4, (Stage(FIRST, (), 800_000),)),
+            lambda rng: (extra(rng, 0.7, 2.5, 10),),
+            (1,),
+        ),
+    }
+
+
+def _stream(
+    name: str,
+    rank: int,
+    aim_s: float,
+    timeout_s: float,
+    stages: tuple[Stage, ...],
+) -> Route:
+    return make_route(
+        name=name,
+        kind=RouteKind.STREAM,
+        rank=rank,
+        aim_s=aim_s,
+        timeout_s=timeout_s,
+        first_event_patience_s=min(4 * aim_s, timeout_s),
+        stages=stages,
+    )
+
+
+def boards_limits() -> dict[str, BatchLimits]:
+    """Return the limits of three services whose second one is smallest."""
+    return {
+        FIRST: BatchLimits(1, 2, 4, 0.24, 0.052, 4.8, 4.0),
+        SECOND: BatchLimits(1, 2, 18, 0.24, 0.0115, 1.96, 4.0),
+        THIRD: BatchLimits(1, 2, 13, 0.24, 0.016, 0.146, 4.0),
+    }
