--- a/hornbeamline/gateway/_admission.py
+++ b/hornbeamline/gateway/_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
@@ -15,6 +16,10 @@
 # this share of the time between its aim and the moment at which its caller
 # leaves: work that is in time goes first, so its own wait is uncertain.
 _LATE_SHARE: Final = 0.3
+# Queues are told with some delay, so no caller comes back sooner.
+_MIN_RETRY_S: Final = 1.0
+# Range of the factor by which times to come back differ.
+_SPREAD: Final = (0.75, 1.5)
 
 
 class Verdict(NamedTuple):
@@ -51,3 +56,19 @@
         expected_s,
         allowed_s,
     )
+
+
+def retry_after_s(
+    route: Route,
+    wait_s_by_service: Mapping[str, float],
+    rng: random.Random,
+) -> float:
+    """Return when the queues of the stages of a route have become short.
+
+    Callers that are refused together do not come back together.
+    """
+    wait_s = max(
+        (wait_s_by_service.get(stage.service, 0) for stage in route.stages),
+        default=0,
+    )
+    return max(wait_s, _MIN_RETRY_S) * rng.uniform(*_SPREAD)
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -9,7 +9,7 @@
 from typing import Any, Final
 
 from hornbeamline.batching import PiecesFailedError
-from hornbeamline.gateway._admission import judge
+from hornbeamline.gateway._admission import judge, retry_after_s
 from hornbeamline.gateway._forwarder import Forwarder
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._metrics import (
@@ -59,8 +59,6 @@
 Send = Callable[[Any], Awaitable[None]]
 
 MAX_BODY_BYTES: Final = 4_194_304
-# Range of the factor by which times to come back differ.
-_SPREAD: Final = (0.75, 1.5)
 # Ranks of routes within one rank of accounts.
 ROUTE_RANKS: Final = 3
 # Times that the stages of a request are run when their results are lost.
@@ -343,16 +341,11 @@
         return await self._stages.run(job, table)
 
     def _retry_after_s(self, job: Job) -> float:
-        """Return when the queues of the stages have become short.
-
-        Callers that are refused together do not come back together.
-        """
-        waits = self._stages.waits(job.rank)
-        wait_s = max(
-            (waits.get(stage.service, 0) for stage in job.route.stages),
-            default=0,
+        return retry_after_s(
+            job.route,
+            self._stages.waits(job.rank),
+            self._rng,
         )
-        return max(wait_s, _RETRY_AFTER_S) * self._rng.uniform(*_SPREAD)
 
     def _choose_service(self, route: Route) -> str:
         services = list(route.weight_by_service)
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -31,7 +31,7 @@
     rate_of,
     wait_by_service,
 )
-from hornbeamline.gateway._admission import judge
+from hornbeamline.gateway._admission import Verdict, judge, retry_after_s
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._stages import StageResults
 from hornbeamline.helpers.budget import BudgetSettings, RepeatBudget
@@ -48,6 +48,9 @@
 # The queue of a target, and the range of real sizes of results.
 QUEUE: Final = 2
 SIZES: Final = (0.85, 1.15)
+# Callers wait for a share of the route's time, and come back once.
+PATIENCE: Final = (0.85, 1.0)
+ATTEMPTS: Final = 2
 
 FIRST: Final = 'first'
 SECOND: Final = 'second'
@@ -182,7 +185,9 @@
         self.outcomes: dict[str, Counter[str]] = {
             name: Counter() for name in kinds
         }
-        self.took: dict[str, list[float]] = {name: [] for name in kinds}
+        # What was admitted, and when its first event came.
+        self.admitted: list[tuple[CallerRequest, Verdict]] = []
+        self.begun_at_by_request: dict[str, float] = {}
         self._kind_by_request: dict[str, Kind] = {}
         self._clock = LoopClock()
         self.services = {
@@ -331,20 +336,42 @@
 
     async def _serve(self, name: str) -> None:
         kind = self.kinds[name]
-        request = make_request(
-            id=f'r{next(self.numbers)}',
-            received_at=self.now,
-            patience_s=kind.route.timeout_s,
-            pieces_by_stage=kind.pieces(self.rng),
-        )
-        self._kind_by_request[request.id] = kind
-        outcome = await self._outcome(kind.route, request)
+        route = kind.route
+        pieces = kind.pieces(self.rng)
+        sent_at = self.now
+        patience_s = route.timeout_s * self.rng.uniform(*PATIENCE)
+        outcome = REFUSED
+        for attempt in range(ATTEMPTS):
+            runner = self._runners[self.rng.choice(HOSTS)]
+            request = make_request(
+                id=f'r{next(self.numbers)}',
+                received_at=self.now,
+                patience_s=sent_at + patience_s - self.now,
+                pieces_by_stage=pieces,
+            )
+            self._kind_by_request[request.id] = kind
+            outcome = await self._outcome(runner, route, request)
+            if outcome not in {REFUSED, GIVEN_UP}:
+                break
+            if attempt + 1 < ATTEMPTS:
+                left_s = sent_at + patience_s - self.now
+                again_s = retry_after_s(
+                    route,
+                    runner.waits(route.rank),
+                    self.rng,
+                )
+                await asyncio.sleep(min(again_s, left_s / 3))
+        if outcome == IN_TIME and self.now - sent_at > route.aim_s:
+            outcome = LATE
         self.outcomes[name][outcome] += 1
-        if outcome in {IN_TIME, LATE}:
-            self.took[name].append(self.now - request.received_at)
+        self.outcomes[name][f'attempt {attempt + 1}'] += 1
 
-    async def _outcome(self, route: Route, request: CallerRequest) -> str:
-        runner = self._runners[self.rng.choice(HOSTS)]
+    async def _outcome(
+        self,
+        runner: StageRunner,
+        route: Route,
+        request: CallerRequest,
+    ) -> str:
         verdict = judge(
             request,
             route,
@@ -354,6 +381,7 @@
         )
         if not verdict.is_admitted:
             return REFUSED
+        self.admitted.append((request, verdict))
         job = _job_of(route, request)
         try:
             results = await runner.run(job, self.table)
@@ -377,6 +405,7 @@
         if gone:
             return GIVEN_UP
         await asyncio.sleep(ENGINE_START_S - ENGINE_FETCH_S)
+        self.begun_at_by_request[request.id] = self.now
         is_late = self.now - request.received_at > route.aim_s
         return LATE if is_late else IN_TIME
 
