--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -364,7 +364,6 @@
         if outcome == IN_TIME and self.now - sent_at > route.aim_s:
             outcome = LATE
         self.outcomes[name][outcome] += 1
-        self.outcomes[name][f'attempt {attempt + 1}'] += 1
 
     async def _outcome(
         self,
