Let the backlogs of later stages drain in the expected time of a request

Cause: the expected time added up the backlogs of all stages, as if a later queue waited while an earlier stage works. A stage begins when its service is done with all admitted work, or when the stages before it are done, whichever is later.

Test: test_later_backlog_drains_while_an_earlier_stage_works, failed before.

--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -216,7 +216,8 @@
 ) -> float:
     """Return the time until all stages of a request are done.
 
-    Each stage waits for its service as long as `wait_s_by_service` says.
+    `wait_s_by_service` says when the services are done with all admitted
+    work: a stage begins then, or when the stages before it are done.
     """
     ends_at: dict[int, float] = {}
     for number, stage in enumerate(route.stages):
@@ -225,8 +226,8 @@
         pieces = request.pieces_of(number)
         spent: float = 0
         if limits is not None and pieces:
-            wait_s = wait_s_by_service.get(stage.service, 0)
-            spent = wait_s + limits.call_s + pieces * limits.piece_s
+            start = max(start, wait_s_by_service.get(stage.service, 0))
+            spent = limits.call_s + pieces * limits.piece_s
         ends_at[number] = start + spent
     return max(ends_at.values(), default=0)
 
