Refuse requests at once that a queue makes late

Cause: in an overload that lasts, admission let requests in that were expected after their aim, up to 0.3 of the way to the moment at which their callers leave.

--- a/hornbeamline/gateway/_admission.py
+++ b/hornbeamline/gateway/_admission.py
@@ -6,16 +6,16 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
-from hornbeamline.gateway._stages import stage_ends_s
+from hornbeamline.gateway._stages import ENGINE_START_S, stage_ends_s
 from hornbeamline.gateway._table import RoutingTable
 from hornbeamline.gateway._types import CallerRequest, Route
 
-# Time that an engine takes to the first event of an average prompt.
-_ENGINE_START_S: Final = 0.3
-# A request that will be late is admitted only if it needs no more than
-# this share of the time between its aim and the moment at which its caller
-# leaves: work that is in time goes first, so its own wait is uncertain.
-_LATE_SHARE: Final = 0.3
+# Share of the aim that the expected time may take: the rest is for uneven
+# arrivals and for calls that are repeated, which no estimate contains.
+_AIM_SHARE: Final = 0.75
+# A request whose own work takes longer than that may still wait for this
+# share of its aim: nobody could serve it sooner.
+_WAIT_SHARE: Final = 0.3
 # Queues are told with some delay, so no caller comes back sooner.
 _MIN_RETRY_S: Final = 1.0
 # Range of the factor by which times to come back differ.
@@ -37,20 +37,30 @@
     wait_s_by_service: Mapping[str, float],
     now: float,
 ) -> Verdict:
-    """Return whether a request can be served before its caller leaves.
+    """Return whether a request is admitted.
 
-    Answers a burst in which the queues of the stages grow faster than the
-    targets work: a request that would only wait until its caller leaves is
-    refused at once, and told to come back when the queues have drained.
+    Answers an overload that lasts: the targets compute the same number of
+    requests whether the queues are short or long, but with long ones all
+    of them end a little late. A request that would have to wait until
+    after its aim is refused at once, while its caller can still come back.
     """
     spent_s = now - request.received_at
-    stages_s = stage_ends_s(request, route, table, wait_s_by_service)
-    expected_s = spent_s + stages_s + _ENGINE_START_S
+    started_s = spent_s + ENGINE_START_S
+    own_s = started_s + stage_ends_s(request, route, table, {})
+    expected_s = started_s + stage_ends_s(
+        request,
+        route,
+        table,
+        wait_s_by_service,
+    )
     limit_s = min(route.timeout_s, route.first_event_patience_s)
     if request.patience_s is not None:
         limit_s = min(limit_s, request.patience_s)
-    spare_s = max(limit_s - route.aim_s, 0)
-    allowed_s = min(route.aim_s + spare_s * _LATE_SHARE, limit_s)
+    allowed_s = max(
+        route.aim_s * _AIM_SHARE,
+        own_s + route.aim_s * _WAIT_SHARE,
+    )
+    allowed_s = min(allowed_s, limit_s)
     return Verdict(
         expected_s <= allowed_s,
         expected_s,
--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -25,6 +25,9 @@
 from hornbeamline.gateway._waits import ComingPieces
 from hornbeamline.helpers.clock import Clock
 
+# Time from the end of the stages to the first event of an average prompt:
+# inputs are fetched, the prompt waits for its turn and is read.
+ENGINE_START_S: Final = 0.3
 # Typical fill of a call and wait for a target, as a multiple of the time
 # of a half-filled call.
 _TYPICAL_LOAD: Final = 1.3
