Let refused callers come back while they can still be in time

Cause: the shortest time to come back was 0.75 s and typically that of the whole backlog, also when the queues were too long by a tenth of a second only; the aim was over when callers returned, and they took the place of others.

A caller is told how much too long the queues are, if it can be in time after that, else when the stages are done with all admitted work.

Tests: test_caller_comes_back_while_it_can_be_in_time (failed before, there was no such time), test_caller_that_is_late_anyway_comes_back_after_the_ backlog.

--- a/hornbeamline/gateway/_admission.py
+++ b/hornbeamline/gateway/_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping
 from typing import Final, NamedTuple
@@ -16,8 +17,10 @@
 # A request whose own work takes longer than that may still wait for this
 # share of its aim: nobody could serve it sooner.
 _WAIT_SHARE: Final = 0.3
-# Queues are told with some delay, so no caller comes back sooner.
-_MIN_RETRY_S: Final = 1.0
+# Shortest times until callers come back: the queues of other hosts are
+# known with this delay, and a backlog takes some calls of a target.
+_MIN_EXCESS_S: Final = 0.2
+_MIN_BACKLOG_S: Final = 1.0
 # Range of the factor by which times to come back differ.
 _SPREAD: Final = (0.75, 1.5)
 
@@ -29,6 +32,11 @@
     expected_s: float
     limit_s: float
 
+    @property
+    def excess_s(self) -> float:
+        """Return how much too long the request would take."""
+        return self.expected_s - self.limit_s
+
 
 def judge(
     request: CallerRequest,
@@ -72,13 +80,22 @@
     route: Route,
     wait_s_by_service: Mapping[str, float],
     rng: random.Random,
+    excess_s: float = math.inf,
 ) -> float:
-    """Return when the queues of the stages of a route have become short.
+    """Return after how many seconds a refused caller comes back.
 
-    Callers that are refused together do not come back together.
+    `excess_s` is how much longer the queues are than a request of the
+    route may wait. When they drain soon enough for it to be in time still,
+    the caller comes back by then, else when the stages are done with all
+    admitted work. Callers that are refused together do not come back
+    together.
     """
-    wait_s = max(
-        (wait_s_by_service.get(stage.service, 0) for stage in route.stages),
-        default=0,
-    )
-    return max(wait_s, _MIN_RETRY_S) * rng.uniform(*_SPREAD)
+    if excess_s <= route.aim_s * (1 - _AIM_SHARE):
+        again_s = max(excess_s, _MIN_EXCESS_S)
+    else:
+        backlog_s = max(
+            (wait_s_by_service.get(stage.service, 0) for stage in route.stages),
+            default=0,
+        )
+        again_s = max(backlog_s, _MIN_BACKLOG_S)
+    return again_s * rng.uniform(*_SPREAD)
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final
@@ -335,16 +336,17 @@
                     REASON_STAGES_BUSY,
                     f'need {verdict.expected_s:.2f} s of '
                     f'{verdict.limit_s:.2f} s',
-                    self._retry_after_s(job),
+                    self._retry_after_s(job, verdict.excess_s),
                 ),
             )
         return await self._stages.run(job, table)
 
-    def _retry_after_s(self, job: Job) -> float:
+    def _retry_after_s(self, job: Job, excess_s: float = math.inf) -> float:
         return retry_after_s(
             job.route,
             self._stages.waits(job.rank),
             self._rng,
+            excess_s,
         )
 
     def _choose_service(self, route: Route) -> str:
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
@@ -350,7 +351,7 @@
                 pieces_by_stage=pieces,
             )
             self._kind_by_request[request.id] = kind
-            outcome = await self._outcome(runner, route, request)
+            outcome, excess_s = await self._outcome(runner, route, request)
             if outcome not in {REFUSED, GIVEN_UP}:
                 break
             if attempt + 1 < ATTEMPTS:
@@ -359,6 +360,7 @@
                     route,
                     runner.waits(route.rank),
                     self.rng,
+                    excess_s,
                 )
                 await asyncio.sleep(min(again_s, left_s / 3))
         if outcome == IN_TIME and self.now - sent_at > route.aim_s:
@@ -370,7 +372,7 @@
         runner: StageRunner,
         route: Route,
         request: CallerRequest,
-    ) -> str:
+    ) -> tuple[str, float]:
         verdict = judge(
             request,
             route,
@@ -379,14 +381,15 @@
             self.now,
         )
         if not verdict.is_admitted:
-            return REFUSED
+            return REFUSED, verdict.excess_s
         self.admitted.append((request, verdict))
         job = _job_of(route, request)
         try:
             results = await runner.run(job, self.table)
         except PiecesFailedError:
-            return GIVEN_UP
-        return await self._answer(runner, results, route, request)
+            return GIVEN_UP, math.inf
+        answer = await self._answer(runner, results, route, request)
+        return answer, math.inf
 
     async def _answer(
         self,
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -1,10 +1,12 @@
-"""Requests that cannot be served are refused at once."""
+"""Requests that cannot be served in time are refused at once."""
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
-from hornbeamline.gateway._admission import judge
+from hornbeamline.gateway._admission import judge, retry_after_s
 from hornbeamline.gateway._stages import ENGINE_START_S
 from tests.gateway.builders import CHAIN, make_request, make_route, make_table
 
@@ -13,6 +15,7 @@
 # Times of the two stages by the limits of `make_table`, in seconds.
 FIRST_S = 0.26
 SECOND_S = 0.32
+SEEDS = range(20)
 
 
 def test_request_is_admitted_without_load() -> None:
@@ -73,3 +76,32 @@
     request = make_request(pieces_by_stage=(1, 0))
     verdict = judge(request, ROUTE, make_table(ROUTE), {'second': 60}, 0)
     assert verdict.is_admitted
+
+
+# Failure: refused callers came back when their aim was over, and took the
+# place of others that could still be in time.
+def test_caller_comes_back_while_it_can_be_in_time() -> None:
+    """Load: queues that are a little too long drain within 0.3 s."""
+    waits = {'first': 0.0, 'second': 1.2}
+    verdict = judge(REQUEST, ROUTE, make_table(ROUTE), waits, 0)
+    assert not verdict.is_admitted
+    for seed in SEEDS:
+        again_s = retry_after_s(
+            ROUTE,
+            waits,
+            random.Random(seed),
+            verdict.excess_s,
+        )
+        assert 0.1 < again_s < ROUTE.aim_s / 2
+
+
+def test_caller_that_is_late_anyway_comes_back_after_the_backlog() -> None:
+    """Load: queues that are longer than the aim."""
+    waits = {'first': 0.5, 'second': 3.0}
+    verdict = judge(REQUEST, ROUTE, make_table(ROUTE), waits, 0)
+    times = [
+        retry_after_s(ROUTE, waits, random.Random(seed), verdict.excess_s)
+        for seed in SEEDS
+    ]
+    assert min(times) > 2
+    assert max(times) - min(times) > 1
