Let stages be due before the engine needs its time

What callers saw: the median first event of hymn requests came 2.98 s after they were sent, the aim is 2.7 s. Cause: the due time of the last stage was the aim itself, and those of the stages before it counted from there, while admission knew that an engine takes 0.3 s after the stages.

Test: test_last_stage_is_due_before_the_engine_needs_its_time, failed before (2.0 s instead of 1.7 s).

--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -286,8 +286,8 @@
 
 
 def _time_after_stages(route: Route, table: RoutingTable) -> list[float]:
-    """Return for each stage the typical time that later stages take."""
-    after_s: list[float] = [0 for _ in route.stages]
+    """Return for each stage the typical time from its end to the answer."""
+    after_s: list[float] = [ENGINE_START_S for _ in route.stages]
     for number in reversed(range(len(route.stages))):
         stage = route.stages[number]
         limits = _limits(table, stage.service)
--- /dev/null
+++ b/tests/gateway/test_stages.py
@@ -0,0 +1,72 @@
+"""Terms under which stages are queued."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from hornbeamline.batching import PieceTerms
+from hornbeamline.gateway import StageRunner
+from hornbeamline.gateway._job import Job
+from hornbeamline.gateway._stages import ENGINE_START_S
+from hornbeamline.helpers.clock import ManualClock
+from tests.gateway.builders import CHAIN, make_request, make_route, make_table
+
+
+class RecordingBatching:
+    """Batching service that is done at once and keeps the terms."""
+
+    def __init__(self) -> None:
+        self.terms: list[PieceTerms] = []
+
+    async def compute(
+        self,
+        _service: str,
+        pieces: list[Any],
+        terms: PieceTerms,
+        _on_fetched: Any,
+    ) -> list[str]:
+        """Return a handle for each piece."""
+        self.terms.append(terms)
+        return [f't/{number}' for number, _ in enumerate(pieces)]
+
+    def release(self, service: str, handles: list[str]) -> None:
+        """Hold nothing."""
+
+
+@pytest.fixture
+async def terms() -> list[PieceTerms]:
+    """Return the terms of both stages of a request that just came."""
+    batching: Any = RecordingBatching()
+    placement: Any = SimpleNamespace(near=lambda *_: '')
+    clock = ManualClock()
+    route = make_route(stages=CHAIN)
+    job = Job(
+        make_request(pieces_by_stage=(1, 4), received_at=clock.monotonic()),
+        b'',
+        route,
+        'service',
+        None,
+        0,
+        clock.monotonic() + 15.0,
+        [],
+        {},
+        lambda: None,
+    )
+    runner = StageRunner(batching, lambda _rank: {}, placement, clock)
+    await runner.run(job, make_table(route))
+    return batching.terms
+
+
+# Failure: in an overload each request was in time at its last stage, began
+# at its engine when its aim was over, and was late for its caller.
+async def test_last_stage_is_due_before_the_engine_needs_its_time(
+    terms: list[PieceTerms],
+) -> None:
+    """Load: queues in which every stage has its turn when it is due."""
+    assert terms[1].due_s == pytest.approx(
+        make_route().aim_s - ENGINE_START_S,
+    )
+    assert terms[0].due_s < terms[1].due_s
