Raise the share of space when it keeps a group waiting

What callers saw: fewer requests in time than the bottleneck could serve. Cause: the share of the nominal space that calls may fill rose only after calls that filled it to within one result. Calls take whole groups, so a group of 8 that does not fit leaves up to 7 results of space, and the share never counted as full: it stayed at its start of 0.9 or lower. Class: a learned limit that is judged at an edge which the load cannot reach.

The queue says whether space alone kept a group out of a call.

Tests: test_share_of_space_rises_when_it_keeps_a_group_waiting (failed before), test_share_of_space_stays_while_slots_bound_the_calls.

--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -96,6 +96,8 @@
     def __init__(self, pieces_per_call: int) -> None:
         """Take the most pieces that a call may carry."""
         self.pieces_per_call = pieces_per_call
+        # The last call left a group behind for want of space alone.
+        self.was_space_short = False
         self._queued: list[QueuedPiece] = []
 
     def __len__(self) -> int:
@@ -195,6 +197,7 @@
             for queued in self._queued
             if not _can_wait(queued, now, target)
         ]
+        self.was_space_short = False
         chosen = self._whole_groups(offered, target.room_bytes)
         if not chosen and offered:
             chosen = self._part_of_first(offered, target.room_bytes)
@@ -238,6 +241,8 @@
                 room_bytes -= _size_of(fitting)
             else:
                 group[0].passed += 1
+            if len(fitting) < min(len(group), slots):
+                self.was_space_short = True
         return chosen
 
     def _part_of_first(
--- a/hornbeamline/batching/_room.py
+++ b/hornbeamline/batching/_room.py
@@ -25,18 +25,21 @@
     """How much of the nominal space calls may fill.
 
     Real sizes differ from the configured ones: the share rises slowly
-    while calls fill it, and falls when a target has no space.
+    while it keeps work waiting, and falls when a target has no space.
     """
 
     def __init__(self) -> None:
         """Start a little below the nominal space."""
         self.share = ROOM_SHARE_START
 
-    def note_call(self, *, was_full: bool, had_room: bool) -> None:
-        """Learn from a call."""
+    def note_call(self, *, was_short: bool, had_room: bool) -> None:
+        """Learn from a call.
+
+        `was_short` says that the share kept a group out of the call.
+        """
         if not had_room:
             self.share = max(self.share - ROOM_SHARE_FALL, ROOM_SHARE_MIN)
-        elif was_full:
+        elif was_short:
             self.share = min(self.share + ROOM_SHARE_RISE, ROOM_SHARE_MAX)
 
 
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -228,7 +228,7 @@
         self._ends_by_target[target.id] = now + call_s
         note_turns(self.service, target.id, chosen, now, call_s)
         self._tasks.spawn(
-            self._run_call(target, chosen),
+            self._run_call(target, chosen, self._queue.was_space_short),
             f'batch at {target.id}',
         )
 
@@ -244,6 +244,7 @@
         self,
         target: BatchTarget,
         chosen: list[QueuedPiece],
+        was_space_short: bool,
     ) -> None:
         began = self._clock.monotonic()
         slow = self._speeds.slowness(target.id) > MAX_USUAL_SLOWNESS
@@ -256,7 +257,13 @@
         # its pieces need their inputs again.
         on_sent = _do_nothing if slow else fetched.schedule
         try:
-            summary = await self._call_target(target, chosen, began, on_sent)
+            summary = await self._call_target(
+                target,
+                chosen,
+                began,
+                on_sent,
+                was_space_short,
+            )
         finally:
             fetched.cancel()
             self._end_call(target, chosen)
@@ -282,6 +289,7 @@
         chosen: list[QueuedPiece],
         began: float,
         on_sent: Callable[[], None],
+        was_space_short: bool,
     ) -> str:
         """Call a target and return a summary of the outcome."""
         slowness = self._speeds.slowness(target.id)
@@ -311,6 +319,10 @@
             return repr(error)
         self._settle(target, chosen, results)
         self._learn(target, chosen, results, began)
+        self._share.note_call(
+            was_short=was_space_short,
+            had_room=all(made.failure != FAILURE_ROOM for made in results),
+        )
         return _summary(results)
 
     def _end_call(
@@ -343,13 +355,6 @@
                 now - began,
                 self._expected_s(computed),
             )
-        largest = max(queued.result_bytes for queued in chosen)
-        used = self._room_by_target[target.id].used(now)
-        failures = {made.failure for made in results}
-        self._share.note_call(
-            was_full=used > self._room_bytes - largest,
-            had_room=FAILURE_ROOM not in failures,
-        )
 
     def _settle(
         self,
--- a/tests/batching/test_queue.py
+++ b/tests/batching/test_queue.py
@@ -6,7 +6,7 @@
 
 from hornbeamline.batching import BatchQueue, Piece, PieceTerms, QueuedPiece
 from hornbeamline.batching._queue import IdleTarget
-from hornbeamline.batching._room import ResultRoom
+from hornbeamline.batching._room import ResultRoom, RoomShare
 from hornbeamline.batching._speeds import TargetSpeeds
 from hornbeamline.batching.const import MAX_PASSED
 from hornbeamline.helpers.clock import ManualClock
@@ -279,3 +279,28 @@
     queue.add(pieces('r', 8, due_s=2, expires_s=1))
     queue.take(0, IdleTarget(0.2, NO_LIMIT))
     assert not queue.drop_hopeless(now=0.9, service_s=0.2, rate=1)
+
+
+# Failure: calls of a busy service carried one request where two fit. Whole
+# groups leave space over, so the share never counted as full and never rose.
+def test_share_of_space_rises_when_it_keeps_a_group_waiting() -> None:
+    """Load: a backlog of groups of 8 pieces, space for almost 4 groups."""
+    queue = BatchQueue(18)
+    share = RoomShare()
+    before = share.share
+    for number in range(4):
+        queue.add(pieces(f'r{number}', 8, size=60))
+    used = 2 * 8 * 60
+    queue.take(0, IdleTarget(0.4, 1960 * share.share - used))
+    assert queue.was_space_short
+    share.note_call(was_short=queue.was_space_short, had_room=True)
+    assert share.share > before
+
+
+def test_share_of_space_stays_while_slots_bound_the_calls() -> None:
+    """Guards against a share that rises without need, then fails calls."""
+    queue = BatchQueue(8)
+    queue.add(pieces('a', 8, size=60))
+    queue.add(pieces('b', 8, size=60))
+    queue.take(0, IdleTarget(0.4, 1000))
+    assert not queue.was_space_short
