Pass over an owner that is not heard of after one try

Cause: a host that noticed after 1.2 s that the owner does not answer asked the same owner once more, another 1.2 s, and so did each later request until the directory dropped it 1.6 s after its last sign of life. The second try is meant for an owner that lost the pieces by a restart.

An owner that neither answers nor is heard of on its link is passed over for 1.6 s, and its pieces are cancelled there.

--- a/hornbeamline/batching/_remote.py
+++ b/hornbeamline/batching/_remote.py
@@ -18,6 +18,7 @@
     MAX_MISSED_ANSWERS,
     REPLY_MARGIN_S,
 )
+from hornbeamline.batching.errors import OwnerSilentError
 from hornbeamline.exceptions import PeeringError
 from hornbeamline.peering import Peering
 from hornbeamline.telemetry import log_event
@@ -43,7 +44,10 @@
         owner: str,
         request: SubmitPieces,
     ) -> list[PieceResult] | None:
-        """Return the outcomes, or None when the owner lost the pieces."""
+        """Return the outcomes, or None when the owner lost the pieces.
+
+        Raises `OwnerSilentError` when it does not answer.
+        """
         submitting = asyncio.ensure_future(
             self._peering.call(
                 owner,
@@ -63,7 +67,7 @@
             return asking.result()
         except PeeringError as error:
             _log_loss(owner, request, str(error))
-            return None
+            raise OwnerSilentError(owner) from error
         finally:
             submitting.cancel()
             asking.cancel()
@@ -96,7 +100,7 @@
                 _log_loss(owner, request, _REASON_FORGOT)
                 return None
         _log_loss(owner, request, _REASON_SILENT)
-        return None
+        raise OwnerSilentError(owner)
 
 
 def _log_loss(owner: str, request: SubmitPieces, reason: str) -> None:
--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -17,7 +17,12 @@
 from hornbeamline.batching._remote import OwnerClient
 from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
 from hornbeamline.batching._worker import FAILURE_GONE, BatchTimes
-from hornbeamline.batching.errors import PiecesFailedError, UnknownServiceError
+from hornbeamline.batching.const import SILENT_OWNER_S
+from hornbeamline.batching.errors import (
+    OwnerSilentError,
+    PiecesFailedError,
+    UnknownServiceError,
+)
 from hornbeamline.core import TaskSet
 from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
@@ -56,6 +61,8 @@
         self.is_leaving = False
         # Called when targets hold the inputs of a stage of a request.
         self._fetched_by_stage: dict[tuple[str, int], Callable[[], None]] = {}
+        # Until when owners that did not answer are passed over.
+        self._silent_until_by_owner: dict[str, float] = {}
         self._tasks = TaskSet()
         peering.on(InputsFetched, self._on_fetched)
 
@@ -145,9 +152,10 @@
         return None
 
     def _next_owner(self, service: str, tried: Counter[str]) -> str:
-        """Return the first owner that was tried least, this host at last."""
+        """Return the first owner that may answer, this host at last."""
         for owner in self._owners(service)[:_LINKED_OWNERS]:
-            if tried[owner] < _MAX_TRIES_OF_OWNER:
+            may_try = tried[owner] < _MAX_TRIES_OF_OWNER
+            if may_try and not self._is_silent(owner):
                 return owner
         return self._peering.name
 
@@ -160,10 +168,28 @@
             return await self._compute_at(owner, request)
         except UnknownServiceError:
             return None
+        except OwnerSilentError:
+            self._note_silent(owner)
+            self._cancel(owner, request)
+            return None
         except asyncio.CancelledError:
             self._cancel(owner, request)
             raise
 
+    def _note_silent(self, owner: str) -> None:
+        """Pass over an owner that is not heard of at all.
+
+        Lost packets alone delay answers of an owner that works on.
+        """
+        if self._peering.is_alive(owner):
+            return
+        now = self._clock.monotonic()
+        self._silent_until_by_owner[owner] = now + SILENT_OWNER_S
+
+    def _is_silent(self, owner: str) -> bool:
+        until = self._silent_until_by_owner.get(owner, 0)
+        return self._clock.monotonic() < until
+
     async def _compute_at(
         self,
         owner: str,
--- a/hornbeamline/batching/errors.py
+++ b/hornbeamline/batching/errors.py
@@ -25,6 +25,10 @@
     """This process does not know the service."""
 
 
+class OwnerSilentError(BatchingError):
+    """The owner of a service does not answer."""
+
+
 class PiecesFailedError(BatchingError):
     """Pieces could not be computed.
 
--- a/tests/batching/test_service.py
+++ b/tests/batching/test_service.py
@@ -19,8 +19,11 @@
     PieceTerms,
     TargetAccess,
 )
+from hornbeamline.batching._messages import AskStage, SubmitPieces
+from hornbeamline.batching.const import SILENT_OWNER_S
 from hornbeamline.helpers.budget import BudgetSettings, RepeatBudget
 from hornbeamline.helpers.rendezvous import rendezvous_order
+from hornbeamline.peering import kind_of
 from tests.local_network import LocalNetwork
 from tests.replog.group import LoopClock
 
@@ -88,6 +91,11 @@
         self.freed.extend(handles)
 
 
+async def wait_for_ever(_sender: str, _request: Any) -> None:
+    """Handle a message without an answer."""
+    await asyncio.Event().wait()
+
+
 class FakeFleet:
     """Entry hosts of one network."""
 
@@ -172,6 +180,40 @@
         assert len(await work) == 3
 
 
+# Failure: each request that met a frozen owner waited for it twice, 2.4 s,
+# and so did every later request until the directory dropped the owner.
+async def test_silent_owner_is_asked_once_and_then_passed_over(fleet) -> None:
+    """Fault: the owner is frozen, or cut off from one host."""
+    fleet.network.isolate(OWNERS[0])
+    async with asyncio.timeout(NOTICED_S):
+        assert len(await fleet.compute(OWNERS[2])) == 3
+    async with asyncio.timeout(CALL_S * 2):
+        assert len(await fleet.compute(OWNERS[2])) == 3
+
+
+async def test_owner_that_answers_late_stays_the_owner(fleet) -> None:
+    """Guards against two queues for one service while packets are lost."""
+    asked = fleet.network.endpoints_by_name[OWNERS[0]]
+    asked.on(AskStage, wait_for_ever)
+    submitted = asked._handlers[kind_of(SubmitPieces)]
+    asked.on(SubmitPieces, wait_for_ever)
+    work = fleet.compute(OWNERS[2])
+    await asyncio.sleep(1.0)
+    asked.on(*submitted)
+    await work
+    assert not fleet.services[OWNERS[1]]._owned.waits_by_service()
+
+
+async def test_owner_is_used_again_after_a_short_silence(fleet) -> None:
+    """Guards against two queues for one service that stay."""
+    fleet.network.isolate(OWNERS[0])
+    await fleet.compute(OWNERS[2])
+    fleet.network.heal()
+    await asyncio.sleep(SILENT_OWNER_S)
+    await fleet.compute(OWNERS[2])
+    assert SERVICE in fleet.services[OWNERS[0]].waits_by_service()
+
+
 async def test_restarted_owner_gets_the_pieces_again(fleet) -> None:
     """Fault: the owner is back before anybody missed it."""
     work = fleet.compute(OWNERS[2])
