Count pieces on their way with the measured rate of their service

Cause: pieces that earlier stages still work on counted with the rate of full calls at targets of usual speed, 121 pieces a second at lectionary-store, while it computed 56 to 75: calls carry whole groups, space is short, targets turn slow.

The owner publishes the rate that it measures and uses for its own queue.

Test: test_coming_pieces_count_with_the_measured_rate, failed before.

--- a/hornbeamline/batching/_owner.py
+++ b/hornbeamline/batching/_owner.py
@@ -98,6 +98,13 @@
             for service, worker in self._workers_by_service.items()
         }
 
+    def rate_by_service(self) -> dict[str, float]:
+        """Return the pieces a second that each service computes."""
+        return {
+            service: round(worker.rate(), 1)
+            for service, worker in self._workers_by_service.items()
+        }
+
     async def compute(
         self,
         request: SubmitPieces,
--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -89,7 +89,15 @@
         return {
             service: waits
             for service, waits in self._owned.waits_by_service().items()
-            if self._owners(service)[0] == self._peering.name
+            if self._owns(service)
+        }
+
+    def rate_by_service(self) -> dict[str, float]:
+        """Return the pieces a second of the services that it owns."""
+        return {
+            service: rate
+            for service, rate in self._owned.rate_by_service().items()
+            if self._owns(service)
         }
 
     async def compute(
@@ -211,6 +219,9 @@
             message = CancelRequest(request.service, request_id)
             self._peering.send(owner, message)
 
+    def _owns(self, service: str) -> bool:
+        return self._owners(service)[0] == self._peering.name
+
     def _owners(self, service: str) -> list[str]:
         hosts = set(self._hosts())
         if not (self.is_leaving and hosts):
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -135,12 +135,21 @@
 
         Pieces of a more urgent rank than all queued ones do not wait.
         """
-        rate = self._rate()
+        rate = self.rate()
         return {
             rank: round(self._queue.count_up_to(rank) / rate, 3)
             for rank in self._queue.ranks()
         }
 
+    def rate(self) -> float:
+        """Return the pieces a second that the targets compute."""
+        targets = max(len(self._targets(self.service)), 1)
+        batch = self._times.pieces_per_call
+        return self._finished.rate(
+            targets * batch / self._expected_s(batch),
+            is_backlogged=len(self._queue) > targets * batch,
+        )
+
     def release(self, handles: Sequence[str]) -> None:
         """Free results soon."""
         self._releases.add(handles)
@@ -162,15 +171,6 @@
     def _room_bytes(self) -> float:
         return self._times.results_mb * _BYTES_PER_MB * self._share.share
 
-    def _rate(self) -> float:
-        """Return the pieces a second that the targets compute."""
-        targets = max(len(self._targets(self.service)), 1)
-        batch = self._times.pieces_per_call
-        return self._finished.rate(
-            targets * batch / self._expected_s(batch),
-            is_backlogged=len(self._queue) > targets * batch,
-        )
-
     async def _run(self) -> None:
         while True:
             try:
@@ -187,7 +187,7 @@
         now = self._clock.monotonic()
         service_s = self._expected_s(1)
         expired = self._queue.drop_expired(now)
-        hopeless = self._queue.drop_hopeless(now, service_s, self._rate())
+        hopeless = self._queue.drop_hopeless(now, service_s, self.rate())
         note_given_up(self.service, expired, EXPIRED, now)
         note_given_up(self.service, hopeless, HOPELESS, now)
         for queued in (*expired, *hopeless):
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -208,6 +208,7 @@
             self._picker.in_flight_by_target,
             self._batching.waits_by_service(),
             self._stages.coming.by_service(),
+            self._batching.rate_by_service(),
             self._drain.is_draining,
         )
 
@@ -226,9 +227,14 @@
             StageLoad(
                 self._batching.waits_by_service(),
                 self._stages.coming.by_service(),
+                self._batching.rate_by_service(),
             ),
             *(
-                StageLoad(presence.waits_by_service, presence.coming_by_service)
+                StageLoad(
+                    presence.waits_by_service,
+                    presence.coming_by_service,
+                    presence.rate_by_service,
+                )
                 for presence in self._member.present()
                 if presence.name != self._settings.name
             ),
--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -22,6 +22,8 @@
     waits_by_service: dict[str, dict[int, float]] = {}
     # Pieces by rank that its requests will queue at stage services.
     coming_by_service: dict[str, dict[int, int]] = {}
+    # Pieces a second that the targets of its stage queues compute.
+    rate_by_service: dict[str, float] = {}
     # The process stops; it takes over no shared work any more.
     is_leaving: bool = False
     # The process keeps what it stores over a restart.
--- a/hornbeamline/gateway/_waits.py
+++ b/hornbeamline/gateway/_waits.py
@@ -22,6 +22,8 @@
     wait_s_by_service: WaitByRank
     # Pieces of admitted requests that earlier stages still work on.
     coming_by_service: CountByRank
+    # Pieces a second that the targets compute, as the owner measures it.
+    rate_by_service: Mapping[str, float]
 
 
 class ComingPieces:
@@ -97,11 +99,14 @@
 
     Two hosts that both act as the owner of a service share its targets, so
     the longest of their waits counts. `best_rate` returns the pieces a
-    second that all targets of a service compute.
+    second that all targets of a service compute at most.
     """
     waits: dict[str, float] = {}
     coming: dict[str, int] = {}
+    rates: dict[str, float] = {}
     for load in loads:
+        for service, rate in load.rate_by_service.items():
+            rates[service] = min(rates.get(service, rate), rate)
         for service, by_rank in load.wait_s_by_service.items():
             wait_s = max(_up_to(by_rank, rank), default=0)
             waits[service] = max(waits.get(service, 0), wait_s)
@@ -109,8 +114,8 @@
             total = sum(_up_to(counts, rank))
             coming[service] = coming.get(service, 0) + total
     for service, pieces in coming.items():
-        wait_s = pieces / best_rate(service)
-        waits[service] = waits.get(service, 0) + wait_s
+        measured = rates.get(service) or best_rate(service)
+        waits[service] = waits.get(service, 0) + pieces / measured
     return waits
 
 
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -304,6 +304,7 @@
         return StageLoad(
             self._batching[name].waits_by_service(),
             self._runners[name].coming.by_service(),
+            self._batching[name].rate_by_service(),
         )
 
     def _waits(self, name: str, rank: int) -> dict[str, float]:
--- a/tests/gateway/test_waits.py
+++ b/tests/gateway/test_waits.py
@@ -31,16 +31,28 @@
     for _ in range(10):
         coming.add('second', 1, 8)
     loads = [
-        StageLoad({'second': {1: 0.5}}, {}),
-        StageLoad({}, coming.by_service()),
+        StageLoad({'second': {1: 0.5}}, {}, {}),
+        StageLoad({}, coming.by_service(), {}),
     ]
     waits = wait_by_service(loads, 1, lambda _service: RATE)
     assert waits['second'] == pytest.approx(0.5 + 80 / RATE)
 
 
+# Failure: requests that were expected within their aim waited 3 s, since
+# pieces on their way counted with the rate of full calls at fast targets.
+def test_coming_pieces_count_with_the_measured_rate() -> None:
+    """Load: a service whose targets compute half of the best rate."""
+    loads = [
+        StageLoad({'second': {1: 0.5}}, {}, {'second': RATE / 2}),
+        StageLoad({}, {'second': {1: 80}}, {}),
+    ]
+    waits = wait_by_service(loads, 1, lambda _service: RATE)
+    assert waits['second'] == pytest.approx(0.5 + 160 / RATE)
+
+
 def test_urgent_rank_does_not_wait_for_others() -> None:
     """Load: a burst of common requests."""
-    loads = [StageLoad({'second': {2: 3.0}}, {'second': {2: 80}})]
+    loads = [StageLoad({'second': {2: 3.0}}, {'second': {2: 80}}, {})]
     waits = wait_by_service(loads, 0, lambda _service: RATE)
     assert not waits['second']
 
@@ -87,7 +99,7 @@
 def test_two_owners_share_the_targets() -> None:
     """Fault: two hosts own one service until their views agree."""
     loads = [
-        StageLoad({'second': {0: 0.5}}, {}),
-        StageLoad({'second': {0: 2.0}}, {}),
+        StageLoad({'second': {0: 0.5}}, {}, {}),
+        StageLoad({'second': {0: 2.0}}, {}, {}),
     ]
     assert wait_by_service(loads, 0, lambda _service: RATE) == {'second': 2.0}
