--- a/tests/local_network.py
+++ b/tests/local_network.py
@@ -80,12 +80,14 @@
         timeout_s: float,
     ) -> Any:
         """Send a request and return its reply."""
-        if peer not in self._network.endpoints_by_name:
+        receiver = self._network.endpoints_by_name.get(peer)
+        if receiver is None:
             raise UnknownPeerError(peer)
         try:
             async with asyncio.timeout(timeout_s):
                 reply = await self._deliver(peer, request)
-                if not self._network.passes(peer, self.name) or self.closed:
+                is_dead = receiver.closed or self.closed
+                if is_dead or not self._network.passes(peer, self.name):
                     await asyncio.Event().wait()
                 await asyncio.sleep(self._network.delay_s)
         except TimeoutError as error:
@@ -105,9 +107,10 @@
         """Accept any peer: the network knows all endpoints."""
 
     def is_alive(self, peer: str) -> bool:
-        """Return whether the peer exists and no cut lies between."""
-        known = peer in self._network.endpoints_by_name
-        return known and (peer, self.name) not in self._network.cuts
+        """Return whether the peer runs and no cut lies between."""
+        endpoint = self._network.endpoints_by_name.get(peer)
+        is_running = endpoint is not None and not endpoint.closed
+        return is_running and (peer, self.name) not in self._network.cuts
 
     def close(self) -> None:
         """Stop sending and receiving, as a killed process does."""
