Let a late renewal not set a host back in the status

Callers were not concerned: answers never showed an older revision.

Cause: an entry host repeats a lost renewal with another control host. The copies that a frozen follower holds are forwarded to the leader when it is thawed, and the leader recorded whatever came last as the host's state, with a full lease. Class: the time of arrival is taken for the time of origin.

Fix: each reply carries term and number of the grant, the next renewal repeats it; a renewal that follows an older grant, or none of this term, is not recorded. No clocks are compared.

Test: test_delayed_renewal_does_not_set_the_status_back; on the code before it fails with 1 == 2.

Elsewhere: a late session renewal only keeps a session open longer, which is the safe side; the directory lists an ended process up to 1.6 s longer after the thaw of a control process (found by reading, not changed).

--- a/hornbeamline/configuration/_client.py
+++ b/hornbeamline/configuration/_client.py
@@ -6,7 +6,11 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from hornbeamline.configuration._messages import RenewReply, RenewRequest
+from hornbeamline.configuration._messages import (
+    NO_GRANT,
+    RenewReply,
+    RenewRequest,
+)
 from hornbeamline.configuration._metrics import RENEWALS, REVISION
 from hornbeamline.configuration.const import FULL_CHECK_TABLES
 from hornbeamline.configuration.errors import (
@@ -60,6 +64,7 @@
         self._digest = ''
         self._fleet: Fleet | None = None
         self._wants_whole = False
+        self._last_grant = NO_GRANT
         self._lease_until_s = clock.monotonic()
         self._observers: list[Callable[[Fleet, int], None]] = []
 
@@ -125,11 +130,13 @@
             self.revision,
             self._digest,
             self._wants_whole,
+            last_grant=self._last_grant,
         )
         reply = await self._link.call(request, RenewReply, _RENEW_TIMEOUT_S)
         if reply.revision == 0:
             return
         self._take(reply)
+        self._last_grant = reply.grant
         lease_s = min(reply.lease_s, self._settings.lease_s)
         self._lease_until_s = max(self._lease_until_s, sent_at_s + lease_s)
         RENEWALS.labels('granted').inc()
--- a/hornbeamline/configuration/_messages.py
+++ b/hornbeamline/configuration/_messages.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from hornbeamline.inventory import Operation
 from hornbeamline.peering import message
 
 
+class GrantNumber(NamedTuple):
+    """Place of a grant in the order of one leader; later ones are higher."""
+
+    term: int
+    number: int
+
+
+NO_GRANT: Final = GrantNumber(0, 0)
+
+
 @message('configuration.renew')
 class RenewRequest(NamedTuple):
     """Asks for a lease and for what is newer than the own revision."""
@@ -19,6 +29,8 @@
     # Set after a delta that did not lead to the expected digest.
     wants_whole: bool = False
     forwarded: bool = False
+    # Newest grant that the holder had received when it sent this.
+    last_grant: GrantNumber = NO_GRANT
 
 
 class RenewReply(NamedTuple):
@@ -32,3 +44,4 @@
     operations: list[Operation]
     # Encoded whole document instead of operations, or empty.
     document: bytes
+    grant: GrantNumber = NO_GRANT
--- a/hornbeamline/configuration/_service.py
+++ b/hornbeamline/configuration/_service.py
@@ -10,7 +10,11 @@
     ChangeCommand,
     ConfigurationMachine,
 )
-from hornbeamline.configuration._messages import RenewReply, RenewRequest
+from hornbeamline.configuration._messages import (
+    GrantNumber,
+    RenewReply,
+    RenewRequest,
+)
 from hornbeamline.configuration._metrics import CHANGES
 from hornbeamline.configuration._types import (
     Accepted,
@@ -57,6 +61,8 @@
     role: str
     revision: int
     renewed_at_s: float
+    # Number of the grant that the holder had when it renewed.
+    last_grant: int
 
 
 class ConfigurationService:
@@ -82,6 +88,7 @@
         self._tasks = TaskSet()
         self._one_change = asyncio.Lock()
         self._holders_by_host: dict[str, _Holder] = {}
+        self._grants = 0
         self._barriers: Batcher[None, None]
         self._barriers = Batcher(self._pass_barrier, MAX_BARRIER_SHARE)
         # Encoded answers for the revision in force; most holders are at the
@@ -209,7 +216,10 @@
         await self._barriers.submit(None)
         reply = self._renewal(request)
         self._note_holder(request)
-        return reply
+        self._grants += 1
+        return reply._replace(
+            grant=GrantNumber(self._log.term, self._grants),
+        )
 
     def _renewal(self, request: RenewRequest) -> RenewReply:
         current = self.machine.accepted
@@ -241,8 +251,18 @@
         return self._whole
 
     def _note_holder(self, request: RenewRequest) -> None:
+        """Record what a host holds, unless newer news of it came before.
+
+        A renewal may arrive late, forwarded by a host that was suspended.
+        One that follows a grant of this term was sent after that grant.
+        """
         now_s = self._clock.monotonic()
         holders = self._holders_by_host
+        known = holders.get(request.holder)
+        newest = 1 if known is None else known.last_grant
+        term, number = request.last_grant
+        if term != self._log.term or number < newest:
+            return
         if request.holder not in holders and len(holders) >= MAX_HOLDERS:
             for host, holder in tuple(holders.items()):
                 if now_s - holder.renewed_at_s > HOLDER_KEPT_S:
@@ -253,6 +273,7 @@
             request.role,
             request.revision,
             now_s,
+            number,
         )
 
     async def _propose_initial(self) -> None:
--- a/tests/configuration/test_service.py
+++ b/tests/configuration/test_service.py
@@ -16,7 +16,9 @@
     ConfigurationService,
     _client,
 )
+from hornbeamline.configuration._messages import RenewRequest
 from hornbeamline.control_link import LeaderServer
+from hornbeamline.control_link._messages import ControlReply
 from hornbeamline.exceptions import ReplicatedLogError
 from hornbeamline.inventory import (
     Operation,
@@ -339,6 +341,24 @@
     assert holder.lease_left_s > 2.8
 
 
+async def test_delayed_renewal_does_not_set_the_status_back() -> None:
+    """Guards against a thawed follower that forwards old renewals as new."""
+    cluster = await started()
+    await cluster.apply(put_rule(2))
+    await asyncio.sleep(2.2)
+    delayed = RenewRequest('entry-1', 'entry', 1, document_digest(document()))
+    sender = cluster.network.endpoint('entry-9')
+    await sender.call('control-2', delayed, ControlReply, 0.1)
+    (holder,) = cluster.service.holders()
+    assert holder.revision == 2
+    cluster.log.elect('control-3')
+    await sender.call('control-2', delayed, ControlReply, 0.1)
+    assert not cluster.services['control-3'].holders()
+    await asyncio.sleep(2.2)
+    (holder,) = cluster.services['control-3'].holders()
+    assert holder.revision == 2
+
+
 async def change_until_known(cluster: Cluster, change: Change) -> None:
     """Send a change as an operator does who loses answers."""
     while True:
