Give the fleets of runs at the same time addresses of their own

Cause, inferred (the violation did not show the requests): a port that free_addresses found is used later, and another run takes it before. Ruled out: an entry process that forwards without id (their logs show every run, with id).

Fix: each process draws from its own part of 127.0.0.0/8, as the platform's soak did for its hosts already. A violation UNASKED now shows the request.

--- a/hornbeamline/local_fleet/__init__.py
+++ b/hornbeamline/local_fleet/__init__.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from hornbeamline.local_fleet._addresses import free_addresses
+from hornbeamline.local_fleet._addresses import (
+    free_addresses,
+    loopback_net,
+)
 from hornbeamline.local_fleet._files import (
     FleetPlan,
     LocalAddresses,
@@ -24,6 +27,7 @@
     'executions_by_key',
     'find_violations',
     'free_addresses',
+    'loopback_net',
     'plan_fleet',
     'write_settings',
 )
--- a/tests/common.py
+++ b/tests/common.py
@@ -16,15 +16,15 @@
 
 import tomli_w
 
+from hornbeamline.local_fleet import free_addresses
+
 ROOT = Path(__file__).resolve().parent.parent
 STOP_TIMEOUT_S = 20
 
 
 def free_address() -> str:
     """Return a loopback address that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+    return free_addresses(1)[0]
 
 
 def digest_of(credential: str) -> str:
--- a/tests/peering/conftest.py
+++ b/tests/peering/conftest.py
@@ -12,6 +12,7 @@
 import pytest
 
 from hornbeamline.inventory import PeeringSettings
+from hornbeamline.local_fleet import loopback_net
 from hornbeamline.peering import PynngPeering, message
 from hornbeamline.telemetry import registry
 
@@ -63,14 +64,15 @@
 
 def free_addresses(count: int) -> list[str]:
     """Return distinct loopback addresses that are free at the moment."""
+    ip = f'{loopback_net()}.1'
     addresses: list[str] = []
     with contextlib.ExitStack() as probes:
         while len(addresses) < count:
             probe = probes.enter_context(socket.socket())
             port = random.SystemRandom().choice(PORTS)
             with contextlib.suppress(OSError):
-                probe.bind(('127.0.0.1', port))
-                addresses.append(f'127.0.0.1:{port}')
+                probe.bind((ip, port))
+                addresses.append(f'{ip}:{port}')
     return addresses
 
 
--- a/tests/soak/platform/fleet.py
+++ b/tests/soak/platform/fleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import os
 import random
 import shutil
 import time
@@ -14,7 +13,7 @@
 
 import aiohttp
 
-from hornbeamline.local_fleet import ProcessGroup
+from hornbeamline.local_fleet import ProcessGroup, loopback_net
 from tests.common import write_toml
 from tests.soak.platform.standins.desk import DeskServer
 from tests.soak.platform.standins.engine import EngineServer
@@ -119,9 +118,7 @@
         self.world = World()
         self.servers: list[StandinServer] = []
         self.listing = StandinList(lambda: self.servers)
-        # Runs at the same time on one machine use different addresses.
-        pid = os.getpid()
-        self._net = f'127.{1 + pid % 200}.{1 + pid // 200 % 250}'
+        self._net = loopback_net()
         self.entries = [f'entry-{number}' for number in HOSTS]
         self.controls = [f'control-{number}' for number in CONTROLS]
 
--- a/tests/soak/platform/standins/server.py
+++ b/tests/soak/platform/standins/server.py
@@ -95,6 +95,8 @@
         self.world.note_run(request_id)
         sent = self.world.sent_by_id.get(request_id)
         if sent is None:
+            head = (request.method, request.raw_path, dict(request.headers))
+            self.world.violate(f'UNASKED {request_id}: {head}')
             return None
         got = (request.method, request.raw_path, body)
         if got != (sent.method, sent.path, sent.body):
--- a/tests/soak/platform/world.py
+++ b/tests/soak/platform/world.py
@@ -46,7 +46,6 @@
         self.runs_by_id[request_id] += 1
         sent = self.sent_by_id.get(request_id)
         if sent is None:
-            self.violate(f'UNASKED {request_id}')
             return
         if self.runs_by_id[request_id] > 1 and not sent.may_repeat:
             self.violate(f'TWICE {request_id}')
