Show the stacks of a process that crashes in native code

The daemons write the stacks of all threads on a fatal signal, and the soaks print them beside the exit code.

Test: test_crashed_process_shows_its_stacks fails without the call.

--- a/hornbeamline/cli/_daemons.py
+++ b/hornbeamline/cli/_daemons.py
@@ -16,7 +16,7 @@
     load_settings,
 )
 from hornbeamline.standins import StandinSettings, StandinTarget
-from hornbeamline.telemetry import configure_logs
+from hornbeamline.telemetry import configure_logs, log_crashes
 
 entry_app = typer.Typer(no_args_is_help=True)
 control_app = typer.Typer(no_args_is_help=True)
@@ -33,6 +33,7 @@
     """Run an entry process until SIGTERM."""
     entry_settings = load_settings(settings, EntrySettings)
     configure_logs(host=entry_settings.host.name)
+    log_crashes()
 
     async def serve() -> int:
         return await EntryDaemon(entry_settings).run()
@@ -45,6 +46,7 @@
     """Run a control process until SIGTERM."""
     control_settings = load_settings(settings, ControlSettings)
     configure_logs(host=control_settings.host.name)
+    log_crashes()
 
     async def serve() -> int:
         return await ControlDaemon(control_settings).run()
@@ -57,6 +59,7 @@
     """Run a stand-in target until SIGTERM."""
     target_settings = load_settings(settings, StandinSettings)
     configure_logs(target=target_settings.name)
+    log_crashes()
 
     async def serve() -> int:
         kernel = Kernel(stop_timeout_s=10)
--- a/hornbeamline/platform/__main__.py
+++ b/hornbeamline/platform/__main__.py
@@ -16,7 +16,7 @@
     entry_daemon,
     settings_path,
 )
-from hornbeamline.telemetry import NonBlockingSink, configure_logs
+from hornbeamline.telemetry import NonBlockingSink, configure_logs, log_crashes
 
 EXIT_USAGE: Final = 2
 EXIT_FAILED: Final = 1
@@ -29,6 +29,7 @@
 
 
 async def _serve(role: str) -> int:
+    log_crashes()
     daemon = _makers_by_role[role](settings_path())
     sink = NonBlockingSink(sys.stdout.fileno())
     configure_logs(sink, host=daemon.host, role=role)
--- a/hornbeamline/telemetry/__init__.py
+++ b/hornbeamline/telemetry/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hornbeamline.telemetry._crashes import log_crashes
 from hornbeamline.telemetry._logs import configure_logs, log_event
 from hornbeamline.telemetry._metrics import metrics_app, metrics_page, registry
 from hornbeamline.telemetry._sinks import NonBlockingSink
@@ -9,6 +10,7 @@
 __all__ = (
     'NonBlockingSink',
     'configure_logs',
+    'log_crashes',
     'log_event',
     'metrics_app',
     'metrics_page',
--- a/tests/common.py
+++ b/tests/common.py
@@ -16,10 +16,12 @@
 
 import tomli_w
 
-from hornbeamline.local_fleet import free_addresses
+from hornbeamline.local_fleet import ProcessGroup, free_addresses
 
 ROOT = Path(__file__).resolve().parent.parent
 STOP_TIMEOUT_S = 20
+CRASH_STARTS = 'Fatal Python error'
+MAX_CRASH_CHARS = 6000
 
 
 def free_address() -> str:
@@ -38,6 +40,17 @@
     return path
 
 
+def bad_ends(group: ProcessGroup, codes: dict[str, int]) -> list[str]:
+    """Return a line for each exit code that is not 0, with its stacks."""
+    lines: list[str] = []
+    for name, code in codes.items():
+        if code:
+            _, start, stacks = group.log_of(name).rpartition(CRASH_STARTS)
+            shown = f'{start}{stacks}'[:MAX_CRASH_CHARS] if start else ''
+            lines.append(f'{name} ended with {code} {shown}'.rstrip())
+    return lines
+
+
 @contextlib.contextmanager
 def running(
     log: Path,
--- a/tests/process/test_control.py
+++ b/tests/process/test_control.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import copy
+import os
 import shutil
+import signal
 from collections.abc import Iterator
 from typing import Any
 
@@ -140,6 +142,21 @@
     fleet.apply(with_rule(fleet, 14))
 
 
+async def test_crashed_process_shows_its_stacks(fleet: Fleet) -> None:
+    """Guards against a crash in native code that leaves no trace."""
+    os.kill(fleet.group.pid('entry-2'), signal.SIGSEGV)
+
+    async def has_ended() -> bool:
+        return 'entry-2' in fleet.group.exited()
+
+    await eventually(has_ended)
+    shown = fleet.group.log_of('entry-2')
+    assert 'Fatal Python error: Segmentation fault' in shown
+    assert 'asyncio/runners.py' in shown
+    fleet.start('entry-2')
+    await eventually(fleet.all_ready)
+
+
 async def test_frozen_leader_is_replaced_and_returns(fleet: Fleet) -> None:
     """Guards against a thawed leader that still decides."""
     frozen = fleet.leader()
