Keep small inputs of stages until all pieces are computed

Class: a step gives up what its own repeat needs.

Ruled out: stopping owners that drop their queue (no piece lost at a stop), expiry (only after freezes of 2.6 s), crashed targets (5 cases).

Fix: freed early is only what matters for space, inputs of 0.05 or more of a target's space (the bound for late work); smaller ones stay until the stage is done. Small inputs here take 0.002.

Tests: test_piece_that_failed_finds_its_inputs and test_next_owner_finds_the_inputs fail before (PiecesFailedError: gone).

--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -65,6 +65,11 @@
         if fetched is not None:
             fetched()
 
+    @property
+    def holds_much(self) -> bool:
+        """Return whether the inputs take much of the space of targets."""
+        return self.held_share >= MAX_HELD_SHARE
+
     @property
     def is_abandoned(self) -> bool:
         """Return whether nobody waits for the result any more."""
@@ -260,7 +265,7 @@
     done_at: float,
     data_centre: str = '',
 ) -> tuple[bool, bool, float, str, int]:
-    is_late = queued.due_at < done_at and queued.held_share < MAX_HELD_SHARE
+    is_late = queued.due_at < done_at and not queued.holds_much
     due_at = queued.due_at + queued.rank * RANK_DELAY_S
     if queued.near not in {'', data_centre}:
         due_at += REMOTE_DELAY_S
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -434,8 +434,10 @@
 
 
 def _note_fetched(chosen: Sequence[QueuedPiece]) -> None:
+    """Let large inputs go; small ones stay for another attempt."""
     for queued in chosen:
-        queued.note_fetched()
+        if queued.holds_much:
+            queued.note_fetched()
 
 
 def _count_remote(chosen: Sequence[QueuedPiece], data_centre: str) -> int:
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -62,7 +62,8 @@
 # longer by this time than those of another: a third of a typical call.
 REMOTE_COST_S: Final = 0.1
 # Inputs that take more than this share of a target's space are used
-# without regard to whether the request is late.
+# without regard to whether the request is late, and are freed as soon as
+# they are fetched. Smaller ones are kept until all pieces are computed.
 MAX_HELD_SHARE: Final = 0.05
 # Late work waits this much longer than the queue alone says.
 LATE_WAIT_FACTOR: Final = 1.5
--- a/tests/batching/test_service.py
+++ b/tests/batching/test_service.py
@@ -35,6 +35,8 @@
 # A caller notices a lost owner well within this time, in seconds.
 NOTICED_S = 1.6
 CALL_S = 0.3
+# Share of the space of a target that large inputs take.
+LARGE_SHARE = 0.25
 
 
 class Times(NamedTuple):
@@ -61,6 +63,9 @@
         self.targets = [FakeTarget(f't{number}') for number in range(count)]
         self.losing: set[str] = set()
         self.unreachable: set[str] = set()
+        # Pieces that the next call does not compute, by reason.
+        self.failures_by_number: dict[int, str] = {}
+        self.has_inputs = True
         self.slowness = 1
         self.calls: list[tuple[str, list[Piece]]] = []
         self.freed: list[str] = []
@@ -74,6 +79,8 @@
     ) -> list[PieceResult]:
         """Compute pieces, or lose the call."""
         self.calls.append((target.id, list(pieces)))
+        if not self.has_inputs:
+            return [PieceResult(failure='gone') for _ in pieces]
         if target.id in self.unreachable:
             await asyncio.sleep(CALL_S)
             raise CallRefusedError('no connection', free=True)
@@ -81,8 +88,12 @@
         await asyncio.sleep(CALL_S * self.slowness)
         if target.id in self.losing:
             raise CallLostError('reset')
+        failures = self.failures_by_number
+        self.failures_by_number = {}
         return [
-            PieceResult(f'{target.id}/{piece.request_id}-{piece.number}')
+            PieceResult(failure=failures[piece.number])
+            if piece.number in failures
+            else PieceResult(f'{target.id}/{piece.request_id}-{piece.number}')
             for piece in pieces
         ]
 
@@ -131,6 +142,7 @@
         host: str,
         count: int = 3,
         on_fetched: Callable[[], None] = lambda: None,
+        held_share: float = 0,
     ) -> asyncio.Future[list[str]]:
         """Submit pieces of a request at a host."""
         pieces = [Piece('r1', 0, number, 'k', []) for number in range(count)]
@@ -138,7 +150,7 @@
             self.services[host].compute(
                 SERVICE,
                 pieces,
-                PieceTerms(2.0, 8.0, 0, 1000),
+                PieceTerms(2.0, 8.0, 0, 1000, held_share),
                 on_fetched,
             ),
         )
@@ -271,7 +283,11 @@
     fleet.targets.unreachable = {'t0', 't1'}
     fetched: list[float] = []
     now = asyncio.get_running_loop().time
-    work = fleet.compute(OWNERS[2], on_fetched=lambda: fetched.append(now()))
+    work = fleet.compute(
+        OWNERS[2],
+        on_fetched=lambda: fetched.append(now()),
+        held_share=LARGE_SHARE,
+    )
     await asyncio.sleep(CALL_S * 0.9)
     assert not fetched
     fleet.targets.unreachable = set()
@@ -286,12 +302,56 @@
     for _ in range(3):
         await fleet.compute(OWNERS[2])
     fetched: list[float] = []
-    work = fleet.compute(OWNERS[2], on_fetched=lambda: fetched.append(0))
+    work = fleet.compute(
+        OWNERS[2],
+        on_fetched=lambda: fetched.append(0),
+        held_share=LARGE_SHARE,
+    )
     await asyncio.sleep(CALL_S * 2)
     assert not fetched
     await work
 
 
+def compute_and_free_inputs(
+    fleet: FakeFleet,
+    held_share: float,
+) -> asyncio.Future[list[str]]:
+    """Submit pieces whose inputs are freed as soon as that is allowed."""
+
+    def free_inputs() -> None:
+        fleet.targets.has_inputs = False
+
+    return fleet.compute(OWNERS[2], 3, free_inputs, held_share)
+
+
+# Failure: a target did not compute one piece of eight; the inputs of all
+# were freed before, so that the request ran all its stages again.
+@pytest.mark.parametrize('reason', ['room', 'error'])
+async def test_piece_that_failed_finds_its_inputs(fleet, reason) -> None:
+    """Fault: a target without space, or that fails at a piece."""
+    fleet.targets.failures_by_number = {1: reason}
+    work = compute_and_free_inputs(fleet, held_share=0)
+    assert len(await work) == 3
+    assert [len(called) for _, called in fleet.targets.calls] == [3, 1]
+
+
+# Failure: as above, after the loss of an owner during a call.
+async def test_next_owner_finds_the_inputs(fleet) -> None:
+    """Fault: the owner is killed after the targets have the inputs."""
+    work = compute_and_free_inputs(fleet, held_share=0)
+    await asyncio.sleep(CALL_S / 2)
+    fleet.network.endpoints_by_name[OWNERS[0]].close()
+    assert len(await work) == 3
+
+
+async def test_large_inputs_are_freed_during_the_call(fleet) -> None:
+    """Load: results of a stage that take much space at their targets."""
+    work = compute_and_free_inputs(fleet, held_share=LARGE_SHARE)
+    await asyncio.sleep(CALL_S / 2)
+    assert not fleet.targets.has_inputs
+    await work
+
+
 async def test_released_results_are_freed(fleet) -> None:
     """Space for results is given back by the owner."""
     handles = await fleet.compute(OWNERS[2])
