Let the owner of a stage service keep it when hosts return

Callers saw: streams refused or late in the seconds after a host was killed or stopped, beyond the loss itself.

Class: ownership moves while what it stands for stays behind.

Fix: owners publish the services that they keep, for as long as targets hold results of theirs; others join the order after them. A new module without network, batching/_ownership.py.

--- a/hornbeamline/batching/__init__.py
+++ b/hornbeamline/batching/__init__.py
@@ -7,6 +7,7 @@
 from hornbeamline.batching._service import BatchingService
 from hornbeamline.batching._types import (
     BatchTarget,
+    EntryHost,
     Piece,
     PieceResult,
     PieceTerms,
@@ -25,6 +26,7 @@
     'BatchingService',
     'CallLostError',
     'CallRefusedError',
+    'EntryHost',
     'Piece',
     'PieceResult',
     'PieceTerms',
--- a/hornbeamline/batching/_owner.py
+++ b/hornbeamline/batching/_owner.py
@@ -62,6 +62,8 @@
         self._budget = budget
         self._times_by_service: dict[str, BatchTimes] = {}
         self._workers_by_service: dict[str, BatchWorker] = {}
+        # When pieces were last taken.
+        self._taken_at_by_service: dict[str, float] = {}
         # Stages of other hosts: none while they are computed, then the
         # outcomes.
         self._outcomes_by_stage: dict[tuple[str, int], list[PieceResult]] = {}
@@ -83,6 +85,21 @@
         """Return the services of the configuration."""
         return list(self._times_by_service)
 
+    def keeps(self, service: str) -> bool:
+        """Return whether this host stays the owner of a service.
+
+        It does while its targets may hold results of its pieces.
+        """
+        taken_at = self._taken_at_by_service.get(service)
+        times = self._times_by_service.get(service)
+        if taken_at is None or times is None:
+            return False
+        return self._clock.monotonic() - taken_at < times.result_ttl_s
+
+    def kept_services(self) -> list[str]:
+        """Return all services of which this host stays the owner."""
+        return [name for name in self._taken_at_by_service if self.keeps(name)]
+
     def update(self, times_by_service: Mapping[str, BatchTimes]) -> None:
         """Take the services of a newer configuration."""
         self._times_by_service = dict(times_by_service)
@@ -117,6 +134,7 @@
         worker = self._worker(request.service)
         queued = self._queue(request, note_fetched)
         worker.submit(queued)
+        self._taken_at_by_service[request.service] = self._clock.monotonic()
         try:
             outcomes = await _all_outcomes(queued)
         except asyncio.CancelledError:
--- /dev/null
+++ b/hornbeamline/batching/_ownership.py
@@ -0,0 +1,70 @@
+"""Which entry host owns the queue of a service; needs no network."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from hornbeamline.batching._types import EntryHost
+from hornbeamline.batching.const import SILENT_OWNER_S
+from hornbeamline.helpers.clock import Clock
+from hornbeamline.helpers.rendezvous import rendezvous_order
+
+
+class Ownership:
+    """Chooses the owner of a service as all other hosts do.
+
+    A service without an owner goes to the first host of an order that all
+    hosts compute alike. An owner keeps it until it leaves or is lost, also
+    when a host comes before it in that order: the next owner does not know
+    what the targets hold and work on. Of two owners, which hosts make that
+    do not see each other, all use the first; the other one is soon idle.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        hosts: Callable[[], Mapping[str, EntryHost]],
+        keeps: Callable[[str], bool],
+        clock: Clock,
+    ) -> None:
+        """Take this host's name, the others, and what this host keeps."""
+        self.hosts = hosts
+        # The process stops: other hosts own all services from now on.
+        self.is_leaving = False
+        self._name = name
+        self._keeps = keeps
+        self._clock = clock
+        # Until when owners that did not answer are passed over.
+        self._silent_until_by_owner: dict[str, float] = {}
+
+    def owns(self, service: str) -> bool:
+        """Return whether this host owns a service."""
+        return self.owners(service)[0] == self._name
+
+    def owners(self, service: str) -> list[str]:
+        """Return the owner and those that follow when it is lost."""
+        others = self.hosts()
+        keepers = {
+            name
+            for name, host in others.items()
+            if service in host.owned_services
+        }
+        hosts = set(others)
+        if not (self.is_leaving and hosts):
+            hosts.add(self._name)
+            if self._keeps(service):
+                keepers.add(self._name)
+        return [
+            *rendezvous_order(service, keepers),
+            *rendezvous_order(service, hosts - keepers),
+        ]
+
+    def note_silent(self, owner: str) -> None:
+        """Pass over an owner for a while."""
+        now = self._clock.monotonic()
+        self._silent_until_by_owner[owner] = now + SILENT_OWNER_S
+
+    def is_silent(self, owner: str) -> bool:
+        """Return whether an owner is passed over."""
+        until = self._silent_until_by_owner.get(owner, 0)
+        return self._clock.monotonic() < until
--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -14,10 +14,15 @@
     SubmitPieces,
 )
 from hornbeamline.batching._owner import OwnedQueues, TargetAccess
+from hornbeamline.batching._ownership import Ownership
 from hornbeamline.batching._remote import OwnerClient
-from hornbeamline.batching._types import Piece, PieceResult, PieceTerms
+from hornbeamline.batching._types import (
+    EntryHost,
+    Piece,
+    PieceResult,
+    PieceTerms,
+)
 from hornbeamline.batching._worker import FAILURE_GONE, BatchTimes
-from hornbeamline.batching.const import SILENT_OWNER_S
 from hornbeamline.batching.errors import (
     OwnerSilentError,
     PiecesFailedError,
@@ -26,7 +31,6 @@
 from hornbeamline.core import TaskSet
 from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
-from hornbeamline.helpers.rendezvous import rendezvous_order
 from hornbeamline.peering import Peering
 
 _LINK_INTERVAL_S: Final = 0.5
@@ -43,26 +47,27 @@
         self,
         peering: Peering,
         clock: Clock,
-        hosts: Callable[[], Mapping[str, str]],
+        hosts: Callable[[], Mapping[str, EntryHost]],
         access: TargetAccess,
         budget: RepeatBudget,
     ) -> None:
-        """Take the network, other present hosts with addresses, targets.
+        """Take the network, the other present hosts by name, the targets.
 
         The owner of a service sends all its repeats, so `budget` is that
         of all hosts together.
         """
         self._peering = peering
         self._clock = clock
-        self._hosts = hosts
         self._owned = OwnedQueues(peering, clock, access, budget)
         self._owner_client = OwnerClient(peering)
-        # The process stops: other hosts own all services from now on.
-        self.is_leaving = False
+        self.ownership = Ownership(
+            peering.name,
+            hosts,
+            self._owned.keeps,
+            clock,
+        )
         # Called when targets hold the inputs of a stage of a request.
         self._fetched_by_stage: dict[tuple[str, int], Callable[[], None]] = {}
-        # Until when owners that did not answer are passed over.
-        self._silent_until_by_owner: dict[str, float] = {}
         self._tasks = TaskSet()
         peering.on(InputsFetched, self._on_fetched)
 
@@ -84,12 +89,16 @@
         """Take the services of a newer configuration."""
         self._owned.update(times_by_service)
 
+    def owned_services(self) -> list[str]:
+        """Return the services that this host keeps as their owner."""
+        return self._owned.kept_services()
+
     def waits_by_service(self) -> dict[str, dict[int, float]]:
         """Return the waits by rank of the queues that this host owns."""
         return {
             service: waits
             for service, waits in self._owned.waits_by_service().items()
-            if self._owns(service)
+            if self.ownership.owns(service)
         }
 
     def rate_by_service(self) -> dict[str, float]:
@@ -97,7 +106,7 @@
         return {
             service: rate
             for service, rate in self._owned.rate_by_service().items()
-            if self._owns(service)
+            if self.ownership.owns(service)
         }
 
     async def compute(
@@ -130,7 +139,7 @@
 
         Results whose owner is lost expire at their target.
         """
-        owner = self._owners(service)[0]
+        owner = self.ownership.owners(service)[0]
         if owner == self._peering.name:
             self._owned.release(service, handles)
         else:
@@ -161,9 +170,9 @@
 
     def _next_owner(self, service: str, tried: Counter[str]) -> str:
         """Return the first owner that may answer, this host at last."""
-        for owner in self._owners(service)[:_LINKED_OWNERS]:
+        for owner in self.ownership.owners(service)[:_LINKED_OWNERS]:
             may_try = tried[owner] < _MAX_TRIES_OF_OWNER
-            if may_try and not self._is_silent(owner):
+            if may_try and not self.ownership.is_silent(owner):
                 return owner
         return self._peering.name
 
@@ -189,14 +198,8 @@
 
         Lost packets alone delay answers of an owner that works on.
         """
-        if self._peering.is_alive(owner):
-            return
-        now = self._clock.monotonic()
-        self._silent_until_by_owner[owner] = now + SILENT_OWNER_S
-
-    def _is_silent(self, owner: str) -> bool:
-        until = self._silent_until_by_owner.get(owner, 0)
-        return self._clock.monotonic() < until
+        if not self._peering.is_alive(owner):
+            self.ownership.note_silent(owner)
 
     async def _compute_at(
         self,
@@ -205,10 +208,10 @@
     ) -> list[PieceResult] | None:
         if owner == self._peering.name:
             return await self._owned.compute(request, self._note_fetched)
-        address = self._hosts().get(owner, '')
-        if not address:
+        host = self.ownership.hosts().get(owner)
+        if host is None:
             return None
-        self._peering.add_peer(owner, address)
+        self._peering.add_peer(owner, host.address)
         return await self._owner_client.compute(owner, request)
 
     def _cancel(self, owner: str, request: SubmitPieces) -> None:
@@ -219,28 +222,19 @@
             message = CancelRequest(request.service, request_id)
             self._peering.send(owner, message)
 
-    def _owns(self, service: str) -> bool:
-        return self._owners(service)[0] == self._peering.name
-
-    def _owners(self, service: str) -> list[str]:
-        hosts = set(self._hosts())
-        if not (self.is_leaving and hosts):
-            hosts.add(self._peering.name)
-        return rendezvous_order(service, hosts)
-
     async def _keep_links(self) -> None:
         while True:
             linked = self._linked_owners()
-            for name, address in self._hosts().items():
+            for name, host in self.ownership.hosts().items():
                 if name in linked:
-                    self._peering.add_peer(name, address)
+                    self._peering.add_peer(name, host.address)
             await asyncio.sleep(_LINK_INTERVAL_S)
 
     def _linked_owners(self) -> set[str]:
         return {
             owner
             for service in self._owned.services()
-            for owner in self._owners(service)[:_LINKED_OWNERS]
+            for owner in self.ownership.owners(service)[:_LINKED_OWNERS]
         }
 
     async def _on_fetched(self, _sender: str, fetched: InputsFetched) -> None:
--- a/hornbeamline/batching/_types.py
+++ b/hornbeamline/batching/_types.py
@@ -5,6 +5,14 @@
 from typing import NamedTuple, Protocol
 
 
+class EntryHost(NamedTuple):
+    """Another host that can own services."""
+
+    address: str
+    # Services whose pieces it has taken of late; see `OwnedQueues`.
+    owned_services: frozenset[str] = frozenset()
+
+
 class BatchTarget(Protocol):
     """What a worker needs to know of a target."""
 
--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -96,7 +96,7 @@
         """Fail readiness, wait for the balancer, finish all requests."""
         self.is_draining = True
         self._app.closes_connections = True
-        self._batching.is_leaving = True
+        self._batching.ownership.is_leaving = True
         log_event('entry.draining', in_progress=self._app.in_progress)
         await asyncio.sleep(BALANCER_WAIT_S)
         self._app.refuses_streams = True
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -9,7 +9,11 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
-from hornbeamline.batching import BatchingService, TargetAccess
+from hornbeamline.batching import (
+    BatchingService,
+    EntryHost,
+    TargetAccess,
+)
 from hornbeamline.core import Kernel
 from hornbeamline.daemons._gateway_services import (
     GatewayDrain,
@@ -210,11 +214,15 @@
             self._stages.coming.by_service(),
             self._batching.rate_by_service(),
             self._drain.is_draining,
+            owned_services=self._batching.owned_services(),
         )
 
-    def _other_hosts(self) -> dict[str, str]:
+    def _other_hosts(self) -> dict[str, EntryHost]:
         return {
-            presence.name: presence.address
+            presence.name: EntryHost(
+                presence.address,
+                frozenset(presence.owned_services),
+            )
             for presence in self._member.present()
             if presence.role == ROLE_ENTRY
             and not presence.is_leaving
--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -28,6 +28,8 @@
     is_leaving: bool = False
     # The process keeps what it stores over a restart.
     is_durable: bool = True
+    # Services whose stage queues it keeps.
+    owned_services: list[str] = []
 
 
 class ListedTargets(NamedTuple):
