Let quiet owners give way, and keep the newest description of a process

Cause: hosts took what a control process told them of another process as news of that moment, although it was up to 1.6 s old; and of two control processes the later reply counted, also when it had heard less: a stopping host could show as staying. Class: the time of arrival is taken for the time of origin, as in the status of hosts.

Fix: replies carry the age of each description. Hosts keep the newest one, and owners that control processes have not heard of for 1.3 s come last in the order; all hosts see that at about the same time, without a try.

Tests: test_older_description_does_not_replace_a_newer_one fails before; test_quiet_process_is_known_while_it_is_listed and test_ownership.py need the new interface.

--- a/hornbeamline/batching/_ownership.py
+++ b/hornbeamline/batching/_ownership.py
@@ -18,6 +18,7 @@
     when a host comes before it in that order: the next owner does not know
     what the targets hold and work on. Of two owners, which hosts make that
     do not see each other, all use the first; the other one is soon idle.
+    Hosts that are quiet come last.
     """
 
     def __init__(
@@ -43,21 +44,16 @@
 
     def owners(self, service: str) -> list[str]:
         """Return the owner and those that follow when it is lost."""
-        others = self.hosts()
-        keepers = {
-            name
-            for name, host in others.items()
-            if service in host.owned_services
-        }
-        hosts = set(others)
+        hosts = dict(self.hosts())
         if not (self.is_leaving and hosts):
-            hosts.add(self._name)
-            if self._keeps(service):
-                keepers.add(self._name)
-        return [
-            *rendezvous_order(service, keepers),
-            *rendezvous_order(service, hosts - keepers),
-        ]
+            kept = {service} if self._keeps(service) else set()
+            hosts[self._name] = EntryHost('', frozenset(kept))
+
+        def precedence(name: str) -> tuple[bool, bool]:
+            host = hosts[name]
+            return (host.is_quiet, service not in host.owned_services)
+
+        return sorted(rendezvous_order(service, hosts), key=precedence)
 
     def note_silent(self, owner: str) -> None:
         """Pass over an owner for a while."""
--- a/hornbeamline/batching/_types.py
+++ b/hornbeamline/batching/_types.py
@@ -11,6 +11,8 @@
     address: str
     # Services whose pieces it has taken of late; see `OwnedQueues`.
     owned_services: frozenset[str] = frozenset()
+    # It is listed, but was not heard of lately.
+    is_quiet: bool = False
 
 
 class BatchTarget(Protocol):
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -222,6 +222,7 @@
             presence.name: EntryHost(
                 presence.address,
                 frozenset(presence.owned_services),
+                self._member.is_quiet(presence.name),
             )
             for presence in self._member.present()
             if presence.role == ROLE_ENTRY
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -19,6 +19,7 @@
     ENROL_TIMEOUT_S,
     PRESENCE_SILENCE_S,
     PRESENT_SOURCES,
+    QUIET_S,
     ROLE_CONTROL,
 )
 from hornbeamline.documents import StoredDocument
@@ -32,7 +33,15 @@
 
 class _Seen(NamedTuple):
     presence: Presence
+    # When a control process told of it last.
     at: float
+    # When a control process heard of it last.
+    heard_at: float
+
+    @property
+    def is_quiet(self) -> bool:
+        """Return whether control processes stopped hearing of it."""
+        return self.at - self.heard_at > QUIET_S
 
 
 class DirectoryMember:
@@ -94,6 +103,11 @@
             if seen.at >= oldest
         ]
 
+    def is_quiet(self, name: str) -> bool:
+        """Return whether a process is listed, but no longer heard of."""
+        seen = self._seen_by_name.get(name)
+        return seen is not None and seen.is_quiet
+
     def _follow(self, name: str, address: str) -> None:
         if name in self._tasks_by_control or name == self._describe().name:
             return
@@ -123,7 +137,7 @@
                 self._note_answer(control, str(error))
             else:
                 self._note_answer(control, '')
-                self._take_reply(reply)
+                self._take_reply(reply, began)
                 self._take_listed(reply.listed, asked_at)
             spent_s = self._clock.monotonic() - began
             await asyncio.sleep(max(ENROL_INTERVAL_S - spent_s, 0))
@@ -157,10 +171,15 @@
             self._answering.discard(control)
             log_event('directory.control_lost', control=control, error=error)
 
-    def _take_reply(self, reply: EnrolReply) -> None:
+    def _take_reply(self, reply: EnrolReply, asked_at: float) -> None:
         now = self._clock.monotonic()
-        for presence in reply.present:
-            self._seen_by_name[presence.name] = _Seen(presence, now)
+        for presence, age_s in zip(reply.present, reply.ages_s, strict=True):
+            told = _Seen(presence, now, asked_at - age_s)
+            held = self._seen_by_name.get(presence.name)
+            if held is not None and held.heard_at > told.heard_at:
+                # Another control process has heard newer things of it.
+                told = held._replace(at=now)
+            self._seen_by_name[presence.name] = told
             if presence.role == ROLE_CONTROL:
                 self._follow(presence.name, presence.address)
         if reply.present and self.on_present is not None:
--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -62,6 +62,8 @@
     # If the sender's is older.
     document: StoredDocument | None
     listed: ListedTargets | None = None
+    # Seconds since each of `present` was heard of.
+    ages_s: list[float] = []
 
 
 @message('directory.document')
--- a/hornbeamline/directory/_registry.py
+++ b/hornbeamline/directory/_registry.py
@@ -82,14 +82,20 @@
             presence,
             self._clock.monotonic(),
         )
+        present = self.present() if request.is_full else []
         document = self._machine.current
         is_newer = document.number > request.document_number
         return EnrolReply(
-            self.present() if request.is_full else [],
+            present,
             document if is_newer else None,
             self._listed(request) if request.is_full else None,
+            [self._age_s(presence.name) for presence in present],
         )
 
+    def _age_s(self, name: str) -> float:
+        seen = self._seen_by_name.get(name)
+        return 0 if seen is None else self._clock.monotonic() - seen.at
+
     def _listed(self, request: Enrol) -> ListedTargets | None:
         targets = self._targets
         if not targets.is_known:
--- a/hornbeamline/directory/const.py
+++ b/hornbeamline/directory/const.py
@@ -13,5 +13,8 @@
 # the fleet; two of them bear the loss of one.
 PRESENT_SOURCES: Final = 2
 ENROL_TIMEOUT_S: Final = 0.8
+# A process that a control process has not heard of for this long is quiet:
+# one enrolment was lost and the next one is late as well.
+QUIET_S: Final = ENROL_INTERVAL_S + ENROL_TIMEOUT_S + 0.1
 # Four lost enrolments; a host beyond it gets no new shared work.
 PRESENCE_SILENCE_S: Final = 1.6
--- /dev/null
+++ b/tests/batching/test_ownership.py
@@ -0,0 +1,44 @@
+"""The owner of a service, as each host sees it; no network."""
+
+from __future__ import annotations
+
+from hornbeamline.batching import EntryHost
+from hornbeamline.batching._ownership import Ownership
+from hornbeamline.helpers.clock import SystemClock
+from hornbeamline.helpers.rendezvous import rendezvous_order
+
+SERVICE = 'stage'
+HOSTS = [f'host-{number}' for number in range(4)]
+ORDER = rendezvous_order(SERVICE, HOSTS)
+KEEPER = EntryHost('x', frozenset({SERVICE}))
+
+
+def owners(name: str, **others: EntryHost) -> list[str]:
+    """Return the owners that a host sees; hosts are named by their place."""
+    hosts = dict.fromkeys(HOSTS, EntryHost('x'))
+    hosts |= {ORDER[int(place[1:])]: host for place, host in others.items()}
+    hosts.pop(name)
+    ownership = Ownership(name, lambda: hosts, lambda _: False, SystemClock())
+    return ownership.owners(SERVICE)
+
+
+def test_keeper_comes_first() -> None:
+    """Guards against a service that moves when a host returns."""
+    assert owners(ORDER[0], p2=KEEPER)[:2] == [ORDER[2], ORDER[0]]
+
+
+# Failure: all hosts waited 1.2 s for an owner that some had given up.
+def test_quiet_keeper_gives_way_to_the_next_one() -> None:
+    """Fault: the owner is frozen, and the next one has taken the service."""
+    quiet = KEEPER._replace(is_quiet=True)
+    assert owners(ORDER[3], p0=quiet, p1=KEEPER)[0] == ORDER[1]
+    assert owners(ORDER[3], p0=quiet)[0] == ORDER[1]
+    assert owners(ORDER[3], p0=quiet)[-1] == ORDER[0]
+
+
+def test_all_hosts_choose_the_same_of_two_keepers() -> None:
+    """Guards against two owners that both go on."""
+    firsts = {
+        owners(name, p1=KEEPER, p3=KEEPER)[0] for name in (ORDER[0], ORDER[2])
+    }
+    assert firsts == {ORDER[1]}
--- a/tests/directory/test_member.py
+++ b/tests/directory/test_member.py
@@ -15,6 +15,7 @@
 from hornbeamline.directory.const import (
     ENROL_INTERVAL_S,
     PRESENT_SOURCES,
+    QUIET_S,
     ROLE_CONTROL,
     ROLE_ENTRY,
 )
@@ -37,6 +38,7 @@
         self.network = LocalNetwork(random.Random(1))
         self.members: dict[str, DirectoryMember] = {}
         self.lists: dict[str, TargetDirectory] = {}
+        self.leaving: set[str] = set()
 
     async def start(self) -> None:
         """Start all processes."""
@@ -48,18 +50,22 @@
             self.lists[name] = targets
             DirectoryRegistry(endpoint, DocumentMachine(), own, targets, clock)
         for name in ENTRIES:
-            own = Presence(name, 'x', ROLE_ENTRY, 'dc')
             self.lists[name] = TargetDirectory(clock)
             member = DirectoryMember(
                 self.network.endpoint(name),
                 clock,
                 dict.fromkeys(CONTROLS, 'x'),
-                lambda own=own: own,
+                lambda name=name: self.describe(name),
                 self.lists[name],
             )
             self.members[name] = member
             await member.start()
 
+    def describe(self, name: str) -> Presence:
+        """Return how an entry process describes itself."""
+        is_leaving = name in self.leaving
+        return Presence(name, 'x', ROLE_ENTRY, 'dc', is_leaving=is_leaving)
+
     def seen_by(self, name: str) -> set[str]:
         """Return the processes that a process takes for present."""
         return {presence.name for presence in self.members[name].present()}
@@ -143,3 +149,35 @@
     await asyncio.sleep(2 * ENROL_INTERVAL_S)
     for name in ENTRIES:
         assert directory.lists[name].age_s < 3 * ENROL_INTERVAL_S
+
+
+# Failure: hosts took what any control process told of a process for new.
+async def test_older_description_does_not_replace_a_newer_one(
+    directory,
+) -> None:
+    """Fault: one control process no longer hears of a process."""
+    await directory.start()
+    await asyncio.sleep(3 * ENROL_INTERVAL_S)
+    told, teller = ENTRIES[0], directory.members[ENTRIES[1]]
+    source = next(name for name in CONTROLS if teller._is_source(name))
+    directory.network.cut(told, source)
+    directory.leaving.add(told)
+    await asyncio.sleep(2 * ENROL_INTERVAL_S)
+    for _ in range(10):
+        shown = {each.name: each for each in teller.present()}
+        assert shown[told].is_leaving
+        await asyncio.sleep(0.05)
+
+
+# Failure: hosts sent work to a frozen owner for 3 s; each waited for it.
+async def test_quiet_process_is_known_while_it_is_listed(directory) -> None:
+    """Fault: a process is frozen or killed."""
+    await directory.start()
+    await asyncio.sleep(3 * ENROL_INTERVAL_S)
+    directory.network.endpoints_by_name[ENTRIES[0]].close()
+    await directory.members[ENTRIES[0]].stop()
+    await asyncio.sleep(QUIET_S + 2 * ENROL_INTERVAL_S)
+    for name in ENTRIES[1:]:
+        assert ENTRIES[0] in directory.seen_by(name)
+        assert directory.members[name].is_quiet(ENTRIES[0])
+        assert not directory.members[name].is_quiet(ENTRIES[2])
