--- a/tests/directory/test_member.py
+++ b/tests/directory/test_member.py
@@ -170,10 +170,14 @@
 
 
 # Failure: hosts sent work to a frozen owner for 3 s; each waited for it.
-async def test_quiet_process_is_known_while_it_is_listed(directory) -> None:
-    """Fault: a process is frozen or killed."""
+@pytest.mark.parametrize('phase', range(4))
+async def test_quiet_process_is_known_while_it_is_listed(
+    directory,
+    phase,
+) -> None:
+    """Fault: a process is frozen or killed, at any time between enrolments."""
     await directory.start()
-    await asyncio.sleep(3 * ENROL_INTERVAL_S)
+    await asyncio.sleep((3 + phase / 4) * ENROL_INTERVAL_S)
     directory.network.endpoints_by_name[ENTRIES[0]].close()
     await directory.members[ENTRIES[0]].stop()
     await asyncio.sleep(QUIET_S + 2 * ENROL_INTERVAL_S)
