Log the limits that targets name, and when an attempt was sent

The adapter decodes the header, the list of targets remembers it and logs each change (targets.limit_named); attempts carry sent_s, and a cancelled one gets its line. No decision uses the limit yet.

Tests: missing, negative, unreadable and huge figures (tests/platform).

--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Final, NamedTuple
 
 from hornbeamline.gateway._events import EventSplitter, StreamEvent
@@ -70,6 +71,8 @@
         self.last_event_id: int | None = None
         # No target can run the request any more.
         self.has_no_inputs = False
+        # Seconds from receiving the request to sending the last attempt.
+        self.sent_s: float | None = None
         # Seconds from the start of the last attempt to the head of its
         # answer and to its first event.
         self.head_s: float = 0
@@ -141,6 +144,10 @@
             attempts.reason = str(error)
             self._picker.failed(target)
             self._log_attempt(job, target, attempts, 'lost', error)
+        except asyncio.CancelledError:
+            # The caller has left, or its time is over.
+            self._log_attempt(job, target, attempts, 'cancelled', None)
+            raise
         else:
             attempts.sent += 1
 
@@ -199,9 +206,11 @@
         self._picker.began(target)
         fetched = DelayedCall(FETCH_S, job.on_inputs_fetched)
         began = self._clock.monotonic()
+        attempts.sent_s = None
 
         def before_send() -> None:
             self._targets.check_before_send(target)
+            attempts.sent_s = self._clock.monotonic() - job.request.received_at
             fetched.schedule()
 
         try:
@@ -370,6 +379,7 @@
             outcome=outcome,
             attempt=len(attempts.tried),
             since_received_s=self._clock.monotonic() - job.request.received_at,
+            sent_s=attempts.sent_s,
             head_s=attempts.head_s,
             first_event_s=attempts.first_event_s,
             left_s=self._left_s(job),
--- a/hornbeamline/gateway/_targets.py
+++ b/hornbeamline/gateway/_targets.py
@@ -31,6 +31,8 @@
         # Equal on all hosts with the same list; empty without one.
         self.digest = b''
         self.standings = TargetStandings(clock)
+        # Limits that targets named in their last answer to this host.
+        self._limits_by_target: dict[str, float] = {}
         self._targets_by_service: dict[str, list[Target]] = {}
         self._targets_by_id: dict[str, Target] = {}
         self._targets_by_address: dict[str, Target] = {}
@@ -81,6 +83,8 @@
             self.standings.note_leaving(target.id)
         if head.rest_s is not None:
             self.standings.note_rest(target.id, head.rest_s)
+        if head.limit_per_s is not None:
+            self._note_limit(target, head.limit_per_s)
 
     def take_list(
         self,
@@ -109,6 +113,8 @@
                 by_service.setdefault(listed.service, []).append(listed)
         for group in by_service.values():
             group.sort()
+        for gone in self._limits_by_target.keys() - known.keys():
+            self._limits_by_target.pop(gone)
         self._targets_by_id = known
         self._targets_by_service = by_service
         self._targets_by_address = {
@@ -144,6 +150,22 @@
         """Return the listed target at an address."""
         return self._targets_by_address.get(address)
 
+    def _note_limit(self, target: Target, limit_per_s: float) -> None:
+        before = self._limits_by_target.get(target.id, math.inf)
+        if limit_per_s == before:
+            return
+        if limit_per_s == math.inf:
+            self._limits_by_target.pop(target.id)
+        else:
+            self._limits_by_target[target.id] = limit_per_s
+        log_event(
+            'targets.limit_named',
+            target=target.id,
+            service=target.service,
+            limit_per_s=limit_per_s,
+            previous_per_s=before,
+        )
+
     def _log_changes(self, known: dict[str, Target]) -> None:
         before = self._targets_by_id
         for target_id, target in known.items():
--- a/hornbeamline/gateway/_types.py
+++ b/hornbeamline/gateway/_types.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import NamedTuple
 
 
@@ -171,6 +172,9 @@
     is_leaving: bool = False
     # The target turned the request away and wants nothing for this long.
     rest_s: float | None = None
+    # Requests a second that the target takes from all hosts together:
+    # infinite when it names no limit, None when the limit is unreadable.
+    limit_per_s: float | None = math.inf
 
 
 class Refusal(NamedTuple):
--- a/hornbeamline/platform/_wire.py
+++ b/hornbeamline/platform/_wire.py
@@ -25,6 +25,7 @@
     TargetLoad,
 )
 from hornbeamline.helpers.pause import read_pause_s
+from hornbeamline.helpers.rates import read_rate_per_s
 
 _MS_PER_S: Final = 1000
 _WRONG_TARGET: Final = 421
@@ -35,6 +36,7 @@
 _CREDENTIAL: Final = 'x-api-key'
 _LAST_EVENT: Final = 'last-event-id'
 _LEAVING: Final = 'server-leaving'
+_RATE_LIMIT: Final = 'server-limit'
 _RETRY_AFTER: Final = 'retry-after'
 
 # Headers of one connection, which no proxy passes on.
@@ -199,6 +201,7 @@
             closes='close' in first.get('connection', '').lower(),
             is_leaving=first.get(_LEAVING) == '1',
             rest_s=_rest_s(status, first.get(_RETRY_AFTER)),
+            limit_per_s=read_rate_per_s(first.get(_RATE_LIMIT)),
         )
 
     def refusal_answer(
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import msgspec
@@ -147,6 +148,26 @@
     assert WIRE.read_answer(200, [(b'Server-Leaving', b'1')]).is_leaving
 
 
+@pytest.mark.parametrize(
+    ('text', 'limit_per_s'),
+    [
+        (b'1', 1.0),
+        (b'0.25', 0.25),
+        (b'0', 0.0),
+        (b'1e9', math.inf),
+        (b'-1', None),
+        (b'nan', None),
+        (b'', None),
+        (b'two', None),
+    ],
+)
+def test_limit_is_read_where_it_is_one(text, limit_per_s) -> None:
+    """Fault: unreadable, negative or huge values."""
+    head = WIRE.read_answer(200, [(b'Server-Limit', text)])
+    assert head.limit_per_s == limit_per_s
+    assert WIRE.read_answer(200, []).limit_per_s == math.inf
+
+
 def test_refusal_says_when_to_come_back() -> None:
     """Only refusals of requests that have not run carry a time."""
     answer = WIRE.refusal_answer(None, Refusal(503, 'busy', '', 1.25))
