Failing test: servers get more than the rate that they name

Four entry processes, a server of each kind names a limit for 10 s; on this code they get 71, 190 and 33 requests in 4 s where 11, 11 and 17 are allowed.

--- a/tests/soak/platform/standins/server.py
+++ b/tests/soak/platform/standins/server.py
@@ -45,6 +45,8 @@
         self.says_leaving = False
         # It turns requests away and asks for a pause, in seconds.
         self.rest_s = 0.0
+        # Requests a second that it takes from all hosts together.
+        self.limit_per_s: float | None = None
         # Times of the requests that reached it.
         self.arrivals: list[float] = []
         self.relay = Relay(free_address(), free_address())
@@ -104,6 +106,8 @@
         """Add to any answer what the server says of itself."""
         if self.says_leaving:
             answer.headers['Server-Leaving'] = '1'
+        if self.limit_per_s is not None:
+            answer.headers['Server-Limit'] = f'{self.limit_per_s}'
         if self.rest_s and answer.status == 503:
             answer.headers['Retry-After'] = f'{self.rest_s}'
 
