Grant requests to limited targets from one host

Cause: no process read what a target says of its rate. Class: a limit that holds for all callers together and that no host can keep from what it alone sees. Ruled out: calls other than forwarded requests (42 arrivals at the engine, 40 logged attempts and two streams in progress).

Change: one host, the owner of the service in the order on which all hosts agree, grants a permit for each request to a limited target: 1 + L x (T + 0.5) in T seconds. Hosts that are told tell the granter, and the granter tells all in its presence, so that hosts keep the limit before their own first answer. A denied request goes to another target at once; where all are limited it waits for a reserved permit for a quarter of its time or is refused with the time of the next one. Permits end after 0.5 s; a new granter waits 1 s; a host that hears of no control process keeps the granter it knows. A limit ends with the answer to a request that was permitted after it was last named, so answers that overtake one another neither end nor revive it. Calls that free results take only permits that no caller needs.

Words of a 421 are not taken any more: another target has the address.

--- a/hornbeamline/batching/__init__.py
+++ b/hornbeamline/batching/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hornbeamline.batching._ownership import Ownership
 from hornbeamline.batching._queue import BatchQueue, QueuedPiece
 from hornbeamline.batching._service import BatchingService
 from hornbeamline.batching._types import (
@@ -13,6 +14,7 @@
 )
 from hornbeamline.batching._worker import BatchTimes, TargetAccess
 from hornbeamline.batching.errors import (
+    CallDeferredError,
     CallLostError,
     CallRefusedError,
     PiecesFailedError,
@@ -23,9 +25,11 @@
     'BatchTimes',
     'BatchQueue',
     'BatchingService',
+    'CallDeferredError',
     'CallLostError',
     'CallRefusedError',
     'EntryHost',
+    'Ownership',
     'Piece',
     'PieceResult',
     'PieceTerms',
--- a/hornbeamline/batching/_ownership.py
+++ b/hornbeamline/batching/_ownership.py
@@ -45,6 +45,8 @@
         self.hosts = hosts
         # The process stops: other hosts own all services from now on.
         self.is_leaving = False
+        # Services that this host keeps for another reason than pieces.
+        self.also_keeps: Callable[[str], bool] = _keeps_nothing
         self._name = name
         self._keeps = keeps
         self._clock = clock
@@ -59,7 +61,7 @@
     def owners(self, service: str) -> list[str]:
         """Return the owner and those that follow when it is lost."""
         present = self.hosts()
-        is_kept = self._keeps(service)
+        is_kept = self._keeps(service) or self.also_keeps(service)
         known = self._orders_by_service.get(service)
         if (
             known is not None
@@ -103,3 +105,7 @@
             return (host.is_quiet, service not in host.owned_services)
 
         return sorted(rendezvous_order(service, hosts), key=precedence)
+
+
+def _keeps_nothing(_service: str) -> bool:
+    return False
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Final, NamedTuple, Protocol
 
@@ -27,7 +28,11 @@
     MAX_PIECE_ATTEMPTS,
     MAX_USUAL_SLOWNESS,
 )
-from hornbeamline.batching.errors import CallLostError, CallRefusedError
+from hornbeamline.batching.errors import (
+    CallDeferredError,
+    CallLostError,
+    CallRefusedError,
+)
 from hornbeamline.core import TaskSet
 from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
@@ -76,6 +81,10 @@
     return 0
 
 
+def _no_rates(_service: str) -> Sequence[float]:
+    return ()
+
+
 class TargetAccess(NamedTuple):
     """Targets of the services, and the calls to them."""
 
@@ -85,6 +94,9 @@
     free: FreeResults
     # Seconds for which all targets of a service rest; 0 without any target.
     rest_left_s: Callable[[str], float] = _no_rest
+    # Calls a second that each target of a service takes, infinite where it
+    # names no limit; empty when nothing is known.
+    call_rates: Callable[[str], Sequence[float]] = _no_rates
 
 
 _BYTES_PER_MB: Final = 1_000_000
@@ -107,6 +119,7 @@
         self._targets = access.of_service
         self._call = access.call
         self._rest_left_s = access.rest_left_s
+        self._call_rates = access.call_rates
         self._releases = ResultReleases(
             access.free,
             lambda: len(self._queue) > 0,
@@ -163,11 +176,15 @@
 
     def rate(self) -> float:
         """Return the pieces a second that the targets compute."""
-        targets = max(len(self._targets(self.service)), 1)
         batch = self._times.pieces_per_call
+        calls_per_s = 1 / self._expected_s(batch)
+        limits = self._call_rates(self.service)
+        if not limits:
+            targets = max(len(self._targets(self.service)), 1)
+            limits = [math.inf for _ in range(targets)]
         return self._finished.rate(
-            targets * batch / self._expected_s(batch),
-            is_backlogged=len(self._queue) > targets * batch,
+            batch * sum(min(calls_per_s, limit) for limit in limits),
+            is_backlogged=len(self._queue) > len(limits) * batch,
         )
 
     def release(self, handles: Sequence[str]) -> None:
@@ -326,6 +343,12 @@
                     [queued.expires_at - began for queued in chosen],
                     on_sent,
                 )
+        except CallDeferredError as error:
+            for queued in chosen:
+                queued.attempts -= 1
+            CALLS.labels('deferred').inc()
+            self._queue_again(chosen, free=True)
+            return str(error)
         except CallRefusedError as error:
             self._speeds.rest(target.id)
             CALLS.labels('refused').inc()
--- a/hornbeamline/batching/errors.py
+++ b/hornbeamline/batching/errors.py
@@ -17,6 +17,14 @@
         self.free = free
 
 
+class CallDeferredError(CallRefusedError):
+    """The target takes no further call now, so that none was sent."""
+
+    def __init__(self, reason: str) -> None:
+        """Take the reason."""
+        super().__init__(reason, free=True)
+
+
 class CallLostError(BatchingError):
     """The outcome of a call is not known."""
 
--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -9,6 +9,7 @@
 from hornbeamline.batching import (
     BatchingService,
     BatchTarget,
+    CallDeferredError,
     CallLostError,
     CallRefusedError,
     Piece,
@@ -19,7 +20,7 @@
     MayHaveRunError,
     NotRunError,
     Target,
-    TargetDirectory,
+    TargetGate,
     TargetHttp,
     Wire,
 )
@@ -40,12 +41,12 @@
         self,
         http: TargetHttp,
         wire: Wire,
-        targets: TargetDirectory,
+        gate: TargetGate,
     ) -> None:
-        """Take client, translation and what is known of the targets."""
+        """Take client, translation and what may be sent to targets."""
         self._http = http
         self._wire = wire
-        self._targets = targets
+        self._gate = gate
 
     async def __call__(
         self,
@@ -59,10 +60,13 @@
         `on_sent` is called when the call is on its way.
         """
         assert isinstance(target, Target)
+        permit = await self._gate.admit(target)
+        if permit is None:
+            raise CallDeferredError(f'{target.id}: no permit')
         path, headers, body = self._wire.stage_call(target, pieces, left_s)
 
         def before_send() -> None:
-            self._targets.check_before_send(target)
+            self._gate.check_before_send(target, permit)
             on_sent()
 
         try:
@@ -79,7 +83,7 @@
         except MayHaveRunError as error:
             raise CallLostError(str(error)) from error
         head = self._wire.read_answer(response.status, response.headers)
-        self._targets.note_answer(target, head)
+        self._gate.note_answer(target, head, permit)
         if head.not_run or head.wrong_target:
             raise CallRefusedError(f'status {head.status}', free=False)
         if head.status != _HTTP_OK:
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -18,6 +18,7 @@
     ReadyApp,
     StageCaller,
 )
+from hornbeamline.daemons._granters import ServiceGranters
 from hornbeamline.daemons._hosts import OtherHosts
 from hornbeamline.daemons._memory import CollectorService
 from hornbeamline.daemons._settings_watch import SettingsWatch
@@ -37,6 +38,7 @@
     StageLoad,
     StageRunner,
     TargetDirectory,
+    TargetGate,
     TargetHttp,
     TargetPicker,
     Wire,
@@ -46,6 +48,7 @@
 from hornbeamline.helpers.clock import BootClock, Clock, SystemClock
 from hornbeamline.helpers.http_server import HttpServer
 from hornbeamline.inventory import PeeringSettings
+from hornbeamline.limits import LimitService
 from hornbeamline.peering import PynngPeering
 from hornbeamline.telemetry import log_event, metrics_app
 
@@ -110,23 +113,34 @@
         self._member.on_document = self._take_document
         self._member.on_present = self._take_present
         http = TargetHttp()
+        self._limits = LimitService(
+            self._peering,
+            BootClock(),
+            self._targets.limits,
+            ServiceGranters(self._member, lambda: self._batching.ownership),
+            self._targets.service_of,
+        )
+        gate = TargetGate(self._targets, self._limits)
         self._batching = BatchingService(
             self._peering,
             self._clock,
             OtherHosts(self._member, settings.name),
             TargetAccess(
                 self._targets.of_service,
-                StageCaller(http, wire, self._targets),
-                ResultReleaser(http, wire, self._targets),
+                StageCaller(http, wire, gate),
+                ResultReleaser(http, wire, self._targets, gate),
                 lambda service: self._targets.rest_left_s(service) or 0,
+                self._targets.call_rates,
             ),
             _fleet_budget(settings.budget, self._clock),
         )
+        self._batching.ownership.also_keeps = self._limits.keeps
         forwarder = Forwarder(
             http,
             wire,
             self._picker,
             self._targets,
+            gate,
             self._budget,
             self._clock,
         )
@@ -161,6 +175,7 @@
         self.kernel.register('directory', self._member)
         self.kernel.register('settings', watch)
         self.kernel.register('targets', self._poller)
+        self.kernel.register('limits', self._limits)
         self.kernel.register('batching', self._batching)
         self.kernel.register('collector', CollectorService())
         self._register_listeners()
@@ -211,8 +226,14 @@
             ROLE_ENTRY,
             settings.data_centre,
             self._drain.is_draining,
-            owned_services=self._batching.owned_services(),
+            owned_services=sorted(
+                {
+                    *self._batching.owned_services(),
+                    *self._limits.kept_services(),
+                },
+            ),
             leaving_targets=self._targets.standings.leaving(),
+            limited_targets=self._limits.granted_limits(),
         )
 
     def _load(self) -> ProcessLoad:
@@ -244,7 +265,7 @@
         if limits is None:
             # A host with a newer document has work for this service.
             return math.inf
-        return rate_of(limits, len(self._targets.of_service(service)))
+        return rate_of(limits, len(self._targets.accepting(service)))
 
     def _take_present(self, present: Sequence[Presence]) -> None:
         """Note what the other entry hosts have in progress."""
@@ -257,11 +278,17 @@
         self._picker.take_remote(
             self._member.view.others_load().in_flight_by_target
         )
-        for presence in entries:
-            if presence.leaving_targets and presence.name != own_name:
+        others = [presence for presence in entries if presence.name != own_name]
+        for presence in others:
+            if presence.leaving_targets:
                 self._targets.standings.note_told_leaving(
                     presence.leaving_targets,
                 )
+            if presence.limited_targets:
+                self._limits.note_told(
+                    presence.name,
+                    presence.limited_targets,
+                )
 
     def _take_document(self, document: StoredDocument) -> None:
         try:
--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -25,6 +25,8 @@
     owned_services: list[str] = []
     # Targets that said that they leave.
     leaving_targets: list[str] = []
+    # Limits, in requests a second, of targets that it grants permits for.
+    limited_targets: dict[str, float] = {}
 
 
 class Position(NamedTuple):
--- a/hornbeamline/gateway/__init__.py
+++ b/hornbeamline/gateway/__init__.py
@@ -4,6 +4,7 @@
 
 from hornbeamline.gateway._app import GatewayApp
 from hornbeamline.gateway._forwarder import Forwarder
+from hornbeamline.gateway._gate import TargetGate
 from hornbeamline.gateway._http import TargetHttp
 from hornbeamline.gateway._picker import TargetPicker
 from hornbeamline.gateway._placement import Placement
@@ -63,6 +64,7 @@
     'StageRunner',
     'Target',
     'TargetDirectory',
+    'TargetGate',
     'TargetHeaders',
     'TargetHttp',
     'TargetLoad',
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple
 
 from hornbeamline.gateway._events import EventSplitter, StreamEvent
+from hornbeamline.gateway._gate import TargetGate
 from hornbeamline.gateway._http import TargetHttp, TargetResponse
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._metrics import ATTEMPTS
@@ -21,6 +22,7 @@
 from hornbeamline.gateway._wire import TargetHeaders, Wire
 from hornbeamline.gateway.const import (
     REASON_TARGET_LOST,
+    REASON_TARGETS_LIMITED,
     REASON_TARGETS_REFUSED,
 )
 from hornbeamline.gateway.errors import (
@@ -34,6 +36,7 @@
 from hornbeamline.helpers.budget import RepeatBudget
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.helpers.delayed import DelayedCall
+from hornbeamline.limits import Permit
 from hornbeamline.telemetry import log_event
 
 # An engine that has a free slot fetches the inputs of a request as soon as
@@ -41,6 +44,12 @@
 FETCH_S: Final = 0.1
 # Attempts that targets refuse before the request is refused.
 MAX_REFUSED_ATTEMPTS: Final = 3
+# Limited targets that are asked for a permit before the request waits for
+# one or is refused; each question takes some milliseconds.
+MAX_DENIED_PERMITS: Final = 3
+# Share of the caller's time that a request waits for a permit when all
+# targets are limited: the caller would wait as long before it comes back.
+PERMIT_WAIT_SHARE: Final = 0.25
 # Less time than this lets no target answer.
 _MIN_LEFT_S: Final = 0.02
 _RETRY_AFTER_S: Final = 0.5
@@ -57,11 +66,22 @@
     body: bytes
 
 
+class _Chosen(NamedTuple):
+    """Target of the next attempt, which may be sent."""
+
+    target: Target
+    permit: Permit
+
+
 class _Attempts:
     """What happened to a request so far."""
 
     def __init__(self) -> None:
         self.tried: list[str] = []
+        # The repeat budget has paid for the next attempt.
+        self.is_paid = False
+        # A target gave no permit.
+        self.was_denied = False
         # Attempts that may have run, and that provably did not.
         self.sent = 0
         self.refused = 0
@@ -89,6 +109,7 @@
         wire: Wire,
         picker: TargetPicker,
         targets: TargetDirectory,
+        gate: TargetGate,
         budget: RepeatBudget,
         clock: Clock,
     ) -> None:
@@ -97,6 +118,7 @@
         self._wire = wire
         self._picker = picker
         self._targets = targets
+        self._gate = gate
         self._budget = budget
         self._clock = clock
 
@@ -111,10 +133,10 @@
         attempts = _Attempts()
         attempts.last_event_id = job.request.last_event_id
         while True:
-            target = self._next_target(job, attempts)
-            if target is None:
+            chosen = await self._next_target(job, attempts)
+            if chosen is None:
                 break
-            await self._try_target(job, target, attempts, reply)
+            await self._try_target(job, chosen, attempts, reply)
             if reply.is_complete:
                 return
         await self._give_up(job, attempts, reply)
@@ -122,13 +144,14 @@
     async def _try_target(
         self,
         job: Job,
-        target: Target,
+        chosen: _Chosen,
         attempts: _Attempts,
         reply: Reply,
     ) -> None:
         """Make an attempt and note what it proves."""
+        target = chosen.target
         try:
-            await self._attempt(job, target, attempts, reply)
+            await self._attempt(job, chosen, attempts, reply)
         except NotRunError as error:
             attempts.refused += 1
             attempts.reason = str(error)
@@ -151,27 +174,79 @@
         else:
             attempts.sent += 1
 
-    def _next_target(self, job: Job, attempts: _Attempts) -> Target | None:
+    async def _next_target(
+        self,
+        job: Job,
+        attempts: _Attempts,
+    ) -> _Chosen | None:
+        """Return a target that may be sent the request now."""
         if not self._may_go_on(job, attempts):
             return None
-        wish = Wish(
-            job.request,
-            job.input_bytes_by_data_centre,
-            attempts.tried,
-        )
+        denied: list[str] = []
+        while len(denied) < MAX_DENIED_PERMITS:
+            target = self._pick(job, [*attempts.tried, *denied])
+            if target is None:
+                break
+            if not self._may_repeat(job, attempts):
+                return None
+            permit = await self._gate.admit(target, job.request.id)
+            if permit is not None:
+                return self._begin(target, permit, attempts)
+            denied.append(target.id)
+        return await self._wait_for_permit(job, attempts)
+
+    async def _wait_for_permit(
+        self,
+        job: Job,
+        attempts: _Attempts,
+    ) -> _Chosen | None:
+        """Return the limited target that takes a request first, in time."""
+        closed = [
+            target
+            for target in self._targets.accepting(job.service)
+            if target.id not in attempts.tried
+        ]
+        if not closed:
+            return None
+        attempts.was_denied = True
+        attempts.reason = f'{job.service}: all targets are limited'
+        limits = self._targets.limits
+        first = min(closed, key=lambda target: limits.closed_s(target.id))
+        max_wait_s = self._left_s(job) * PERMIT_WAIT_SHARE
+        if limits.closed_s(first.id) > max_wait_s:
+            return None
+        if not self._may_repeat(job, attempts):
+            return None
+        permit = await self._gate.admit(first, job.request.id, max_wait_s)
+        if permit is None:
+            return None
+        return self._begin(first, permit, attempts)
+
+    def _pick(self, job: Job, excluded: list[str]) -> Target | None:
+        wish = Wish(job.request, job.input_bytes_by_data_centre, excluded)
         targets = self._targets.of_service(job.service)
         if job.route.kind is RouteKind.STREAM:
-            target = self._picker.pick_engine(targets, wish)
-        else:
-            target = self._picker.pick(targets, wish)
-        if target is None:
-            return None
-        is_first = not attempts.tried
-        if not is_first and not self._budget.take(job.service):
+            return self._picker.pick_engine(targets, wish)
+        return self._picker.pick(targets, wish)
+
+    def _may_repeat(self, job: Job, attempts: _Attempts) -> bool:
+        """Return whether the repeat budget pays for the next attempt."""
+        if not attempts.tried or attempts.is_paid:
+            return True
+        attempts.is_paid = self._budget.take(job.service)
+        if not attempts.is_paid:
             attempts.reason = f'{attempts.reason}; repeat budget spent'
-            return None
+        return attempts.is_paid
+
+    def _begin(
+        self,
+        target: Target,
+        permit: Permit,
+        attempts: _Attempts,
+    ) -> _Chosen:
         attempts.tried.append(target.id)
-        return target
+        attempts.is_paid = False
+        return _Chosen(target, permit)
 
     def _may_go_on(self, job: Job, attempts: _Attempts) -> bool:
         if attempts.has_no_inputs or self._left_s(job) < _MIN_LEFT_S:
@@ -188,10 +263,11 @@
     async def _attempt(
         self,
         job: Job,
-        target: Target,
+        chosen: _Chosen,
         attempts: _Attempts,
         reply: Reply,
     ) -> None:
+        target = chosen.target
         headers = self._wire.target_headers(
             job.request,
             TargetHeaders(
@@ -209,7 +285,7 @@
         attempts.sent_s = None
 
         def before_send() -> None:
-            self._targets.check_before_send(target)
+            self._gate.check_before_send(target, chosen.permit)
             attempts.sent_s = self._clock.monotonic() - job.request.received_at
             fetched.schedule()
 
@@ -223,7 +299,7 @@
                 before_send,
             ) as response:
                 attempts.head_s = self._clock.monotonic() - began
-                await self._take_answer(job, target, attempts, reply, response)
+                await self._take_answer(job, chosen, attempts, reply, response)
         finally:
             fetched.cancel()
             self._picker.ended(target)
@@ -231,13 +307,15 @@
     async def _take_answer(
         self,
         job: Job,
-        target: Target,
+        chosen: _Chosen,
         attempts: _Attempts,
         reply: Reply,
         response: TargetResponse,
     ) -> None:
+        target = chosen.target
         head = self._wire.read_answer(response.status, response.headers)
-        self._targets.note_answer(target, head)
+        if head.request_id == job.request.id:
+            self._gate.note_answer(target, head, chosen.permit)
         if head.load is not None:
             self._picker.reported(target, head.load)
         if head.not_run or head.wrong_target:
@@ -348,7 +426,9 @@
         raise RefusedError(
             Refusal(
                 _HTTP_UNAVAILABLE,
-                REASON_TARGETS_REFUSED,
+                REASON_TARGETS_LIMITED
+                if attempts.was_denied
+                else REASON_TARGETS_REFUSED,
                 attempts.reason,
                 self._retry_after_s(job.service),
             ),
@@ -356,7 +436,8 @@
 
     def _retry_after_s(self, service: str) -> float:
         """Return when a target of the service takes requests again."""
-        return self._targets.rest_left_s(service) or _RETRY_AFTER_S
+        rest_s = self._targets.rest_left_s(service)
+        return rest_s or self._targets.next_permit_s(service) or _RETRY_AFTER_S
 
     def _log_attempt(
         self,
--- a/hornbeamline/gateway/_release.py
+++ b/hornbeamline/gateway/_release.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from hornbeamline.exceptions import GatewayError
+from hornbeamline.gateway._gate import TargetGate
 from hornbeamline.gateway._http import TargetHttp
 from hornbeamline.gateway._targets import TargetDirectory
 from hornbeamline.gateway._wire import Wire
@@ -24,21 +25,27 @@
         http: TargetHttp,
         wire: Wire,
         targets: TargetDirectory,
+        gate: TargetGate,
     ) -> None:
         """Take the client, the translation and the targets."""
         self._http = http
         self._wire = wire
         self._targets = targets
+        self._gate = gate
 
     async def __call__(self, address: str, handles: Sequence[str]) -> None:
         """Free results; a failure is logged, since they expire anyway.
 
-        A target that leaves or rests gets no call.
+        A target that leaves or rests gets no call, and one that names a
+        limit only if no caller needs the permit.
         """
         target = self._targets.at_address(address)
-        if target is None or not self._targets.standings.accepts_work(
+        permit = None
+        if target is not None and self._targets.standings.accepts_work(
             target.id,
         ):
+            permit = await self._gate.admit(target, is_spare=True)
+        if target is None or permit is None:
             log_event(
                 'stages.release_skipped',
                 address=address,
@@ -66,4 +73,4 @@
             )
         else:
             head = self._wire.read_answer(response.status, response.headers)
-            self._targets.note_answer(target, head)
+            self._gate.note_answer(target, head, permit)
--- a/hornbeamline/gateway/_targets.py
+++ b/hornbeamline/gateway/_targets.py
@@ -4,13 +4,13 @@
 
 import hashlib
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
-from hornbeamline.gateway._metrics import KEPT_AWAY
-from hornbeamline.gateway._types import AnswerHead, Target
-from hornbeamline.gateway.errors import TargetGoneError
+from hornbeamline.gateway._types import Target
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.helpers.codec import encode
+from hornbeamline.limits import TargetLimits
+from hornbeamline.limits.const import MIN_RATE_PER_S
 from hornbeamline.membership import TargetStandings
 from hornbeamline.telemetry import log_event
 
@@ -31,8 +31,7 @@
         # Equal on all hosts with the same list; empty without one.
         self.digest = b''
         self.standings = TargetStandings(clock)
-        # Limits that targets named in their last answer to this host.
-        self._limits_by_target: dict[str, float] = {}
+        self.limits = TargetLimits(clock)
         self._targets_by_service: dict[str, list[Target]] = {}
         self._targets_by_id: dict[str, Target] = {}
         self._targets_by_address: dict[str, Target] = {}
@@ -65,27 +64,9 @@
         if digest != self.digest or self.read_at is None:
             return False
         self.read_at = max(self.read_at, read_at)
-        self.standings.take_listed(self._targets_by_id.keys())
+        self._note_listed(self._targets_by_id.keys())
         return True
 
-    def check_before_send(self, target: Target) -> None:
-        """Raise `TargetGoneError` if a target takes no work any more.
-
-        The news may come while the connection is being opened.
-        """
-        if not self.standings.accepts_work(target.id):
-            KEPT_AWAY.inc()
-            raise TargetGoneError(f'{target.id}: leaves or rests')
-
-    def note_answer(self, target: Target, head: AnswerHead) -> None:
-        """Take what a target says of itself in an answer."""
-        if head.is_leaving:
-            self.standings.note_leaving(target.id)
-        if head.rest_s is not None:
-            self.standings.note_rest(target.id, head.rest_s)
-        if head.limit_per_s is not None:
-            self._note_limit(target, head.limit_per_s)
-
     def take_list(
         self,
         targets: Iterable[Target],
@@ -106,15 +87,13 @@
             self._log_changes(known)
         self.read_at = at
         self.digest = _digest(known.values())
-        self.standings.take_listed(known.keys())
+        self._note_listed(known.keys())
         by_service: dict[str, list[Target]] = {}
         for listed in known.values():
             if not listed.is_leaving:
                 by_service.setdefault(listed.service, []).append(listed)
         for group in by_service.values():
             group.sort()
-        for gone in self._limits_by_target.keys() - known.keys():
-            self._limits_by_target.pop(gone)
         self._targets_by_id = known
         self._targets_by_service = by_service
         self._targets_by_address = {
@@ -123,8 +102,8 @@
         if is_first and self.on_first_list is not None:
             self.on_first_list()
 
-    def of_service(self, service: str) -> list[Target]:
-        """Return the targets of a service that take new work."""
+    def accepting(self, service: str) -> list[Target]:
+        """Return the targets of a service that neither leave nor rest."""
         accepts_work = self.standings.accepts_work
         return [
             target
@@ -132,6 +111,34 @@
             if accepts_work(target.id)
         ]
 
+    def of_service(self, service: str) -> list[Target]:
+        """Return the targets of a service that take new work now."""
+        return [
+            target
+            for target in self.accepting(service)
+            if not self.limits.closed_s(target.id)
+        ]
+
+    def call_rates(self, service: str) -> list[float]:
+        """Return the calls a second that each target of a service takes."""
+        return [
+            max(self.limits.limit_of(target.id), MIN_RATE_PER_S)
+            for target in self.accepting(service)
+        ]
+
+    def next_permit_s(self, service: str) -> float:
+        """Return in how many seconds a limited target takes a request.
+
+        0 when a target takes one now, or when there is none.
+        """
+        return min(
+            (
+                self.limits.closed_s(target.id)
+                for target in self.accepting(service)
+            ),
+            default=0,
+        )
+
     def rest_left_s(self, service: str) -> float | None:
         """Return in how many seconds a target of a service takes work.
 
@@ -146,25 +153,18 @@
         )
         return None if left_s == math.inf else left_s
 
+    def service_of(self, target_id: str) -> str | None:
+        """Return the service of a listed target."""
+        target = self._targets_by_id.get(target_id)
+        return None if target is None else target.service
+
     def at_address(self, address: str) -> Target | None:
         """Return the listed target at an address."""
         return self._targets_by_address.get(address)
 
-    def _note_limit(self, target: Target, limit_per_s: float) -> None:
-        before = self._limits_by_target.get(target.id, math.inf)
-        if limit_per_s == before:
-            return
-        if limit_per_s == math.inf:
-            self._limits_by_target.pop(target.id)
-        else:
-            self._limits_by_target[target.id] = limit_per_s
-        log_event(
-            'targets.limit_named',
-            target=target.id,
-            service=target.service,
-            limit_per_s=limit_per_s,
-            previous_per_s=before,
-        )
+    def _note_listed(self, target_ids: Collection[str]) -> None:
+        self.standings.take_listed(target_ids)
+        self.limits.take_listed(target_ids)
 
     def _log_changes(self, known: dict[str, Target]) -> None:
         before = self._targets_by_id
--- a/hornbeamline/gateway/errors.py
+++ b/hornbeamline/gateway/errors.py
@@ -23,6 +23,10 @@
     """The target accepts no connection, or another one has its address."""
 
 
+class TargetLimitedError(NotRunError):
+    """The target takes no further request now."""
+
+
 class InputsGoneError(NotRunError):
     """A target no longer finds the results that the request needs."""
 
--- /dev/null
+++ b/hornbeamline/limits/_service.py
@@ -0,0 +1,306 @@
+"""Asks granters for permits, and grants those of the own targets."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import Protocol
+
+from hornbeamline.core import TaskSet
+from hornbeamline.exceptions import PeeringError
+from hornbeamline.helpers.clock import Clock
+from hornbeamline.limits._beliefs import TargetLimits
+from hornbeamline.limits._buckets import TargetBuckets
+from hornbeamline.limits._messages import (
+    AskPermit,
+    LimitState,
+    PermitReply,
+    ReportLimit,
+)
+from hornbeamline.limits._metrics import GRANTS, PERMITS
+from hornbeamline.limits._permit import UNLIMITED, LimitedTarget, Permit
+from hornbeamline.limits.const import (
+    ASK_TIMEOUT_S,
+    LINK_INTERVAL_S,
+    PERMIT_TTL_S,
+    UNREACHABLE_S,
+)
+from hornbeamline.peering import Peering
+from hornbeamline.telemetry import log_event
+
+
+class Granters(Protocol):
+    """Which host grants the permits of a service's targets."""
+
+    def granter_of(self, service: str) -> str | None:
+        """Return the name of the host, or None while none is known."""
+
+    def address_of(self, host: str) -> str | None:
+        """Return the address of another host, if it is present."""
+
+
+class LimitService:
+    """Keeps the requests of all hosts within the limits of targets."""
+
+    def __init__(
+        self,
+        peering: Peering,
+        clock: Clock,
+        limits: TargetLimits,
+        granters: Granters,
+        service_of: Callable[[str], str | None],
+    ) -> None:
+        """Take the network, what the host believes, and the granters.
+
+        `service_of` returns the service of a listed target.
+        """
+        self._peering = peering
+        self._clock = clock
+        self._limits = limits
+        self._granters = granters
+        self._service_of = service_of
+        self._buckets = TargetBuckets(clock)
+        self._tasks = TaskSet()
+        peering.on(AskPermit, self._on_ask)
+        peering.on(ReportLimit, self._on_report)
+
+    async def start(self) -> None:
+        """Keep links to the granters of limited targets."""
+        self._tasks.spawn(self._keep_links(), 'limits links')
+
+    async def stop(self) -> None:
+        """Ask and report no more."""
+        await self._tasks.cancel_all()
+
+    def kept_services(self) -> frozenset[str]:
+        """Return the services of which this host stays the granter."""
+        return self._buckets.services()
+
+    def keeps(self, service: str) -> bool:
+        """Return whether this host stays the granter of a service."""
+        return service in self._buckets.services()
+
+    def granted_limits(self) -> dict[str, float]:
+        """Return the limits by target that this host keeps for all."""
+        limit_by_target = {
+            target: limit_per_s
+            for target, limit_per_s in self._buckets.limit_by_target().items()
+            if self._is_granter_of(target)
+        }
+        self._limits.note_told(limit_by_target)
+        return limit_by_target
+
+    def note_told(self, host: str, limit_by_target: dict[str, float]) -> None:
+        """Take the limits that another host keeps, if it is the granter."""
+        self._limits.note_told(
+            {
+                target: limit_per_s
+                for target, limit_per_s in limit_by_target.items()
+                if self._granter_of_target(target) == host
+            },
+        )
+
+    async def acquire(
+        self,
+        target: LimitedTarget,
+        request_id: str = '',
+        max_wait_s: float = 0,
+        *,
+        is_spare: bool = False,
+    ) -> Permit | None:
+        """Return a permit once it may be used, or None when there is none.
+
+        `is_spare` takes only what no caller needs.
+        """
+        if not self._limits.is_limited(target.id):
+            return UNLIMITED
+        began = self._clock.monotonic()
+        limit_per_s = self._limits.limit_of(target.id)
+        granter = self._granters.granter_of(target.service)
+        reply = await self._ask(
+            granter,
+            AskPermit(
+                target.id,
+                target.service,
+                limit_per_s,
+                self._limits.named_ago_s(target.id),
+                max_wait_s,
+                is_spare,
+            ),
+        )
+        now = self._clock.monotonic()
+        outcome = _outcome_of(reply)
+        PERMITS.labels(outcome).inc()
+        log_event(
+            'limits.permit',
+            request=request_id,
+            target=target.id,
+            granter=granter,
+            limit_per_s=limit_per_s,
+            outcome=outcome,
+            delay_s=None if reply is None else reply.delay_s,
+            next_s=None if reply is None else reply.next_s,
+            asked_s=now - began,
+        )
+        if reply is None or not reply.is_granter:
+            self._limits.note_closed(target.id, UNREACHABLE_S)
+            return None
+        if reply.limit_per_s == math.inf:
+            self._limits.note_ended(target.id)
+            return UNLIMITED
+        self._limits.note_closed(target.id, reply.next_s)
+        if not reply.number:
+            return None
+        await asyncio.sleep(reply.delay_s)
+        return Permit(reply.number, now + reply.delay_s + PERMIT_TTL_S)
+
+    def note_answer(
+        self,
+        target: LimitedTarget,
+        limit_per_s: float,
+        permit: Permit = UNLIMITED,
+    ) -> None:
+        """Take the limit of an answer, infinite when it names none."""
+        if limit_per_s < math.inf:
+            self._limits.note_named(target.id, limit_per_s)
+        elif not permit.number or not self._limits.is_limited(target.id):
+            # The request may have been sent before the limit was named.
+            return
+        report = ReportLimit(
+            target.id,
+            target.service,
+            limit_per_s,
+            permit.number,
+        )
+        self._tasks.spawn(self._report(report), 'limits report')
+
+    async def _ask(
+        self,
+        granter: str | None,
+        question: AskPermit,
+    ) -> PermitReply | None:
+        if granter is None:
+            return None
+        if granter == self._peering.name:
+            return self._grant(question)
+        self._link(granter)
+        try:
+            return await self._peering.call(
+                granter,
+                question,
+                PermitReply,
+                ASK_TIMEOUT_S,
+            )
+        except PeeringError as error:
+            log_event(
+                'limits.granter_silent',
+                granter=granter,
+                target=question.target,
+                error=str(error),
+            )
+            return None
+
+    async def _report(self, report: ReportLimit) -> None:
+        granter = self._granters.granter_of(report.service)
+        if granter is None:
+            return
+        if granter == self._peering.name:
+            state = self._take_report(report)
+        else:
+            self._link(granter)
+            try:
+                state = await self._peering.call(
+                    granter,
+                    report,
+                    LimitState,
+                    ASK_TIMEOUT_S,
+                )
+            except PeeringError as error:
+                # The next question tells the granter the same.
+                log_event(
+                    'limits.report_lost',
+                    granter=granter,
+                    target=report.target,
+                    limit_per_s=report.limit_per_s,
+                    error=str(error),
+                )
+                return
+        has_ended = state.is_granter and state.limit_per_s == math.inf
+        if has_ended and report.limit_per_s == math.inf:
+            self._limits.note_ended(report.target)
+
+    def _granter_of_target(self, target: str) -> str | None:
+        service = self._service_of(target)
+        return None if service is None else self._granters.granter_of(service)
+
+    def _is_granter_of(self, target: str) -> bool:
+        return self._granter_of_target(target) == self._peering.name
+
+    def _grant(self, question: AskPermit) -> PermitReply:
+        """Answer a question as the granter."""
+        if self._granters.granter_of(question.service) != self._peering.name:
+            GRANTS.labels('not_granter').inc()
+            return PermitReply(False, question.limit_per_s, 0, 0, 0)
+        self._adopt(question.target, question.service)
+        reply = self._buckets.take(question)
+        GRANTS.labels(_outcome_of(reply)).inc()
+        return reply
+
+    def _adopt(self, target: str, service: str) -> None:
+        """Go on with a limit that this host knows as a user of the target."""
+        is_new = self._buckets.limit_of(target) == math.inf
+        if is_new and self._limits.is_limited(target):
+            self._buckets.name_limit(
+                target,
+                service,
+                self._limits.limit_of(target),
+                self._limits.known_ago_s(target),
+            )
+
+    def _take_report(self, report: ReportLimit) -> LimitState:
+        if self._granters.granter_of(report.service) != self._peering.name:
+            return LimitState(False, report.limit_per_s)
+        if report.limit_per_s < math.inf:
+            self._buckets.name_limit(
+                report.target,
+                report.service,
+                report.limit_per_s,
+            )
+            self._limits.note_told({report.target: report.limit_per_s})
+        elif self._buckets.end_limit(report.target, report.permit):
+            self._limits.note_ended(report.target)
+        return LimitState(True, self._buckets.limit_of(report.target))
+
+    def _link(self, host: str) -> None:
+        address = self._granters.address_of(host)
+        if address is not None:
+            self._peering.add_peer(host, address)
+
+    async def _keep_links(self) -> None:
+        """Dial granters before the first question that cannot wait."""
+        while True:
+            services = {
+                self._service_of(target) for target in self._limits.limited()
+            }
+            for service in services:
+                granter = service and self._granters.granter_of(service)
+                if granter and granter != self._peering.name:
+                    self._link(granter)
+            await asyncio.sleep(LINK_INTERVAL_S)
+
+    async def _on_ask(self, _sender: str, question: AskPermit) -> PermitReply:
+        return self._grant(question)
+
+    async def _on_report(self, _sender: str, report: ReportLimit) -> LimitState:
+        return self._take_report(report)
+
+
+def _outcome_of(reply: PermitReply | None) -> str:
+    if reply is None:
+        return 'unreachable'
+    if not reply.is_granter:
+        return 'not_granter'
+    if reply.limit_per_s == math.inf:
+        return 'unlimited'
+    return 'granted' if reply.number else 'denied'
--- a/tests/batching/test_service.py
+++ b/tests/batching/test_service.py
@@ -11,6 +11,7 @@
 
 from hornbeamline.batching import (
     BatchingService,
+    CallDeferredError,
     CallLostError,
     CallRefusedError,
     EntryHost,
@@ -67,6 +68,7 @@
         self.unreachable: set[str] = set()
         # Pieces that the next call does not compute, by reason.
         self.failures_by_number: dict[int, str] = {}
+        self.is_limited = False
         self.has_inputs = True
         self.slowness = 1
         self.calls: list[tuple[str, list[Piece]]] = []
@@ -83,6 +85,8 @@
     ) -> list[PieceResult]:
         """Compute pieces, or lose the call."""
         self.calls.append((target.id, list(pieces)))
+        if self.is_limited:
+            raise CallDeferredError('no permit')
         if not self.has_inputs:
             return [PieceResult(failure='gone') for _ in pieces]
         if target.id in self.unreachable:
@@ -293,6 +297,15 @@
     assert len(await fleet.compute(OWNERS[2])) == 3
 
 
+async def test_call_without_a_permit_is_made_later(fleet) -> None:
+    """Load: targets that name limits give no permit for some time."""
+    fleet.targets.is_limited = True
+    work = fleet.compute(OWNERS[2])
+    await asyncio.sleep(2)
+    fleet.targets.is_limited = False
+    assert len(await work) == 3
+
+
 async def test_lost_call_is_repeated_at_another_target(fleet) -> None:
     """Fault: a target resets its connections."""
     fleet.targets.losing = {'t0'}
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 from hornbeamline.gateway import (
@@ -14,7 +15,12 @@
     Service,
     Stage,
     Target,
+    TargetDirectory,
+    TargetGate,
 )
+from hornbeamline.helpers.clock import SystemClock
+from hornbeamline.limits import LimitService
+from tests.local_network import LocalNetwork
 
 
 def make_route(**changes: Any) -> Route:
@@ -90,4 +96,29 @@
     )
 
 
+class OneGranter:
+    """Granters of a fleet with one host."""
+
+    def granter_of(self, _service: str) -> str | None:
+        """Return the only host."""
+        return 'host'
+
+    def address_of(self, _host: str) -> str | None:
+        """Return no other host."""
+        return None
+
+
+def make_gate(targets: TargetDirectory) -> TargetGate:
+    """Return the gate of the only host of a fleet."""
+    peering = LocalNetwork(random.Random(1)).endpoint('host')
+    limits = LimitService(
+        peering,
+        SystemClock(),
+        targets.limits,
+        OneGranter(),
+        targets.service_of,
+    )
+    return TargetGate(targets, limits)
+
+
 CHAIN = (Stage('first', (), 8000), Stage('second', (0,), 60_000))
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import random
 from collections.abc import AsyncIterator, Callable
@@ -15,6 +16,7 @@
     RepeatBudget,
     RouteKind,
     TargetDirectory,
+    TargetGate,
     TargetPicker,
 )
 from hornbeamline.gateway._job import Job
@@ -28,7 +30,12 @@
 from hornbeamline.helpers.budget import BudgetSettings
 from hornbeamline.helpers.clock import SystemClock
 from hornbeamline.platform._wire import PlatformWire
-from tests.gateway.builders import make_request, make_route, make_target
+from tests.gateway.builders import (
+    make_gate,
+    make_request,
+    make_route,
+    make_target,
+)
 
 SIGNED = [(b'X-Request-Id', b'r1'), (b'X-Server-Stamp', b's')]
 NOT_RUN = [*SIGNED, (b'X-Not-Executed', b'1')]
@@ -121,6 +128,7 @@
 async def forward(
     http: FakeHttp,
     targets: TargetDirectory | None = None,
+    gate: TargetGate | None = None,
     **route: Any,
 ) -> Caller:
     """Forward a request and return what its caller got."""
@@ -133,6 +141,7 @@
         PlatformWire(),
         TargetPicker('dc-1', clock, random.Random(1)),
         targets,
+        make_gate(targets) if gate is None else gate,
         budget,
         clock,
     )
@@ -336,3 +345,58 @@
     caller = await forward(http, targets, **UNSAFE)
     assert caller.is_whole
     assert len({sent['X-Expect-Instance'] for sent in http.sent}) == 2
+
+
+LIMITED = [*SIGNED, (b'Server-Limit', b'1')]
+
+
+# Failure: a server in need got as much as before (LIMIT at emst-frontera).
+async def test_limited_target_leaves_requests_to_others() -> None:
+    """A target names one request a second; the other takes the rest."""
+    targets = make_targets(2)
+    http = FakeHttp(Script(200, LIMITED), *[Script()] * 20)
+    for _ in range(21):
+        assert (await forward(http, targets, **SAFE)).status == 200
+    told = http.sent[0]['X-Expect-Instance']
+    later = [sent['X-Expect-Instance'] for sent in http.sent[1:]]
+    assert later.count(told) == 0
+
+
+async def test_request_waits_for_a_permit_or_is_refused_at_once() -> None:
+    """Load: the only target names a limit far below what is asked of it."""
+    targets = make_targets(1)
+    gate = make_gate(targets)
+    http = FakeHttp(*[Script(200, LIMITED)] * 9)
+    await forward(http, targets, gate, **UNSAFE)
+    results = await asyncio.gather(
+        *(forward(http, targets, gate, **UNSAFE) for _ in range(8)),
+        return_exceptions=True,
+    )
+    refused = [one.refusal for one in results if isinstance(one, RefusedError)]
+    assert 1 <= len(results) - len(refused) == len(http.sent) - 1
+    for refusal in refused:
+        assert (refusal.status, refusal.reason) == (503, 'targets_limited')
+        assert 0 < refusal.retry_after_s < 5
+
+
+async def test_word_of_another_target_at_the_address_is_not_taken() -> None:
+    """Fault: the address belongs to another target, which leaves."""
+    targets = make_targets(1)
+    words = [*LIMITED, (b'Server-Leaving', b'1')]
+    with pytest.raises(RefusedError):
+        await forward(FakeHttp(Script(421, words)), targets, **UNSAFE)
+    assert not targets.limits.is_limited('t0')
+    assert not targets.standings.leaving()
+
+
+async def test_permit_ends_while_a_connection_is_opened() -> None:
+    """Fault: a slow connect; the request would arrive with later ones."""
+    targets = make_targets(2)
+
+    def name_limit() -> None:
+        targets.limits.note_named(http.sent[0]['X-Expect-Instance'], 1.0)
+
+    http = FakeHttp(Script(on_connect=name_limit), Script())
+    caller = await forward(http, targets, **UNSAFE)
+    assert caller.is_whole
+    assert len({sent['X-Expect-Instance'] for sent in http.sent}) == 2
--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -21,7 +21,12 @@
 )
 from hornbeamline.gateway._app import START_WAIT_SHARE, START_WINDOW_S
 from hornbeamline.platform._wire import PlatformWire
-from tests.gateway.builders import make_route, make_table, make_target
+from tests.gateway.builders import (
+    make_gate,
+    make_route,
+    make_table,
+    make_target,
+)
 from tests.gateway.test_forwarder import Caller, FakeHttp, Script
 from tests.replog.group import LoopClock
 
@@ -51,6 +56,7 @@
             wire,
             picker,
             self.targets,
+            make_gate(self.targets),
             budget,
             clock,
         )
--- /dev/null
+++ b/tests/limits/test_service.py
@@ -0,0 +1,283 @@
+"""All hosts together stay below the limits that targets name."""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import random
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import pytest
+
+from hornbeamline.limits import LimitService, TargetLimits
+from tests.local_network import LocalNetwork
+from tests.replog.group import LoopClock
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+# Bounds of the platform: from the first answer that names a limit until it
+# holds, the length of a window, and what it allows beyond the limit.
+TAKES_HOLD_S = 3.0
+WINDOW_S = 4.0
+FACTOR = 1.5
+MORE = 5
+# Requests that all hosts together would send, as a multiple of the limit.
+OVERLOAD = 8
+# Time from a request to the head of its answer.
+ANSWER_S = 0.2
+ENROL_S = 0.4
+# Time in which hosts notice that a target names no limit any more.
+RELIEF_S = 5.0
+# Longest time until a host has news of the directory.
+NEWS_S = 1.6
+
+
+class FakeTarget(NamedTuple):
+    """The target that names a limit."""
+
+    id: str = 't'
+    service: str = 'engines'
+
+
+TARGET = FakeTarget()
+
+
+class Host:
+    """A host that sends requests to the target as often as it may."""
+
+    def __init__(self, fleet: LimitedFleet, name: str) -> None:
+        self.fleet = fleet
+        self.name = name
+        self.granter: str | None = fleet.granter
+        self.limits = TargetLimits(LoopClock())
+        self.service = LimitService(
+            fleet.network.endpoint(name),
+            LoopClock(),
+            self.limits,
+            self,
+            lambda _target: TARGET.service,
+        )
+        self.is_running = True
+
+    def granter_of(self, _service: str) -> str | None:
+        """Return the granter by what this host knows."""
+        return self.granter
+
+    def address_of(self, _host: str) -> str | None:
+        """Return any address."""
+        return 'x'
+
+    async def press(self, rate_per_s: float) -> None:
+        """Send requests at random times."""
+        rng = random.Random(self.name)
+        while True:
+            await asyncio.sleep(rng.expovariate(rate_per_s))
+            if self.is_running and not self.limits.closed_s(TARGET.id):
+                self.fleet.spawn(self.request())
+
+    async def request(self) -> None:
+        """Send one request, if there is a permit."""
+        permit = await self.service.acquire(TARGET, 'r1')
+        if permit is None or not self.limits.allows(TARGET.id, permit):
+            return
+        self.fleet.note_arrival()
+        await asyncio.sleep(ANSWER_S)
+        self.service.note_answer(TARGET, self.fleet.limit_per_s, permit)
+
+    async def enrol(self) -> None:
+        """Repeat the limits that this host keeps to all others."""
+        while True:
+            told = self.service.granted_limits()
+            for other in self.fleet.hosts.values():
+                cut = (self.name, other.name) in self.fleet.network.cuts
+                if self.is_running and other is not self and not cut:
+                    other.service.note_told(self.name, told)
+            await asyncio.sleep(ENROL_S)
+
+
+class LimitedFleet:
+    """Hosts of one network, and a target with a limit."""
+
+    def __init__(self, count: int, limit_per_s: float) -> None:
+        self.network = LocalNetwork(random.Random(1), delay_s=0.002)
+        self.limit_per_s = limit_per_s
+        self.arrivals: list[float] = []
+        self.granter = 'host-0'
+        self.hosts = {
+            f'host-{number}': Host(self, f'host-{number}')
+            for number in range(count)
+        }
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def spawn(self, work) -> None:
+        """Run something beside the test."""
+        self._tasks.append(asyncio.create_task(work))
+
+    async def start(self) -> None:
+        """Let all hosts press from now on."""
+        rate_per_s = OVERLOAD * self.limit_per_s / len(self.hosts)
+        for host in self.hosts.values():
+            await host.service.start()
+            self.spawn(host.press(rate_per_s))
+            self.spawn(host.enrol())
+
+    async def stop(self) -> None:
+        """Stop all hosts."""
+        for host in self.hosts.values():
+            await host.service.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def note_arrival(self) -> None:
+        """Note that a request reaches the target."""
+        self.arrivals.append(asyncio.get_running_loop().time())
+
+    def hand_over(self, granter: str) -> None:
+        """Let the hosts hear of another granter, one after the other."""
+        rng = random.Random(granter)
+        for host in self.hosts.values():
+            asyncio.get_running_loop().call_later(
+                rng.uniform(0, NEWS_S),
+                setattr,
+                host,
+                'granter',
+                granter,
+            )
+
+    def check(self) -> None:
+        """Check all windows, as the platform does."""
+        allowed = FACTOR * self.limit_per_s * WINDOW_S + MORE
+        held_at = self.arrivals[0] + TAKES_HOLD_S + WINDOW_S
+        for position, end in enumerate(self.arrivals):
+            first = bisect.bisect(self.arrivals, end - WINDOW_S)
+            if end >= held_at:
+                assert position + 1 - first <= allowed, f'{end:.2f} s'
+
+    def used_share(self, seconds: float) -> float:
+        """Return what was sent in the last seconds, of what is allowed."""
+        now = asyncio.get_running_loop().time()
+        first = bisect.bisect(self.arrivals, now - seconds)
+        return (len(self.arrivals) - first) / seconds / self.limit_per_s
+
+
+@pytest.fixture
+async def fleet(request) -> AsyncIterator[LimitedFleet]:
+    count, limit_per_s = getattr(request, 'param', (12, 1.0))
+    built = LimitedFleet(count, limit_per_s)
+    yield built
+    await built.stop()
+
+
+# Failure: a server in need got as much as before, from all hosts together
+# (LIMIT at emst-frontera).
+@pytest.mark.parametrize(
+    'fleet',
+    [
+        (count, limit_per_s)
+        for count in (12, 96, 200)
+        for limit_per_s in (0.5, 1.0, 5.0)
+    ],
+    indirect=True,
+)
+async def test_hosts_together_stay_below_the_limit_and_use_it(fleet) -> None:
+    """Load: eight times the limit, from few or many hosts."""
+    await fleet.start()
+    await asyncio.sleep(40)
+    fleet.check()
+    assert fleet.used_share(30) > 0.6
+
+
+# Failure: as above, around the loss of the host that grants the permits.
+@pytest.mark.parametrize('fleet', [(12, 1.0), (12, 5.0)], indirect=True)
+async def test_killed_granter_is_replaced(fleet) -> None:
+    """Fault: the granter dies, and hosts hear of it at different times."""
+    await fleet.start()
+    await asyncio.sleep(10)
+    for number in range(3):
+        killed = fleet.hosts[fleet.granter]
+        killed.is_running = False
+        fleet.network.endpoints_by_name[killed.name].close()
+        fleet.granter = f'host-{number + 5}'
+        fleet.hand_over(fleet.granter)
+        await asyncio.sleep(6)
+    fleet.check()
+    assert fleet.used_share(3) > 0.5
+
+
+@pytest.mark.parametrize('fleet', [(12, 1.0), (12, 5.0)], indirect=True)
+async def test_two_granters_for_a_moment(fleet) -> None:
+    """Hand-over: both hosts act, each for those that take it for one."""
+    await fleet.start()
+    for number in range(6):
+        await asyncio.sleep(5)
+        fleet.hand_over(f'host-{number}')
+    await asyncio.sleep(5)
+    fleet.check()
+
+
+async def test_isolated_granter_stops_the_requests(fleet) -> None:
+    """Fault: the granter is cut off; nobody else grants meanwhile."""
+    await fleet.start()
+    await asyncio.sleep(10)
+    fleet.network.isolate(fleet.granter)
+    for host in fleet.hosts.values():
+        host.is_running = host.name != fleet.granter
+    await asyncio.sleep(1)
+    before = len(fleet.arrivals)
+    await asyncio.sleep(5)
+    assert len(fleet.arrivals) == before
+    fleet.network.heal()
+    await asyncio.sleep(5)
+    assert len(fleet.arrivals) > before
+    fleet.check()
+
+
+async def test_lost_messages_cost_requests_only(fleet) -> None:
+    """Fault: links lose packets."""
+    await fleet.start()
+    fleet.network.loss = 0.2
+    await asyncio.sleep(30)
+    fleet.check()
+    assert fleet.used_share(20) > 0.3
+
+
+async def test_host_that_was_not_told_hears_it_from_the_granter(
+    fleet,
+) -> None:
+    """Hosts that never got an answer of the target keep to its limit."""
+    await fleet.start()
+    await asyncio.sleep(TAKES_HOLD_S)
+    assert all(host.limits.is_limited('t') for host in fleet.hosts.values())
+
+
+async def test_end_of_a_limit_is_noticed_by_all(fleet) -> None:
+    """The answers of the target name no limit any more."""
+    await fleet.start()
+    await asyncio.sleep(10)
+    fleet.limit_per_s = float('inf')
+    await asyncio.sleep(RELIEF_S)
+    before = len(fleet.arrivals)
+    await asyncio.sleep(5)
+    # All that hosts want to send is sent again.
+    assert len(fleet.arrivals) - before > 0.7 * OVERLOAD * 5
+
+
+async def test_host_without_a_granter_sends_nothing(fleet) -> None:
+    """Fault: a host that has just started knows no other host yet."""
+    await fleet.start()
+    host = fleet.hosts['host-3']
+    host.granter = None
+    host.limits.note_named('t', 1.0)
+    assert await host.service.acquire(TARGET) is None
+
+
+async def test_target_without_a_limit_needs_no_question(fleet) -> None:
+    """Most targets name no limit; nothing is asked for them."""
+    await fleet.start()
+    host = fleet.hosts['host-3']
+    host.granter = None
+    permit = await host.service.acquire(FakeTarget('other'))
+    assert permit is not None
+    assert host.limits.allows('other', permit)
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Any
 
+from hornbeamline.batching import EntryHost, Ownership
+from hornbeamline.daemons._granters import ServiceGranters
 from hornbeamline.directory import Presence
 from hornbeamline.directory.const import ROLE_CONTROL, ROLE_ENTRY
+from hornbeamline.helpers.clock import ManualClock
+from hornbeamline.helpers.rendezvous import rendezvous_order
 from hornbeamline.platform._entry import entry_daemon
 from tests.common import write_toml
 from tests.platform.test_settings import FILE
@@ -24,3 +29,37 @@
         taken += 1
     assert taken <= 64 / 12
     assert daemon._poller.pause_s >= 0.25
+
+
+class FakeMember:
+    """Directory of which every host hears, or nobody."""
+
+    def __init__(self) -> None:
+        self.names = [f'host-{number}' for number in range(4)]
+
+    def present(self) -> list[str]:
+        """Return the present hosts."""
+        return self.names
+
+
+# Failure: a limit that all hosts share was each host's own as soon as no
+# control process answered, since every host then saw itself alone.
+def test_hosts_without_control_keep_the_granter_that_they_know() -> None:
+    """Fault: all control processes are lost at the same time."""
+    member: Any = FakeMember()
+    first, second = rendezvous_order('service', member.names)[:2]
+    ownership = Ownership(
+        second,
+        lambda: {
+            name: EntryHost('x') for name in member.names if name != second
+        },
+        lambda _service: False,
+        ManualClock(),
+    )
+    granters = ServiceGranters(member, lambda: ownership)
+    assert granters.granter_of('service') == first
+    member.names = []
+    assert granters.granter_of('service') == first
+    assert granters.granter_of('other') is None
+    member.names = [second]
+    assert granters.granter_of('service') == second
