Treat endless bytes in a stream as a lost attempt

Callers got a closed connection, or nothing until their deadline, when a target sent bytes that are no events without end: EventSplitter raised ValueError at 1 MiB, which no layer above knows, so the request ended with an error of the gateway instead of another attempt (where it may be resumed), 502 or a broken-off answer.

Evidence: both new tests fail with the ValueError before and pass after.

--- a/hornbeamline/gateway/_events.py
+++ b/hornbeamline/gateway/_events.py
@@ -5,6 +5,8 @@
 import re
 from typing import Final, NamedTuple
 
+from hornbeamline.gateway.errors import MayHaveRunError
+
 _END: Final = b'\n\n'
 _ID: Final = re.compile(rb'^id:[ ]?(\d+)[ \r]*$', re.MULTILINE)
 # No event of a stream of tokens comes near this size.
@@ -33,12 +35,12 @@
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that `chunk` completes.
 
-        Raises `ValueError` when an event exceeds `MAX_EVENT_BYTES`.
+        Raises `MayHaveRunError` when an event exceeds `MAX_EVENT_BYTES`.
         """
         parts = (self._rest + chunk).split(_END)
         self._rest = parts.pop()
         if len(self._rest) > MAX_EVENT_BYTES:
-            raise ValueError('event is too large')
+            raise MayHaveRunError('event is too large')
         return [StreamEvent(raw + _END, _id_of(raw)) for raw in parts]
 
 
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -400,3 +400,25 @@
     caller = await forward(http, targets, **UNSAFE)
     assert caller.is_whole
     assert len({sent['X-Expect-Instance'] for sent in http.sent}) == 2
+
+
+# Failure: bytes without end where events were due ended the request with an
+# error of the gateway, without another attempt and without an answer.
+@pytest.mark.parametrize('junk', [b'x', b'data: x\n'])
+async def test_stream_of_endless_bytes_is_resumed_elsewhere(junk) -> None:
+    """Fault: a target sends bytes that are no events until it is cut off."""
+    part = junk * 65_536
+    http = FakeHttp(
+        Script(parts=(events(1), *[part] * 64)),
+        Script(parts=(events(2, 3),)),
+    )
+    caller = await forward(http, **RESUMABLE)
+    assert caller.body == events(1, 2, 3)
+
+
+async def test_stream_of_endless_bytes_is_broken_off() -> None:
+    """Fault: as above, where a request must not run again."""
+    http = FakeHttp(Script(parts=[b'x' * 65_536] * 64))
+    with pytest.raises(RefusedError) as caught:
+        await forward(http, **STREAM)
+    assert caught.value.refusal.status == 502
