--- /dev/null
+++ b/tests/gateway/test_http_server.py
@@ -0,0 +1,81 @@
+"""Planned stops of the HTTP server while callers go on."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import Counter
+
+import aiohttp
+
+from hornbeamline.helpers.http_server import HttpServer
+from tests.common import free_address
+
+WORK_S = 0.004
+CALLERS = 24
+# Callers that have connected and have not sent their request yet.
+SLOW_CALLERS = 10
+REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+async def app(scope, receive, send) -> None:
+    """Answer after a short time of work."""
+    await asyncio.sleep(WORK_S)
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': 200,
+            'headers': [(b'content-length', b'2')],
+        },
+    )
+    await send({'type': 'http.response.body', 'body': b'ok'})
+
+
+async def press(address: str, outcomes: Counter[str], *, reuses: bool) -> None:
+    """Send requests one after the other until no connection is accepted."""
+    connector = aiohttp.TCPConnector(force_close=not reuses)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        while not outcomes['refused'] or reuses:
+            try:
+                async with session.post(f'http://{address}/') as reply:
+                    outcomes[await reply.text()] += 1
+            except aiohttp.ClientConnectorError:
+                outcomes['refused'] += 1
+                return
+            except aiohttp.ClientError as error:
+                outcomes[f'cut off: {error!r}'] += 1
+
+
+async def connect_and_wait(address: str, outcomes: Counter[str]) -> None:
+    """Connect, and send the request a little later."""
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    await asyncio.sleep(0.1)
+    with contextlib.suppress(ConnectionError):
+        writer.write(REQUEST)
+        answer = await reader.read(64)
+        outcomes['ok' if answer.startswith(b'HTTP/1.1 200') else 'cut off'] += 1
+        writer.close()
+        return
+    outcomes['cut off: reset'] += 1
+
+
+# Failure: at a planned stop, requests whose connections had just been
+# accepted were cut off without an answer.
+async def test_stop_under_load_cuts_off_no_request() -> None:
+    """Planned stop: callers send on kept and new connections to the end."""
+    address = free_address()
+    server = HttpServer(app, address, stop_timeout_s=1)
+    await server.start()
+    outcomes: Counter[str] = Counter()
+    async with asyncio.TaskGroup() as group:
+        for number in range(CALLERS):
+            group.create_task(
+                press(address, outcomes, reuses=bool(number % 2)),
+            )
+        await asyncio.sleep(0.3)
+        for _ in range(SLOW_CALLERS):
+            group.create_task(connect_and_wait(address, outcomes))
+        await asyncio.sleep(0.05)
+        await server.stop()
+    assert outcomes.keys() == {'ok', 'refused'}, outcomes
