--- a/hornbeamline/cli/_explain.py
+++ b/hornbeamline/cli/_explain.py
@@ -129,6 +129,15 @@
     )
 
 
+@_tells('limits.permit')
+def _permit(fields: Fields) -> str:
+    return (
+        f'{_text(fields, "target")} takes {_text(fields, "limit_per_s")} '
+        f'requests a second; permit of {_text(fields, "granter")}: '
+        f'{_text(fields, "outcome")}, next one in {_text(fields, "next_s")} s'
+    )
+
+
 @_tells('request.refused')
 def _refused(fields: Fields) -> str:
     detail = fields.get('detail')
--- a/tests/soak/platform/faults.py
+++ b/tests/soak/platform/faults.py
@@ -269,6 +269,15 @@
     await _misbehave(faults, hold_s, error=0.5)
 
 
+@fault
+async def name_limit(faults: Faults, hold_s: float) -> None:
+    """Name a limit in all answers for some time."""
+    server = faults.server()
+    server.limit_per_s = faults.rng.choice((0.0, 1.0, 4.0))
+    await asyncio.sleep(hold_s)
+    server.limit_per_s = None
+
+
 @fault
 async def slow_server(faults: Faults, hold_s: float) -> None:
     """Work at a fraction of the usual speed."""
