--- a/tests/soak/platform/faults.py
+++ b/tests/soak/platform/faults.py
@@ -50,6 +50,21 @@
                 group.create_task(_injectors[kind](self, hold_s))
                 await asyncio.sleep(self.rng.uniform(0.2, 2))
 
+    async def name_limits(self, rng: random.Random) -> None:
+        """Let one server after the other name a limit, beside all faults.
+
+        It has a random source of its own, so that the schedules of earlier
+        seeds stay as they were.
+        """
+        while True:
+            server = rng.choice(self.fleet.servers)
+            server.limit_per_s = rng.choice((0.0, 1.0, 4.0))
+            try:
+                await asyncio.sleep(rng.uniform(0.3, 4))
+            finally:
+                server.limit_per_s = None
+            await asyncio.sleep(rng.uniform(0.2, 2))
+
     def take(self, names: list[str]) -> str | None:
         """Return a process that no other fault concerns, until `give`."""
         free = [name for name in names if name not in self._busy]
@@ -269,15 +284,6 @@
     await _misbehave(faults, hold_s, error=0.5)
 
 
-@fault
-async def name_limit(faults: Faults, hold_s: float) -> None:
-    """Name a limit in all answers for some time."""
-    server = faults.server()
-    server.limit_per_s = faults.rng.choice((0.0, 1.0, 4.0))
-    await asyncio.sleep(hold_s)
-    server.limit_per_s = None
-
-
 @fault
 async def slow_server(faults: Faults, hold_s: float) -> None:
     """Work at a fraction of the usual speed."""
--- a/tests/soak/platform/test_platform_soak.py
+++ b/tests/soak/platform/test_platform_soak.py
@@ -46,13 +46,18 @@
             await until_served(fleet, clients, START_S)
             faults = Faults(fleet, random.Random(soak_seed + 1))
             clients.start()
+            limits = asyncio.create_task(
+                faults.name_limits(random.Random(soak_seed + 3)),
+            )
             try:
                 await faults.run(soak_seconds)
+                limits.cancel()
                 await until_served(fleet, clients, RECOVERY_S)
                 await check_words(fleet, random.Random(soak_seed + 2))
                 await clients.stop()
                 await check_end(fleet, session)
             finally:
+                limits.cancel()
                 # pytest shows this when the test fails.
                 print(f'seed {soak_seed}', *faults.log, sep='\n')
         codes = await asyncio.to_thread(
