Number permits of each granter from a random start

An answer to a request that an earlier granter had permitted could end a limit at the next one, which numbered its permits from 1 as well. By reading; the numbers of two granters no longer meet.

--- a/hornbeamline/limits/_buckets.py
+++ b/hornbeamline/limits/_buckets.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+import secrets
+from typing import Final
 
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.limits._messages import AskPermit, PermitReply
@@ -16,6 +18,8 @@
 )
 from hornbeamline.telemetry import log_event
 
+_PERMIT_BITS: Final = 48
+
 
 class _Bucket:
     """Permits for one target."""
@@ -62,7 +66,8 @@
         self._buckets_by_target: dict[str, _Bucket] = {}
         # When limits ended, by what their targets answered.
         self._ended_at_by_target: dict[str, float] = {}
-        self._last_permit = 0
+        # Numbers of an earlier granter must not be taken for own ones.
+        self._last_permit = secrets.randbits(_PERMIT_BITS)
 
     def limit_of(self, target: str) -> float:
         """Return the limit of a target, or infinity."""
