Count results that were not freed as held

With limits, calls that free results are often not sent; the owner counted the results as freed all the same and gave their targets more than they had space for, so that pieces were refused and computed again. The same held for releases that were lost or skipped because a target leaves or rests.

Found by reading.

--- a/hornbeamline/batching/__init__.py
+++ b/hornbeamline/batching/__init__.py
@@ -18,6 +18,7 @@
     CallLostError,
     CallRefusedError,
     PiecesFailedError,
+    ResultsKeptError,
 )
 
 __all__ = (
@@ -35,5 +36,6 @@
     'PieceTerms',
     'PiecesFailedError',
     'QueuedPiece',
+    'ResultsKeptError',
     'TargetAccess',
 )
--- a/hornbeamline/batching/_releases.py
+++ b/hornbeamline/batching/_releases.py
@@ -6,9 +6,10 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from hornbeamline.batching.const import RELEASE_GATHER_S, RELEASE_IDLE_S
+from hornbeamline.batching.errors import ResultsKeptError
 from hornbeamline.core import TaskSet
 
-# Frees results at the target with an address.
+# Frees results at the target with an address; raises `ResultsKeptError`.
 FreeResults = Callable[[str, Sequence[str]], Awaitable[None]]
 
 
@@ -59,5 +60,9 @@
                 )
 
     async def _free_at(self, address: str, handles: list[str]) -> None:
-        await self._free(address, handles)
+        try:
+            await self._free(address, handles)
+        except ResultsKeptError:
+            # They count as held until they expire; `free` has logged why.
+            return
         self._on_freed(handles)
--- a/hornbeamline/batching/errors.py
+++ b/hornbeamline/batching/errors.py
@@ -29,6 +29,10 @@
     """The outcome of a call is not known."""
 
 
+class ResultsKeptError(BatchingError):
+    """Results were not freed; they take space until they expire."""
+
+
 class UnknownServiceError(BatchingError):
     """This process does not know the service."""
 
--- a/hornbeamline/gateway/_release.py
+++ b/hornbeamline/gateway/_release.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from hornbeamline.batching import ResultsKeptError
 from hornbeamline.exceptions import GatewayError
 from hornbeamline.gateway._gate import TargetGate
 from hornbeamline.gateway._http import TargetHttp
@@ -34,7 +35,7 @@
         self._gate = gate
 
     async def __call__(self, address: str, handles: Sequence[str]) -> None:
-        """Free results; a failure is logged, since they expire anyway.
+        """Free results; raises `ResultsKeptError`, after a log line.
 
         A target that leaves or rests gets no call, and one that names a
         limit only if no caller needs the permit.
@@ -52,7 +53,7 @@
                 handles=len(handles),
                 listed=target is not None,
             )
-            return
+            raise ResultsKeptError(address)
         path, headers, body = self._wire.release_call(handles)
         try:
             async with asyncio.timeout(_TIMEOUT_S):
@@ -71,6 +72,6 @@
                 handles=len(handles),
                 error=repr(error),
             )
-        else:
-            head = self._wire.read_answer(response.status, response.headers)
-            self._gate.note_answer(target, head, permit)
+            raise ResultsKeptError(address) from error
+        head = self._wire.read_answer(response.status, response.headers)
+        self._gate.note_answer(target, head, permit)
