--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -16,6 +16,8 @@
     'X-Expect-Instance',
     'X-Server-Stamp',
     'X-Server-Load',
+    'Server-Leaving',
+    'Server-Limit',
     'X-Not-Executed',
     'X-Prompt-Prefix',
     'X-Token-Count',
