--- a/hornbeamline/cli/_explain.py
+++ b/hornbeamline/cli/_explain.py
@@ -126,12 +126,20 @@
     error = fields.get('error')
     return (
         f'attempt {_text(fields, "attempt")} at {_text(fields, "target")}: '
-        f'{_text(fields, "outcome")}, {_text(fields, "since_received_s")} s '
+        f'{_text(fields, "outcome")}{_progress(fields)}, '
+        f'{_text(fields, "since_received_s")} s '
         f'after the request came, {_text(fields, "left_s")} s left'
         f'{f"; {error}" if error else ""}'
     )
 
 
+def _progress(fields: Fields) -> str:
+    """Return how far a lost attempt got."""
+    if fields.get('outcome') != 'lost' or 'progress' not in fields:
+        return ''
+    return f' (answer: {fields["progress"]})'
+
+
 @_describes('limits.permit')
 def _permit(fields: Fields) -> str:
     return (
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Final, NamedTuple
-
+from typing import Final
+
+from hornbeamline.gateway._attempts import (
+    OUTCOME_ANSWERED,
+    OUTCOME_CANCELLED,
+    OUTCOME_FAILED,
+    OUTCOME_LOST,
+    OUTCOME_NOT_RUN,
+    Attempts,
+    BufferedAnswer,
+    PermittedTarget,
+    log_attempt,
+)
 from hornbeamline.gateway._events import EventSplitter, StreamEvent
 from hornbeamline.gateway._gate import TargetGate
 from hornbeamline.gateway._http import TargetHttp, TargetResponse
 from hornbeamline.gateway._job import Job
-from hornbeamline.gateway._metrics import ATTEMPTS
-from hornbeamline.gateway._picker import (
-    PickCriteria,
-    TargetPicker,
-    remote_bytes,
-)
+from hornbeamline.gateway._picker import PickCriteria, TargetPicker
 from hornbeamline.gateway._reply import Reply
 from hornbeamline.gateway._targets import TargetDirectory
 from hornbeamline.gateway._types import (
@@ -41,7 +47,6 @@
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.helpers.delayed import DelayedCall
 from hornbeamline.limits import Permit
-from hornbeamline.telemetry import log_event
 
 # Time after which the inputs of a sent request count as fetched: an engine
 # with a free slot fetches them as soon as it has received the request.
@@ -66,49 +71,6 @@
 _HTTP_UNAVAILABLE: Final = 503
 
 
-class _BufferedAnswer(NamedTuple):
-    head: AnswerHead
-    body: bytes
-
-
-class _PermittedTarget(NamedTuple):
-    """Target of the next attempt, with the permit to call it."""
-
-    target: Target
-    permit: Permit
-
-
-class _Attempts:
-    """State of the attempts to forward one request."""
-
-    def __init__(self) -> None:
-        # Ids of the targets of all attempts.
-        self.tried: list[str] = []
-        # The retry budget has been charged for the next attempt.
-        self.is_budgeted = False
-        # The rate limits of the targets denied a permit.
-        self.was_permit_denied = False
-        # Number of attempts that may have run at a target, and of attempts
-        # that provably did not.
-        self.may_have_run_count = 0
-        self.not_run_count = 0
-        # The last complete response with a server error.
-        self.answer: _BufferedAnswer | None = None
-        # Streams: id of the last event that was sent to the caller.
-        self.last_event_id: int | None = None
-        # The stage results are gone, so no target can run the request.
-        self.inputs_lost = False
-        # Seconds from receiving the request to sending the last attempt; None
-        # if it was not sent.
-        self.sent_s: float | None = None
-        # Seconds from the start of the last attempt to the head of its
-        # response and to its first event.
-        self.head_s: float = 0
-        self.first_event_s: float = 0
-        # Cause of the last failure, which is reported if no target answers.
-        self.reason = 'no target available'
-
-
 class Forwarder:
     """Forward requests to targets within the retry rules of their routes."""
 
@@ -138,7 +100,7 @@
         `InputsGoneError` if no attempt ran and the stages must be repeated,
         and `AnswerBrokenError` if a response that has begun cannot continue.
         """
-        attempts = _Attempts()
+        attempts = Attempts()
         attempts.last_event_id = job.request.last_event_id
         while True:
             chosen = await self._next_target(job, attempts)
@@ -152,8 +114,8 @@
     async def _try_target(
         self,
         job: Job,
-        chosen: _PermittedTarget,
-        attempts: _Attempts,
+        chosen: PermittedTarget,
+        attempts: Attempts,
         reply: Reply,
     ) -> None:
         """Make one attempt and record whether it may have run."""
@@ -163,7 +125,7 @@
         except NotRunError as error:
             attempts.not_run_count += 1
             attempts.reason = str(error)
-            self._log_attempt(job, target, attempts, 'not_run', error)
+            self._log_attempt(job, target, attempts, OUTCOME_NOT_RUN, error)
             if isinstance(error, InputsGoneError):
                 if not attempts.may_have_run_count:
                     raise
@@ -174,10 +136,10 @@
             attempts.may_have_run_count += 1
             attempts.reason = str(error)
             self._picker.record_failure(target)
-            self._log_attempt(job, target, attempts, 'lost', error)
+            self._log_attempt(job, target, attempts, OUTCOME_LOST, error)
         except asyncio.CancelledError:
             # The caller has disconnected or the deadline has passed.
-            self._log_attempt(job, target, attempts, 'cancelled', None)
+            self._log_attempt(job, target, attempts, OUTCOME_CANCELLED, None)
             raise
         else:
             attempts.may_have_run_count += 1
@@ -185,8 +147,8 @@
     async def _next_target(
         self,
         job: Job,
-        attempts: _Attempts,
-    ) -> _PermittedTarget | None:
+        attempts: Attempts,
+    ) -> PermittedTarget | None:
         """Return a target with a permit for the next attempt, or None."""
         if not self._may_attempt(job, attempts):
             return None
@@ -206,8 +168,8 @@
     async def _wait_for_permit(
         self,
         job: Job,
-        attempts: _Attempts,
-    ) -> _PermittedTarget | None:
+        attempts: Attempts,
+    ) -> PermittedTarget | None:
         """Wait for the rate limited target that allows a request first.
 
         Return None if that takes too long.
@@ -244,7 +206,7 @@
             return self._picker.pick_engine(targets, criteria)
         return self._picker.pick(targets, criteria)
 
-    def _may_retry(self, job: Job, attempts: _Attempts) -> bool:
+    def _may_retry(self, job: Job, attempts: Attempts) -> bool:
         """Charge a retry to the retry budget; return whether it allows it."""
         if not attempts.tried or attempts.is_budgeted:
             return True
@@ -257,13 +219,12 @@
         self,
         target: Target,
         permit: Permit,
-        attempts: _Attempts,
-    ) -> _PermittedTarget:
-        attempts.tried.append(target.id)
-        attempts.is_budgeted = False
-        return _PermittedTarget(target, permit)
+        attempts: Attempts,
+    ) -> PermittedTarget:
+        attempts.start(target)
+        return PermittedTarget(target, permit)
 
-    def _may_attempt(self, job: Job, attempts: _Attempts) -> bool:
+    def _may_attempt(self, job: Job, attempts: Attempts) -> bool:
         if attempts.inputs_lost or self._remaining_s(job) < _MIN_ATTEMPT_S:
             return False
         if attempts.may_have_run_count and not job.route.may_repeat:
@@ -278,8 +239,8 @@
     async def _attempt(
         self,
         job: Job,
-        chosen: _PermittedTarget,
-        attempts: _Attempts,
+        chosen: PermittedTarget,
+        attempts: Attempts,
         reply: Reply,
     ) -> None:
         target = chosen.target
@@ -297,7 +258,6 @@
         self._picker.attempt_started(target)
         fetch_timer = DelayedCall(INPUT_FETCH_S, job.on_inputs_fetched)
         started_at = self._clock.monotonic()
-        attempts.sent_s = None
 
         def before_send() -> None:
             self._gate.check_before_send(target, chosen.permit)
@@ -324,8 +284,8 @@
     async def _handle_answer(
         self,
         job: Job,
-        chosen: _PermittedTarget,
-        attempts: _Attempts,
+        chosen: PermittedTarget,
+        attempts: Attempts,
         reply: Reply,
         response: TargetResponse,
     ) -> None:
@@ -354,7 +314,7 @@
                 job, target, attempts, reply, response, head
             )
             return
-        answer = _BufferedAnswer(head, await response.body())
+        answer = BufferedAnswer(head, await response.body())
         if head.status < _HTTP_ERROR:
             self._picker.record_success(target)
             await self._deliver(job, target, attempts, answer, reply)
@@ -362,14 +322,14 @@
         attempts.answer = answer
         attempts.reason = f'{target.id}: failed with status {head.status}'
         self._picker.record_failure(target)
-        self._log_attempt(job, target, attempts, 'failed', None)
+        self._log_attempt(job, target, attempts, OUTCOME_FAILED, None)
 
     async def _deliver(
         self,
         job: Job,
         target: Target,
-        attempts: _Attempts,
-        answer: _BufferedAnswer,
+        attempts: Attempts,
+        answer: BufferedAnswer,
         reply: Reply,
     ) -> None:
         if reply.has_begun:
@@ -380,26 +340,24 @@
         length = ('Content-Length', str(len(answer.body)))
         await reply.begin(answer.head.status, [*answer.head.headers, length])
         await reply.end(answer.body)
-        self._log_attempt(job, target, attempts, 'answered', None)
+        self._log_attempt(job, target, attempts, OUTCOME_ANSWERED, None)
 
     async def _relay_stream(
         self,
         job: Job,
         target: Target,
-        attempts: _Attempts,
+        attempts: Attempts,
         reply: Reply,
         response: TargetResponse,
         head: AnswerHead,
     ) -> None:
         splitter = EventSplitter()
-        has_first_event = False
-        started_at = self._clock.monotonic() - attempts.head_s
+        started_at = self._clock.monotonic() - (attempts.head_s or 0)
         async for chunk in response.chunks():
             for event in splitter.feed(chunk):
                 if not reply.has_begun:
                     await reply.begin(head.status, head.headers)
-                if not has_first_event:
-                    has_first_event = True
+                if attempts.first_event_s is None:
                     attempts.first_event_s = (
                         self._clock.monotonic() - started_at
                     )
@@ -412,11 +370,11 @@
             await reply.begin(head.status, head.headers)
         self._picker.record_success(target)
         await reply.end()
-        self._log_attempt(job, target, attempts, 'answered', None)
+        self._log_attempt(job, target, attempts, OUTCOME_ANSWERED, None)
 
     async def _relay_event(
         self,
-        attempts: _Attempts,
+        attempts: Attempts,
         reply: Reply,
         event: StreamEvent,
     ) -> None:
@@ -435,7 +393,7 @@
     async def _send_failure(
         self,
         job: Job,
-        attempts: _Attempts,
+        attempts: Attempts,
         reply: Reply,
     ) -> None:
         if reply.has_begun:
@@ -475,29 +433,18 @@
         self,
         job: Job,
         target: Target,
-        attempts: _Attempts,
+        attempts: Attempts,
         outcome: str,
         error: Exception | None,
     ) -> None:
-        ATTEMPTS.labels(outcome).inc()
-        log_event(
-            'request.attempt',
-            request=job.request.id,
-            target=target.id,
-            data_centre=target.data_centre,
-            remote_bytes=remote_bytes(
-                job.input_bytes_by_data_centre,
-                target.data_centre,
-            ),
-            outcome=outcome,
-            attempt=len(attempts.tried),
-            since_received_s=self._clock.monotonic() - job.request.received_at,
-            sent_s=attempts.sent_s,
-            head_s=attempts.head_s,
-            first_event_s=attempts.first_event_s,
-            left_s=self._remaining_s(job),
+        log_attempt(
+            job,
+            target,
+            attempts,
+            outcome,
+            error,
+            now=self._clock.monotonic(),
             list_age_s=self._targets.age_s,
-            error='' if error is None else str(error),
         )
 
 
--- a/hornbeamline/gateway/_metrics.py
+++ b/hornbeamline/gateway/_metrics.py
@@ -24,6 +24,13 @@
     ('outcome',),
     registry=registry,
 )
+LOST_ATTEMPTS = Counter(
+    'hornbeamline_gateway_lost_attempts',
+    'Attempts whose connection failed, by how far the answer was: sent (no '
+    'head), head (no event), events.',
+    ('progress',),
+    registry=registry,
+)
 AIMS = Counter(
     'hornbeamline_gateway_aims',
     'Requests by route and whether the answer began within the aim.',
