Tests that fail: a prompt part that crashes engines, and a stream without events

Callers saw engines end one after the other, and sound requests fail with them. The tests play this with engines in memory: one host, twelve requests with the part crash every engine that they can reach. A stream that ends with its connection before the first event is delivered as complete and empty.

--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -7,8 +7,11 @@
 
 from hornbeamline.gateway import (
     BatchLimits,
+    BudgetSettings,
     CallerRequest,
+    Forwarder,
     PromptPart,
+    RetryBudget,
     Route,
     RouteKind,
     RoutingTable,
@@ -17,9 +20,11 @@
     Target,
     TargetDirectory,
     TargetGate,
+    TargetPicker,
 )
-from hornbeamline.helpers.clock import SystemClock
+from hornbeamline.helpers.clock import Clock, SystemClock
 from hornbeamline.limits import LimitService
+from hornbeamline.platform._wire import PlatformWire
 from tests.local_network import LocalNetwork
 
 
@@ -121,4 +126,25 @@
     return TargetGate(targets, limits)
 
 
+def make_forwarder(
+    http: Any,
+    targets: list[Target],
+    clock: Clock,
+) -> Forwarder:
+    """Return a forwarder to these targets."""
+    directory = TargetDirectory(clock)
+    directory.replace_list(targets)
+    budget = RetryBudget(BudgetSettings(0.2, 10, 64), clock)
+    budget.note_hosts(1)
+    return Forwarder(
+        http,
+        PlatformWire(),
+        TargetPicker('dc-1', clock, random.Random(1)),
+        directory,
+        make_gate(directory),
+        budget,
+        clock,
+    )
+
+
 CHAIN = (Stage('first', (), 8000), Stage('second', (0,), 60_000))
--- /dev/null
+++ b/tests/gateway/test_crashing_parts.py
@@ -0,0 +1,89 @@
+"""Requests whose prompts have a part that crashes engines."""
+
+from __future__ import annotations
+
+from hornbeamline.gateway import PromptPart, RefusedError, RouteKind
+from hornbeamline.gateway._job import Job
+from hornbeamline.gateway._reply import Reply
+from hornbeamline.gateway.errors import AnswerBrokenError
+from hornbeamline.helpers.clock import SystemClock
+from tests.gateway.builders import make_forwarder, make_request, make_route
+from tests.gateway.engines import Engines
+from tests.gateway.test_forwarder import Caller
+
+DEADLY = 'deadly'
+
+
+class Host:
+    """One entry host whose callers send prompts to engines."""
+
+    def __init__(self, engines: Engines) -> None:
+        self._clock = SystemClock()
+        self._forwarder = make_forwarder(engines, engines.targets, self._clock)
+        self._requests = 0
+
+    async def is_served(self, *parts: str) -> bool:
+        """Send a request with these shared parts and a part of its own."""
+        self._requests += 1
+        name = f'r{self._requests}'
+        prompt = (*parts, f'own-{name}')
+        header = ','.join(f'{part}:100' for part in prompt)
+        now = self._clock.monotonic()
+        request = make_request(
+            id=name,
+            received_at=now,
+            headers=(('x-request-id', name), ('x-prompt-prefix', header)),
+            prompt=tuple(PromptPart(part, 100) for part in prompt),
+        )
+        route = make_route(
+            kind=RouteKind.STREAM, max_attempts=3, can_resume=True
+        )
+        caller = Caller()
+        job = Job(
+            request, b'', route, 'service', None, 0, now + 5, [], {}, _nothing
+        )
+        reply = Reply(caller.send, self._clock, closes=lambda: False)
+        try:
+            await self._forwarder.forward(job, reply)
+        except (RefusedError, AnswerBrokenError):
+            return False
+        return caller.is_complete
+
+
+# A part that crashes engines, on requests that are no two alike, ended one
+# engine after the other.
+async def test_requests_with_a_crashing_part_end_two_engines_at_most() -> None:
+    """Guards against retries and new requests that crash more engines."""
+    engines = Engines(31, [DEADLY])
+    host = Host(engines)
+    for number in range(12):
+        assert await host.is_served('common', f'topic-{number}')
+        assert not await host.is_served('common', f'topic-{number}', DEADLY)
+    assert len(engines.ended) <= 2
+
+
+# Crashes went on until no engine was left, so that requests without the part
+# failed with those that had it.
+async def test_sound_requests_with_the_same_beginning_are_served() -> None:
+    """Guards against sound requests lost beside a part that crashes engines."""
+    engines = Engines(6, [DEADLY])
+    host = Host(engines)
+    for _ in range(8):
+        await host.is_served('common', 'topic', DEADLY)
+        assert await host.is_served('common', 'topic')
+        assert await host.is_served('common')
+
+
+async def test_two_crashing_parts_are_told_apart() -> None:
+    """Guards against a verdict on what the requests of both parts share."""
+    engines = Engines(31, [DEADLY, 'other'])
+    host = Host(engines)
+    for _ in range(12):
+        await host.is_served('common', DEADLY)
+        await host.is_served('common', 'other')
+        assert await host.is_served('common', 'topic')
+    assert len(engines.ended) <= 4
+
+
+def _nothing() -> None:
+    """Release no inputs."""
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -264,6 +264,16 @@
         )
 
 
+# A response without a length or chunks ends with its connection; an engine that
+# ended after the head left a stream that looked complete.
+async def test_stream_that_ends_without_an_event_is_not_complete() -> None:
+    """Guards against passing on an empty stream as a whole answer."""
+    http = FakeHttp(Script(parts=()), Script(parts=(events(0, 1),)))
+    caller = await forward(http, **RESUMABLE)
+    assert caller.body == events(0, 1)
+    assert caller.is_complete
+
+
 async def test_stream_resumes_at_another_target() -> None:
     """No event is lost or duplicated."""
     http = FakeHttp(
