Streams: a connection that ends before the first event breaks the stream off

Callers got 200 and an empty stream that looked complete when an engine ended after the head of a response without length or chunks. With such a response, the end of the connection was taken for the end of the stream; only an end inside an event was not. Now an unframed stream without any event counts as lost and is resumed or answered 502; framed empty streams pass as before.

--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -64,6 +64,8 @@
 _MIN_ATTEMPT_S: Final = 0.02
 _RETRY_AFTER_S: Final = 0.5
 
+_FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
+
 _HTTP_OK: Final = 200
 _HTTP_ERROR: Final = 500
 _HTTP_CONFLICT: Final = 409
@@ -367,6 +369,10 @@
         if splitter.has_partial:
             raise MayHaveRunError(f'{target.id}: stream ended within an event')
         if not reply.has_begun:
+            if not _is_framed(response):
+                raise MayHaveRunError(
+                    f'{target.id}: connection ended without an event'
+                )
             await reply.begin(head.status, head.headers)
         self._picker.record_success(target)
         await reply.end()
@@ -448,6 +454,12 @@
         )
 
 
+def _is_framed(response: TargetResponse) -> bool:
+    """Return whether a response ends otherwise than with its connection."""
+    names = {name.lower() for name, _ in response.headers}
+    return bool(names & _FRAMING_HEADERS)
+
+
 def _check_head(job: Job, target: Target, head: AnswerHead) -> None:
     if head.request_id != job.request.id:
         raise MayHaveRunError(
