Quarantine prompt parts that crash engines

An attempt that is lost before its first event now checks whether its target still listens. If not, the shared parts of its prompt are marked with the crash and how far the answer was. Hosts send their marks to the control processes, which pass them on to all hosts; answers that begin clear their parts. Each host names the most likely parts, one after the other, so that the crashes that one explains do not count against others. Requests with a named part are refused at once as not run, those on their way are ended, and a suspect is not sent to a second engine. Verdicts end by themselves and can be lifted.

--- a/hornbeamline/daemons/document_control.py
+++ b/hornbeamline/daemons/document_control.py
@@ -27,6 +27,8 @@
     StorageSettings,
 )
 from hornbeamline.peering import PynngPeering
+from hornbeamline.quarantine import QuarantineRelay
+from hornbeamline.quarantine.operator import add_quarantine_routes
 from hornbeamline.replog import MemoryDisk, RaftLog
 from hornbeamline.telemetry import log_event, metrics_app
 
@@ -95,13 +97,7 @@
             machine,
             validate,
         )
-        own = Presence(
-            settings.name,
-            settings.peering.address,
-            ROLE_CONTROL,
-            settings.data_centre,
-            is_durable=settings.is_durable,
-        )
+        own = _own_presence(settings)
         targets = TargetDirectory(BootClock())
         registry = DirectoryRegistry(peering, machine, own, targets, clock)
         log.enable_voter_reconciliation(registry.controls, settings.voters)
@@ -137,9 +133,9 @@
             HttpServer(metrics_app, settings.metrics_address),
         )
         self.kernel.register('collector', GarbageCollectorService())
-        self.kernel.register(
-            'operator_api',
-            HttpServer(operator_app(documents), settings.operator_address),
+        self._register_operator(
+            operator_app(documents),
+            QuarantineRelay(peering, BootClock(), registry.entry_names),
         )
 
     async def run(self) -> int:
@@ -157,6 +153,25 @@
         log_event('control.stopped', code=code)
         return code
 
+    def _register_operator(self, app: Any, relay: QuarantineRelay) -> None:
+        """Register the quarantine, and the routes of the operator."""
+        add_quarantine_routes(app, relay)
+        self.kernel.register('quarantine', relay)
+        self.kernel.register(
+            'operator_api',
+            HttpServer(app, self._settings.operator_address),
+        )
+
+
+def _own_presence(settings: DocumentControlSettings) -> Presence:
+    return Presence(
+        settings.name,
+        settings.peering.address,
+        ROLE_CONTROL,
+        settings.data_centre,
+        is_durable=settings.is_durable,
+    )
+
 
 def _log_settings(settings: DocumentControlSettings) -> ControlSettings:
     return ControlSettings(
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -31,6 +31,7 @@
     BudgetSettings,
     Forwarder,
     GatewayApp,
+    GatewayServices,
     Placement,
     ResultReleaser,
     RetryBudget,
@@ -50,6 +51,7 @@
 from hornbeamline.inventory import PeeringSettings
 from hornbeamline.limits import LimitService
 from hornbeamline.peering import PynngPeering
+from hornbeamline.quarantine import PartQuarantine, QuarantineExchange
 from hornbeamline.telemetry import log_event, metrics_app
 
 
@@ -152,12 +154,22 @@
             placement,
             self._clock,
         )
+        quarantine = PartQuarantine(settings.name, BootClock())
+        exchange = QuarantineExchange(
+            self._peering,
+            quarantine,
+            self._member.answering_controls,
+            rng,
+        )
         self._app = GatewayApp(
             wire,
-            self._targets,
-            forwarder,
-            self._stages,
-            self._budget,
+            GatewayServices(
+                self._targets,
+                forwarder,
+                self._stages,
+                self._budget,
+                quarantine,
+            ),
             self._clock,
             rng,
         )
@@ -178,6 +190,7 @@
         self.kernel.register('targets', self._poller)
         self.kernel.register('limits', self._limits)
         self.kernel.register('batching', self._batching)
+        self.kernel.register('quarantine', exchange)
         self.kernel.register('collector', GarbageCollectorService())
         self._register_listeners()
 
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -99,6 +99,10 @@
         """
         return self.view.present()
 
+    def answering_controls(self) -> list[str]:
+        """Return the control processes that answered the last enrolment."""
+        return sorted(self._answering)
+
     def is_suspected(self, name: str) -> bool:
         """Return whether a process is reported, but no longer heard from."""
         return self.view.is_suspected(name)
--- a/hornbeamline/directory/registry.py
+++ b/hornbeamline/directory/registry.py
@@ -95,6 +95,14 @@
             if presence.role == ROLE_CONTROL
         }
 
+    def entry_names(self) -> list[str]:
+        """Return the names of the present entry processes."""
+        return [
+            presence.name
+            for presence in self.present()
+            if presence.role == ROLE_ENTRY
+        ]
+
     def announce_list(self) -> None:
         """Tell other durable control processes that the list was read."""
         for name, host in self.controls().items():
--- a/hornbeamline/exceptions.py
+++ b/hornbeamline/exceptions.py
@@ -53,3 +53,7 @@
 
 class BatchingError(HornbeamlineError):
     """Pieces of a stage could not be computed."""
+
+
+class QuarantineError(HornbeamlineError):
+    """A request must not be sent to an engine."""
--- a/hornbeamline/gateway/__init__.py
+++ b/hornbeamline/gateway/__init__.py
@@ -9,6 +9,7 @@
 from hornbeamline.gateway._picker import TargetPicker
 from hornbeamline.gateway._placement import Placement
 from hornbeamline.gateway._release import ResultReleaser
+from hornbeamline.gateway._services import GatewayServices
 from hornbeamline.gateway._stages import StageRunner
 from hornbeamline.gateway._table import RoutingTable, group_by_host
 from hornbeamline.gateway._targets import TargetDirectory
@@ -46,6 +47,7 @@
     'EngineLimits',
     'Forwarder',
     'GatewayApp',
+    'GatewayServices',
     'Headers',
     'MayHaveRunError',
     'NotRunError',
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -11,7 +11,7 @@
 
 from hornbeamline.batching import PiecesFailedError
 from hornbeamline.gateway._admission import check_admission, retry_after_s
-from hornbeamline.gateway._forwarder import Forwarder
+from hornbeamline.gateway._guarded import guarded
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._metrics import (
     CALLERS_LEFT,
@@ -26,14 +26,15 @@
     wait_for_disconnect,
 )
 from hornbeamline.gateway._request_end import record_request_end
-from hornbeamline.gateway._stages import (
-    StageResults,
-    StageRunner,
+from hornbeamline.gateway._request_terms import (
+    account_of,
+    deadline_of,
+    rank_of,
 )
+from hornbeamline.gateway._services import GatewayServices
+from hornbeamline.gateway._stages import StageResults
 from hornbeamline.gateway._table import RoutingTable
-from hornbeamline.gateway._targets import TargetDirectory
 from hornbeamline.gateway._types import (
-    Account,
     CallerRequest,
     Refusal,
     Route,
@@ -48,22 +49,18 @@
     REASON_OUT_OF_TIME,
     REASON_STAGES_BUSY,
     REASON_STAGES_FAILED,
-    REASON_UNKNOWN_CREDENTIAL,
 )
 from hornbeamline.gateway.errors import (
     AnswerBrokenError,
     InputsGoneError,
     RefusedError,
 )
-from hornbeamline.helpers.budget import RetryBudget
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.telemetry import log_event
 
 Scope = Mapping[str, Any]
 Send = Callable[[Any], Awaitable[None]]
 
-# Number of route ranks within one rank of client accounts.
-ROUTE_RANKS: Final = 3
 # Maximum number of runs of the stages of a request, which are repeated if their
 # results are lost.
 _MAX_STAGE_RUNS: Final = 2
@@ -74,7 +71,6 @@
 START_WINDOW_S: Final = 2.0
 START_WAIT_SHARE: Final = 0.25
 
-_UNAUTHORIZED: Final = 401
 _NOT_FOUND: Final = 404
 _UNAVAILABLE: Final = 503
 _TIMED_OUT: Final = 504
@@ -86,25 +82,23 @@
     def __init__(
         self,
         wire: Wire,
-        targets: TargetDirectory,
-        forwarder: Forwarder,
-        stages: StageRunner,
-        budget: RetryBudget,
+        services: GatewayServices,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         """Create an application that is not ready yet."""
         self._wire = wire
-        self._targets = targets
-        self._forwarder = forwarder
-        self._stages = stages
-        self._budget = budget
+        self._targets = services.targets
+        self._forwarder = services.forwarder
+        self._stages = services.stages
+        self._budget = services.budget
+        self._quarantine = services.quarantine
         self._clock = clock
         self._rng = rng
         self._table: RoutingTable | None = None
         self._started_at = clock.monotonic()
         self._ready = asyncio.Event()
-        targets.on_first_list = self._update_readiness
+        self._targets.on_first_list = self._update_readiness
         self.in_progress = 0
         # Connections are closed after their next response.
         self.closes_connections = False
@@ -220,19 +214,25 @@
             raise RefusedError(
                 Refusal(_UNAVAILABLE, REASON_HOST_STOPS, retry_after_s=0),
             )
-        account = _account_of(table, route, request)
-        deadline_at = _deadline_of(request, route)
+        account = account_of(table, route, request)
+        deadline_at = deadline_of(request, route)
         try:
             async with asyncio.timeout(deadline_at - self._clock.monotonic()):
-                await self._run_with_retry(
-                    request,
-                    body,
-                    table,
-                    route,
-                    account,
-                    deadline_at,
-                    reply,
-                )
+                with guarded(self._quarantine, request) as guard:
+                    job = Job(
+                        request,
+                        body,
+                        route,
+                        self._choose_service(route),
+                        account,
+                        rank_of(route, account),
+                        deadline_at,
+                        [],
+                        {},
+                        _do_nothing,
+                        guard,
+                    )
+                    await self._run_with_retry(job, table, reply)
         except TimeoutError as error:
             if reply.has_begun:
                 raise AnswerBrokenError('request deadline exceeded') from error
@@ -259,31 +259,13 @@
 
     async def _run_with_retry(
         self,
-        request: CallerRequest,
-        body: bytes,
+        job: Job,
         table: RoutingTable,
-        route: Route,
-        account: Account | None,
-        deadline_at: float,
         reply: Reply,
     ) -> None:
-        rank = _rank_of(route, account)
-        service = self._choose_service(route)
-        self._budget.record_first_attempts(service)
-        for stage in route.stages:
+        self._budget.record_first_attempts(job.service)
+        for stage in job.route.stages:
             self._budget.record_first_attempts(stage.service)
-        job = Job(
-            request,
-            body,
-            route,
-            service,
-            account,
-            rank,
-            deadline_at,
-            [],
-            {},
-            _do_nothing,
-        )
         for run in range(_MAX_STAGE_RUNS):
             is_last = run == _MAX_STAGE_RUNS - 1
             try:
@@ -302,7 +284,7 @@
                     ) from error
                 log_event(
                     'request.stages_again',
-                    request=request.id,
+                    request=job.request.id,
                     reason=str(error),
                 )
             else:
@@ -447,36 +429,5 @@
     return '' if request is None else request.id
 
 
-def _account_of(
-    table: RoutingTable,
-    route: Route,
-    request: CallerRequest,
-) -> Account | None:
-    accounts = table.accounts_by_credential
-    if accounts is None:
-        return None
-    account = accounts.get(request.credential or '')
-    if account is None and route.needs_account:
-        raise RefusedError(Refusal(_UNAUTHORIZED, REASON_UNKNOWN_CREDENTIAL))
-    return account
-
-
-def _rank_of(route: Route, account: Account | None) -> int:
-    """Combine the rank of the account with that of the route.
-
-    The rank of the account takes precedence.
-    """
-    if account is None or account.rank is None:
-        return route.rank
-    return account.rank * ROUTE_RANKS + min(route.rank, ROUTE_RANKS - 1)
-
-
-def _deadline_of(request: CallerRequest, route: Route) -> float:
-    bounds = [route.timeout_s]
-    if request.caller_timeout_s is not None:
-        bounds.append(request.caller_timeout_s)
-    return request.received_at + min(bounds)
-
-
 def _do_nothing() -> None:
     """Release nothing: the placeholder for a job without results."""
--- a/hornbeamline/gateway/_attempts.py
+++ b/hornbeamline/gateway/_attempts.py
@@ -9,6 +9,7 @@
 from hornbeamline.gateway._picker import remote_bytes
 from hornbeamline.gateway._types import AnswerHead, CallerRequest, Target
 from hornbeamline.limits import Permit
+from hornbeamline.quarantine import Phase
 from hornbeamline.telemetry import log_event
 
 OUTCOME_ANSWERED: Final = 'answered'
@@ -75,12 +76,17 @@
         self.head_s = None
         self.first_event_s = None
 
+    @property
+    def phase(self) -> Phase | None:
+        """Return how far a stream got; None if it had an event."""
+        if self.first_event_s is not None:
+            return None
+        return Phase.SENT if self.head_s is None else Phase.HEAD
+
     @property
     def progress(self) -> str:
         """Return how far the last attempt got."""
-        if self.first_event_s is not None:
-            return 'events'
-        return 'sent' if self.head_s is None else 'head'
+        return 'events' if self.phase is None else self.phase.name.lower()
 
 
 def log_attempt(
@@ -121,5 +127,5 @@
 
 
 def _shared_parts(request: CallerRequest) -> str:
-    parts = request.prompt[:-1][:_MAX_LOGGED_PARTS]
+    parts = request.shared_parts[:_MAX_LOGGED_PARTS]
     return ','.join(part.id[:_MAX_LOGGED_ID] for part in parts)
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -127,6 +127,7 @@
         except NotRunError as error:
             attempts.not_run_count += 1
             attempts.reason = str(error)
+            job.guard.may_have_run = bool(attempts.may_have_run_count)
             self._log_attempt(job, target, attempts, OUTCOME_NOT_RUN, error)
             if isinstance(error, InputsGoneError):
                 if not attempts.may_have_run_count:
@@ -139,6 +140,7 @@
             attempts.reason = str(error)
             self._picker.record_failure(target)
             self._log_attempt(job, target, attempts, OUTCOME_LOST, error)
+            await self._check_for_crash(job, target, attempts)
         except asyncio.CancelledError:
             # The caller has disconnected or the deadline has passed.
             self._log_attempt(job, target, attempts, OUTCOME_CANCELLED, None)
@@ -146,6 +148,21 @@
         else:
             attempts.may_have_run_count += 1
 
+    async def _check_for_crash(
+        self,
+        job: Job,
+        target: Target,
+        attempts: Attempts,
+    ) -> None:
+        """Record evidence if a target ended before the answer had an event."""
+        phase = attempts.phase
+        if phase is None or not job.guard.parts:
+            return
+        if await self._http.is_listening(target.address):
+            return
+        self._picker.eject(target)
+        job.guard.engine_ended(target.id, phase)
+
     async def _next_target(
         self,
         job: Job,
@@ -229,8 +246,12 @@
     def _may_attempt(self, job: Job, attempts: Attempts) -> bool:
         if attempts.inputs_lost or self._remaining_s(job) < _MIN_ATTEMPT_S:
             return False
+        job.guard.check()
         if attempts.may_have_run_count and not job.route.may_repeat:
             return False
+        if attempts.may_have_run_count and job.guard.is_suspect:
+            attempts.reason = f'{attempts.reason}; prompt may crash targets'
+            return False
         if attempts.may_have_run_count >= job.route.max_attempts:
             return False
         return attempts.not_run_count < MAX_REFUSED_ATTEMPTS
@@ -262,7 +283,9 @@
         started_at = self._clock.monotonic()
 
         def before_send() -> None:
+            job.guard.check()
             self._gate.check_before_send(target, chosen.permit)
+            job.guard.may_have_run = True
             attempts.sent_s = self._clock.monotonic() - job.request.received_at
             fetch_timer.schedule()
 
@@ -318,6 +341,7 @@
             return
         answer = BufferedAnswer(head, await response.body())
         if head.status < _HTTP_ERROR:
+            job.guard.answer_begun()
             self._picker.record_success(target)
             await self._deliver(job, target, attempts, answer, reply)
             return
@@ -360,11 +384,9 @@
                 if not reply.has_begun:
                     await reply.begin(head.status, head.headers)
                 if attempts.first_event_s is None:
-                    attempts.first_event_s = (
-                        self._clock.monotonic() - started_at
-                    )
-                    job.on_inputs_fetched()
-                    self._picker.record_prompt(target, job.request)
+                    now = self._clock.monotonic()
+                    attempts.first_event_s = now - started_at
+                    self._record_first_event(job, target)
                 await self._relay_event(attempts, reply, event)
         if splitter.has_partial:
             raise MayHaveRunError(f'{target.id}: stream ended within an event')
@@ -378,6 +400,11 @@
         await reply.end()
         self._log_attempt(job, target, attempts, OUTCOME_ANSWERED, None)
 
+    def _record_first_event(self, job: Job, target: Target) -> None:
+        job.guard.answer_begun()
+        job.on_inputs_fetched()
+        self._picker.record_prompt(target, job.request)
+
     async def _relay_event(
         self,
         attempts: Attempts,
--- /dev/null
+++ b/hornbeamline/gateway/_guarded.py
@@ -0,0 +1,48 @@
+"""Refuses requests whose prompts are in quarantine."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from typing import Final
+
+from hornbeamline.gateway._types import CallerRequest, Refusal
+from hornbeamline.gateway.const import REASON_PROMPT_QUARANTINED
+from hornbeamline.gateway.errors import RefusedError
+from hornbeamline.quarantine import (
+    PartQuarantine,
+    PartQuarantinedError,
+    RequestGuard,
+)
+
+_BAD_GATEWAY: Final = 502
+_UNAVAILABLE: Final = 503
+
+
+@contextlib.contextmanager
+def guarded(
+    quarantine: PartQuarantine, request: CallerRequest
+) -> Iterator[RequestGuard]:
+    """Guard a request until its answer begins.
+
+    Raises `RefusedError` if its prompt is, or meanwhile gets, quarantined.
+    """
+    guard = quarantine.guard(
+        request.id, [part.id for part in request.shared_parts]
+    )
+    try:
+        with guard:
+            yield guard
+    except PartQuarantinedError as error:
+        raise RefusedError(_refusal(guard, error)) from error
+
+
+def _refusal(guard: RequestGuard, error: PartQuarantinedError) -> Refusal:
+    if guard.may_have_run:
+        return Refusal(_BAD_GATEWAY, REASON_PROMPT_QUARANTINED, str(error))
+    return Refusal(
+        _UNAVAILABLE,
+        REASON_PROMPT_QUARANTINED,
+        str(error),
+        error.left_s,
+    )
--- a/hornbeamline/gateway/_http.py
+++ b/hornbeamline/gateway/_http.py
@@ -23,6 +23,8 @@
 # Less than the 1 s after which a lost handshake packet is sent again: a path
 # that loses these packets is worse than the path to any other target.
 CONNECT_TIMEOUT_S: Final = 0.9
+# Several round trips between data centres.
+CHECK_TIMEOUT_S: Final = 0.1
 MAX_ANSWER_BYTES: Final = 8_388_608
 # Total size of all buffered responses above which responses that are not small
 # are abandoned: those of several targets could together exhaust the memory.
@@ -176,6 +178,27 @@
         if self._session is not None:
             await self._session.close()
 
+    async def is_listening(self, address: str) -> bool:
+        """Return whether a target still accepts connections.
+
+        After the loss of a connection, this tells an ended target from one
+        that has closed or reset the connection. False only if the connection
+        is refused: a silent path proves nothing about the target.
+        """
+        host, _, port = address.rpartition(':')
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return False
+        except (OSError, ValueError) as error:
+            log_event(
+                'targets.check_failed', address=address, error=repr(error)
+            )
+            return True
+        writer.transport.abort()
+        return True
+
     @contextlib.asynccontextmanager
     async def send(
         self,
--- a/hornbeamline/gateway/_job.py
+++ b/hornbeamline/gateway/_job.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from hornbeamline.gateway._types import Account, CallerRequest, Route
+from hornbeamline.quarantine import RequestGuard
 
 
 class Job(NamedTuple):
@@ -23,3 +24,4 @@
     input_bytes_by_data_centre: dict[str, int]
     # Called when the target has fetched the inputs.
     on_inputs_fetched: Callable[[], None]
+    guard: RequestGuard
--- a/hornbeamline/gateway/_picker.py
+++ b/hornbeamline/gateway/_picker.py
@@ -133,7 +133,7 @@
     def record_prompt(self, target: Target, request: CallerRequest) -> None:
         """Record that a target has cached the shared parts of a prompt."""
         now = self._clock.monotonic()
-        for part in request.prompt[:-1]:
+        for part in request.shared_parts:
             self._cached_at_by_part[(part.id, target.id)] = now
         if len(self._cached_at_by_part) > _EVICT_ABOVE_PARTS:
             oldest = now - _CACHE_TTL_S
@@ -198,7 +198,7 @@
     ) -> float:
         uncached_tokens = sum(
             part.tokens
-            for part in criteria.request.prompt[:-1]
+            for part in criteria.request.shared_parts
             if not self._is_cached(part.id, target.id, engine_by_part)
         )
         return (
@@ -262,7 +262,7 @@
     """
     return {
         part.id: _preferred_engine(targets, part.id)
-        for part in request.prompt[:-1]
+        for part in request.shared_parts
     }
 
 
--- /dev/null
+++ b/hornbeamline/gateway/_request_terms.py
@@ -0,0 +1,55 @@
+"""Client account, rank and deadline of a request on a route."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from hornbeamline.gateway._table import RoutingTable
+from hornbeamline.gateway._types import (
+    Account,
+    CallerRequest,
+    Refusal,
+    Route,
+)
+from hornbeamline.gateway.const import REASON_UNKNOWN_CREDENTIAL
+from hornbeamline.gateway.errors import RefusedError
+
+# Number of route ranks within one rank of client accounts.
+ROUTE_RANKS: Final = 3
+_UNAUTHORIZED: Final = 401
+
+
+def account_of(
+    table: RoutingTable,
+    route: Route,
+    request: CallerRequest,
+) -> Account | None:
+    """Return the account of a request, or None if it needs none.
+
+    Raises `RefusedError` if the credential is unknown and needed.
+    """
+    accounts = table.accounts_by_credential
+    if accounts is None:
+        return None
+    account = accounts.get(request.credential or '')
+    if account is None and route.needs_account:
+        raise RefusedError(Refusal(_UNAUTHORIZED, REASON_UNKNOWN_CREDENTIAL))
+    return account
+
+
+def rank_of(route: Route, account: Account | None) -> int:
+    """Combine the rank of the account with that of the route.
+
+    The rank of the account takes precedence.
+    """
+    if account is None or account.rank is None:
+        return route.rank
+    return account.rank * ROUTE_RANKS + min(route.rank, ROUTE_RANKS - 1)
+
+
+def deadline_of(request: CallerRequest, route: Route) -> float:
+    """Return the deadline, on the clock of `received_at`."""
+    bounds = [route.timeout_s]
+    if request.caller_timeout_s is not None:
+        bounds.append(request.caller_timeout_s)
+    return request.received_at + min(bounds)
--- a/hornbeamline/gateway/_types.py
+++ b/hornbeamline/gateway/_types.py
@@ -140,6 +140,11 @@
     # Id of the last event that the caller has, if it resumes a stream.
     last_event_id: int | None
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts that other requests may have as well."""
+        return self.prompt[:-1]
+
     def pieces_of(self, stage_index: int) -> int:
         """Return the number of pieces of a stage."""
         if stage_index < len(self.pieces_by_stage):
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -25,6 +25,7 @@
 from hornbeamline.helpers.clock import Clock, SystemClock
 from hornbeamline.limits import LimitService
 from hornbeamline.platform._wire import PlatformWire
+from hornbeamline.quarantine import PartQuarantine, RequestGuard
 from tests.local_network import LocalNetwork
 
 
@@ -71,6 +72,11 @@
     return CallerRequest(**{**fields, **changes})
 
 
+def open_guard() -> RequestGuard:
+    """Return the guard of a request without shared parts."""
+    return PartQuarantine('host', SystemClock()).guard('r1', ())
+
+
 def make_target(name: str, **changes: Any) -> Target:
     """Return a target that accepts work."""
     fields: dict[str, Any] = {
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -41,7 +41,12 @@
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._stages import StageResults
 from hornbeamline.helpers.budget import BudgetSettings, RetryBudget
-from tests.gateway.builders import make_request, make_route, make_target
+from tests.gateway.builders import (
+    make_request,
+    make_route,
+    make_target,
+    open_guard,
+)
 from tests.local_network import LocalNetwork
 from tests.replog.group import LoopClock
 
@@ -437,6 +442,7 @@
         [],
         {},
         lambda: None,
+        open_guard(),
     )
 
 
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -7,6 +7,7 @@
 from hornbeamline.gateway._reply import Reply
 from hornbeamline.gateway.errors import AnswerBrokenError
 from hornbeamline.helpers.clock import SystemClock
+from hornbeamline.quarantine import PartQuarantine, PartQuarantinedError
 from tests.gateway.builders import make_forwarder, make_request, make_route
 from tests.gateway.engines import Engines
 from tests.gateway.test_forwarder import Caller
@@ -20,6 +21,7 @@
     def __init__(self, engines: Engines) -> None:
         self._clock = SystemClock()
         self._forwarder = make_forwarder(engines, engines.targets, self._clock)
+        self._quarantine = PartQuarantine('host', self._clock)
         self._requests = 0
 
     async def is_served(self, *parts: str) -> bool:
@@ -39,13 +41,25 @@
             kind=RouteKind.STREAM, max_attempts=3, can_resume=True
         )
         caller = Caller()
-        job = Job(
-            request, b'', route, 'service', None, 0, now + 5, [], {}, _nothing
-        )
         reply = Reply(caller.send, self._clock, closes=lambda: False)
+        shared = [part.id for part in request.shared_parts]
         try:
-            await self._forwarder.forward(job, reply)
-        except (RefusedError, AnswerBrokenError):
+            with self._quarantine.guard(name, shared) as guard:
+                job = Job(
+                    request,
+                    b'',
+                    route,
+                    'service',
+                    None,
+                    0,
+                    now + 5,
+                    [],
+                    {},
+                    _nothing,
+                    guard,
+                )
+                await self._forwarder.forward(job, reply)
+        except (RefusedError, AnswerBrokenError, PartQuarantinedError):
             return False
         return caller.is_complete
 
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -35,6 +35,7 @@
     make_request,
     make_route,
     make_target,
+    open_guard,
 )
 
 SIGNED = [(b'X-Request-Id', b'r1'), (b'X-Server-Stamp', b's')]
@@ -157,6 +158,7 @@
         [],
         {},
         lambda: None,
+        open_guard(),
     )
     caller = Caller()
     reply = Reply(caller.send, clock, closes=lambda: False)
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -17,7 +17,12 @@
 )
 from hornbeamline.gateway._job import Job
 from hornbeamline.helpers.clock import ManualClock
-from tests.gateway.builders import make_request, make_route, make_target
+from tests.gateway.builders import (
+    make_request,
+    make_route,
+    make_target,
+    open_guard,
+)
 
 LARGE = 800_000
 
@@ -58,6 +63,7 @@
         [],
         {},
         lambda: None,
+        open_guard(),
     )
 
 
--- a/tests/gateway/test_stages.py
+++ b/tests/gateway/test_stages.py
@@ -12,7 +12,13 @@
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._stages import ENGINE_START_S
 from hornbeamline.helpers.clock import ManualClock
-from tests.gateway.builders import CHAIN, make_request, make_route, make_table
+from tests.gateway.builders import (
+    CHAIN,
+    make_request,
+    make_route,
+    make_table,
+    open_guard,
+)
 
 
 class RecordingBatching:
@@ -54,6 +60,7 @@
         [],
         {},
         lambda: None,
+        open_guard(),
     )
     runner = StageRunner(batching, lambda _rank: {}, placement, clock)
     await runner.run(job, make_table(route))
--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -12,6 +12,7 @@
     BudgetSettings,
     Forwarder,
     GatewayApp,
+    GatewayServices,
     Placement,
     RetryBudget,
     RouteKind,
@@ -21,6 +22,7 @@
 )
 from hornbeamline.gateway._app import START_WAIT_SHARE, START_WINDOW_S
 from hornbeamline.platform._wire import PlatformWire
+from hornbeamline.quarantine import PartQuarantine
 from tests.gateway.builders import (
     make_gate,
     make_route,
@@ -68,9 +70,14 @@
             Placement(wire, self.targets, picker),
             clock,
         )
-        self.app = GatewayApp(
-            wire, self.targets, forwarder, stages, budget, clock, rng
+        services = GatewayServices(
+            self.targets,
+            forwarder,
+            stages,
+            budget,
+            PartQuarantine('host', clock),
         )
+        self.app = GatewayApp(wire, services, clock, rng)
 
     async def request(self) -> tuple[Caller, float]:
         """Send a request; return its response and the seconds it took."""
--- a/tests/gateway/test_waits.py
+++ b/tests/gateway/test_waits.py
@@ -11,7 +11,13 @@
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._waits import UpcomingPieces
 from hornbeamline.helpers.clock import SystemClock
-from tests.gateway.builders import CHAIN, make_request, make_route, make_table
+from tests.gateway.builders import (
+    CHAIN,
+    make_request,
+    make_route,
+    make_table,
+    open_guard,
+)
 
 RATE = 40.0
 
@@ -86,6 +92,7 @@
         [],
         {},
         lambda: None,
+        open_guard(),
     )
     for steps in range(4):
         work = asyncio.ensure_future(runner.run(job, make_table(route)))
