--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -391,10 +391,7 @@
         if splitter.has_partial:
             raise MayHaveRunError(f'{target.id}: stream ended within an event')
         if not reply.has_begun:
-            if not _is_framed(response):
-                raise MayHaveRunError(
-                    f'{target.id}: connection ended without an event'
-                )
+            _check_framing(target, response)
             await reply.begin(head.status, head.headers)
         self._picker.record_success(target)
         await reply.end()
@@ -481,10 +478,11 @@
         )
 
 
-def _is_framed(response: TargetResponse) -> bool:
-    """Return whether a response ends otherwise than with its connection."""
+def _check_framing(target: Target, response: TargetResponse) -> None:
+    """Raise `MayHaveRunError` if only the connection shows the end."""
     names = {name.lower() for name, _ in response.headers}
-    return bool(names & _FRAMING_HEADERS)
+    if not names & _FRAMING_HEADERS:
+        raise MayHaveRunError(f'{target.id}: connection ended without an event')
 
 
 def _check_head(job: Job, target: Target, head: AnswerHead) -> None:
