--- /dev/null
+++ b/benchmarks/quarantine.py
@@ -0,0 +1,262 @@
+"""Simulates crashes and verdicts of the quarantine in virtual time.
+
+    python -m benchmarks.quarantine [RUNS]
+
+Requests with Zipf-distributed parts wait at engines until their answers begin.
+A request with a deadly part ends its engine then; other crashes come at random.
+The evidence reaches all hosts after a delay. Prints, for each number of hosts
+and each cause of crashes, how many engines ended under the deadly part, the
+time from the first of them to the verdict, and the sound parts that were named.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import statistics
+import sys
+from typing import Final, NamedTuple
+
+from hornbeamline.quarantine import (
+    CrashMark,
+    EvidenceTable,
+    Phase,
+    attribute,
+)
+from hornbeamline.quarantine.const import SYNC_INTERVAL_S, URGENT_SCORE
+
+DURATION_S: Final = 30.0
+REQUESTS_PER_HOST_S: Final = 2.0
+HOSTS_PER_ENGINE: Final = 2
+PREFILL_S: Final = 0.25
+DOWN_S: Final = 3.0
+# Check of the target, way to a control process, its delay, way to the hosts.
+SPREAD_S: Final = 0.03
+WARM_UP_S: Final = 2.0
+FIRST_PARTS: Final = 12
+TOPICS: Final = 400
+DEADLY: Final = 'deadly'
+
+
+class Scenario(NamedTuple):
+    """Causes of crashes."""
+
+    name: str
+    # Share of the requests with the deadly part.
+    deadly_share: float
+    # Crashes of one engine per second that no request causes.
+    crash_rate: float
+
+
+class Result(NamedTuple):
+    """What happened in one run."""
+
+    deadly_crashes: int
+    other_crashes: int
+    # Seconds from the first crash by a request to the verdict, if any.
+    verdict_s: float | None
+    sound_named: int
+
+
+class VirtualClock:
+    """Clock that the simulation sets."""
+
+    def __init__(self) -> None:
+        self.now: float = 0
+
+    def monotonic(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.now
+
+    def wall_ms(self) -> int:
+        """Return the virtual time in ms."""
+        return int(self.now * 1000)
+
+
+class Simulation:
+    """One run."""
+
+    def __init__(self, hosts: int, scenario: Scenario, seed: int) -> None:
+        self._hosts = hosts
+        self._engines = max(hosts // HOSTS_PER_ENGINE, 4)
+        self._scenario = scenario
+        self._rng = random.Random(seed)
+        self._clock = VirtualClock()
+        self._table = EvidenceTable(self._clock)
+        self._events: list[tuple[float, int, str, tuple[object, ...]]] = []
+        self._numbers = itertools.count()
+        self._waiting: dict[int, dict[int, tuple[str, ...]]] = {}
+        self._down_until: dict[int, float] = {}
+        self._starts: dict[int, int] = {}
+        self._begun: set[str] = set()
+        self._named: set[str] = set()
+        self._sound_named: set[str] = set()
+        self._topic_weights = [1 / (rank + 1) for rank in range(TOPICS)]
+        self._first_at: float | None = None
+        self._verdict_s: float | None = None
+        self._crashes = {'deadly': 0, 'other': 0}
+
+    def run(self) -> Result:
+        """Run to the end."""
+        rate = self._hosts * REQUESTS_PER_HOST_S
+        at: float = 0
+        while at < DURATION_S:
+            at += self._rng.expovariate(rate)
+            self._schedule(at, 'arrive')
+        crash_rate = self._scenario.crash_rate * self._engines
+        at = WARM_UP_S
+        while crash_rate and at < DURATION_S:
+            at += self._rng.expovariate(crash_rate)
+            self._schedule(at, 'fail', self._rng.randrange(self._engines))
+        while self._events:
+            self._clock.now, _, kind, details = heapq.heappop(self._events)
+            getattr(self, f'_{kind}')(*details)
+        return Result(
+            self._crashes['deadly'],
+            self._crashes['other'],
+            self._verdict_s,
+            len(self._sound_named),
+        )
+
+    def _schedule(self, at: float, kind: str, *details: object) -> None:
+        heapq.heappush(self._events, (at, next(self._numbers), kind, details))
+
+    def _arrive(self) -> None:
+        first = f'first-{self._rng.randrange(FIRST_PARTS)}'
+        (topic,) = self._rng.choices(range(TOPICS), self._topic_weights)
+        parts: tuple[str, ...] = (first, f'{first}-topic-{topic}')
+        if (
+            self._clock.now > WARM_UP_S
+            and self._rng.random() < self._scenario.deadly_share
+        ):
+            parts = (*parts, DEADLY)
+        if self._named.intersection(parts):
+            return
+        up = [
+            engine
+            for engine in range(self._engines)
+            if self._down_until.get(engine, 0) <= self._clock.now
+        ]
+        if not up:
+            return
+        engine = self._rng.choice(up)
+        request = next(self._numbers)
+        self._waiting.setdefault(engine, {})[request] = parts
+        wait_s = self._rng.expovariate(1 / PREFILL_S)
+        self._schedule(self._clock.now + wait_s, 'begin', engine, request)
+
+    def _begin(self, engine: int, request: int) -> None:
+        parts = self._waiting.get(engine, {}).pop(request, None)
+        if parts is None:
+            return
+        if DEADLY in parts:
+            if self._first_at is None:
+                self._first_at = self._clock.now
+            self._end(engine, 'deadly', parts)
+            return
+        self._begun.update(parts)
+        findings = attribute(self._table.marks, self._table.begun_parts)
+        for part in parts:
+            finding = findings.get(part)
+            if finding is None:
+                continue
+            is_urgent = finding.score >= URGENT_SCORE
+            delay_s = SPREAD_S if is_urgent else SYNC_INTERVAL_S
+            self._schedule(self._clock.now + delay_s, 'clear', part)
+
+    def _fail(self, engine: int) -> None:
+        if self._down_until.get(engine, 0) <= self._clock.now:
+            self._end(engine, 'other', None)
+
+    def _end(
+        self, engine: int, cause: str, guilty: tuple[str, ...] | None
+    ) -> None:
+        self._crashes[cause] += 1
+        self._down_until[engine] = self._clock.now + DOWN_S
+        start = self._starts.get(engine, 0) + 1
+        self._starts[engine] = start
+        lost = [
+            (parts, Phase.SENT)
+            for parts in self._waiting.pop(engine, {}).values()
+        ]
+        if guilty is not None:
+            lost.append((guilty, Phase.HEAD))
+        marks = [
+            CrashMark(
+                part, f'{engine}-{start}', phase, following, self._clock.now
+            )
+            for parts, phase in lost
+            for following, part in enumerate(reversed(parts))
+        ]
+        self._schedule(self._clock.now + SPREAD_S, 'learn', marks)
+
+    def _learn(self, marks: list[CrashMark]) -> None:
+        for mark in marks:
+            self._table.add_mark(mark)
+            if mark.part in self._begun:
+                self._table.add_begun(mark.part)
+        self._judge()
+
+    def _clear(self, part: str) -> None:
+        if self._table.clear(part):
+            self._judge()
+
+    def _judge(self) -> None:
+        findings = attribute(self._table.marks, self._table.begun_parts)
+        self._named = {
+            part for part, finding in findings.items() if finding.is_named
+        }
+        self._sound_named |= self._named - {DEADLY}
+        if DEADLY in self._named and self._verdict_s is None:
+            assert self._first_at is not None
+            self._verdict_s = self._clock.now - self._first_at
+        for waiting in self._waiting.values():
+            for request, parts in tuple(waiting.items()):
+                if self._named.intersection(parts):
+                    waiting.pop(request)
+
+
+SCENARIOS: Final = (
+    Scenario('part, share 0.01', 0.01, 0),
+    Scenario('part, share 0.10', 0.1, 0),
+    Scenario('other crashes', 0, 0.02),
+    Scenario('both', 0.05, 0.02),
+)
+
+
+def main(runs: int) -> None:
+    """Print a row for each number of hosts and scenario."""
+    print(
+        'hosts | cause | runs | named | crashes by the part, mean, most |'
+        ' other crashes, mean | s to the verdict, median, most |'
+        ' sound parts named, in all runs'
+    )
+    for hosts in (12, 96, 200):
+        for scenario in SCENARIOS:
+            found = [
+                Simulation(hosts, scenario, seed).run() for seed in range(runs)
+            ]
+            crashes = [result.deadly_crashes for result in found]
+            others = [result.other_crashes for result in found]
+            times = [
+                result.verdict_s
+                for result in found
+                if result.verdict_s is not None
+            ]
+            took = (
+                f'{statistics.median(times):.2f}, {max(times):.2f}'
+                if times
+                else '-'
+            )
+            print(
+                f'{hosts} | {scenario.name} | {runs} | {len(times)} |'
+                f' {statistics.mean(crashes):.2f}, {max(crashes)} |'
+                f' {statistics.mean(others):.1f} | {took} |'
+                f' {sum(result.sound_named for result in found)}',
+                flush=True,
+            )
+
+
+if __name__ == '__main__':
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 40)
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+
+import pytest
+
 from hornbeamline.gateway import PromptPart, RefusedError, RouteKind
+from hornbeamline.gateway._guarded import guarded
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._reply import Reply
+from hornbeamline.gateway.const import REASON_PROMPT_QUARANTINED
 from hornbeamline.gateway.errors import AnswerBrokenError
 from hornbeamline.helpers.clock import SystemClock
-from hornbeamline.quarantine import PartQuarantine, PartQuarantinedError
+from hornbeamline.quarantine import PartQuarantine, PartQuarantinedError, Phase
 from tests.gateway.builders import make_forwarder, make_request, make_route
 from tests.gateway.engines import Engines
 from tests.gateway.test_forwarder import Caller
@@ -99,5 +105,48 @@
     assert len(engines.ended) <= 4
 
 
+def _crash(quarantine: PartQuarantine, target: str) -> None:
+    quarantine.guard('r', [DEADLY]).engine_ended(target, Phase.HEAD)
+
+
+@pytest.mark.parametrize(('is_sent', 'status'), [(False, 503), (True, 502)])
+async def test_refusal_says_whether_the_request_may_have_run(
+    is_sent, status
+) -> None:
+    """Guards against "not run" for a request that an engine had."""
+    quarantine = PartQuarantine('host', SystemClock())
+    _crash(quarantine, 'e1')
+    request = make_request(
+        prompt=(PromptPart(DEADLY, 100), PromptPart('own', 100))
+    )
+    asyncio.get_running_loop().call_later(0.01, _crash, quarantine, 'e2')
+    with (
+        pytest.raises(RefusedError) as caught,
+        guarded(quarantine, request) as guard,
+    ):
+        guard.may_have_run = is_sent
+        await asyncio.sleep(10)
+    refusal = caught.value.refusal
+    assert refusal.status == status
+    assert refusal.reason == REASON_PROMPT_QUARANTINED
+    assert (refusal.retry_after_s is None) == is_sent
+
+
+async def test_requests_with_a_named_part_are_refused_at_once() -> None:
+    """Guards against stages that run for a request that is then refused."""
+    quarantine = PartQuarantine('host', SystemClock())
+    _crash(quarantine, 'e1')
+    _crash(quarantine, 'e2')
+    request = make_request(
+        prompt=(PromptPart(DEADLY, 100), PromptPart('own', 100))
+    )
+    with (
+        pytest.raises(RefusedError) as caught,
+        guarded(quarantine, request),
+    ):
+        pytest.fail('the request was admitted')
+    assert caught.value.refusal.status == 503
+
+
 def _nothing() -> None:
     """Release no inputs."""
--- a/tests/gateway/test_http.py
+++ b/tests/gateway/test_http.py
@@ -157,3 +157,39 @@
             _, body = await http.fetch(healthy.address, 'GET', '/')
             assert body == b'abc'
         await asyncio.gather(*fetches, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def ending(answer: bytes) -> AsyncIterator[str]:
+    """Run a target that sends bytes and ends its connection."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    async with server:
+        yield f'{host}:{port}'
+
+
+async def test_ended_target_is_told_from_an_ended_connection(http) -> None:
+    """Guards against evidence of a crash from a reset or a broken answer."""
+    async with ending(HEAD + b'\r\n') as address:
+        assert await http.is_listening(address)
+    assert not await http.is_listening(address)
+
+
+@pytest.mark.parametrize('rest', [b'', b'id: 0\ndata'])
+async def test_end_of_an_unframed_answer_shows_in_its_content_only(
+    http, rest
+) -> None:
+    """The forwarder has to tell a broken stream from a whole one."""
+    async with ending(HEAD + b'\r\n' + rest) as address:
+        response, body = await http.fetch(address, 'GET', '/')
+    assert body == rest
+    assert response.status == 200
--- /dev/null
+++ b/tests/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quarantine of prompt parts."""
