Operators see and lift the quarantine of prompt parts

GET and DELETE /v1/quarantine on each control process of numbered documents, and hornbeamline quarantine list and lift. A lifted part is forgotten at all hosts, whichever control process took the call. hornbeamline explain tells a crash of the request's engine. Test with the HTTP application in memory; the command itself was run against no process yet.

--- a/hornbeamline/cli/_app.py
+++ b/hornbeamline/cli/_app.py
@@ -12,7 +12,7 @@
 import typer
 
 from hornbeamline import VERSION
-from hornbeamline.cli import _caller, _config, _daemons
+from hornbeamline.cli import _caller, _config, _daemons, _quarantine
 from hornbeamline.cli._check import check
 from hornbeamline.cli._demo import demo
 from hornbeamline.cli._explain import explain
@@ -53,6 +53,11 @@
     name='config',
     help='The accepted configuration.',
 )
+app.add_typer(
+    _quarantine.quarantine_app,
+    name='quarantine',
+    help='Prompt parts that crash engines.',
+)
 app.command()(_config.status)
 app.command()(check)
 app.command()(_caller.load)
--- a/hornbeamline/cli/_explain.py
+++ b/hornbeamline/cli/_explain.py
@@ -140,6 +140,15 @@
     return f' (answer: {fields["progress"]})'
 
 
+@_describes('quarantine.crash')
+def _crash(fields: Fields) -> str:
+    return (
+        f'engine {_text(fields, "target")} ended before the first event '
+        f'(answer: {_text(fields, "phase")}); parts '
+        f'{_text(fields, "parts")}'
+    )
+
+
 @_describes('limits.permit')
 def _permit(fields: Fields) -> str:
     return (
--- a/hornbeamline/quarantine/_relay.py
+++ b/hornbeamline/quarantine/_relay.py
@@ -37,7 +37,7 @@
         self._peering = peering
         self._clock = clock
         self._hosts = hosts
-        self._table = EvidenceTable(clock)
+        self.table = EvidenceTable(clock)
         self._tasks = TaskSet()
         self._is_spreading = False
         peering.on(EvidencePush, self._on_push)
@@ -52,9 +52,9 @@
 
     def verdicts(self) -> list[Verdict]:
         """Return the verdicts in force; their times are on this clock."""
-        self._table.expire()
+        self.table.expire()
         now = self._clock.monotonic()
-        findings = attribute(self._table.marks, self._table.begun_parts)
+        findings = attribute(self.table.marks, self.table.begun_parts)
         verdicts = [
             verdict_of(finding)
             for finding in findings.values()
@@ -69,20 +69,20 @@
     def lift(self, part: str) -> None:
         """Remove the evidence on a part at all hosts."""
         log_event('quarantine.lifted', part=part)
-        self._table.lift(part)
+        self.table.lift(part)
         self._spread()
 
     async def _on_push(self, _sender: str, push: EvidencePush) -> None:
-        if self._table.merge(push.report):
+        if self.table.merge(push.report):
             self._spread()
 
     async def _on_sync(
         self, _sender: str, request: EvidenceSync
     ) -> EvidenceSyncReply:
-        self._table.expire()
-        if request.digest == self._table.digest:
+        self.table.expire()
+        if request.digest == self.table.digest:
             return EvidenceSyncReply(None)
-        return EvidenceSyncReply(self._table.export())
+        return EvidenceSyncReply(self.table.export())
 
     def _spread(self) -> None:
         if self._is_spreading:
@@ -93,6 +93,6 @@
     async def _push_soon(self) -> None:
         await asyncio.sleep(SPREAD_DELAY_S)
         self._is_spreading = False
-        push = EvidencePush(self._table.export())
+        push = EvidencePush(self.table.export())
         for host in self._hosts():
             self._peering.send(host, push)
--- a/hornbeamline/quarantine/operator.py
+++ b/hornbeamline/quarantine/operator.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Final
 
-from falcon import HTTP_204, asgi
+from falcon import asgi
 
 from hornbeamline.quarantine._relay import QuarantineRelay
 
+PATH: Final = '/v1/quarantine'
+
 
 class _Verdicts:
-    """Route that lists the verdicts in force."""
+    """Route that lists the verdicts in force and lifts them."""
 
     def __init__(self, relay: QuarantineRelay) -> None:
         self._relay = relay
@@ -33,25 +35,20 @@
             ],
         }
 
-
-class _Verdict:
-    """Route that lifts a verdict."""
-
-    def __init__(self, relay: QuarantineRelay) -> None:
-        self._relay = relay
-
     async def on_delete(
         self,
-        _request: asgi.Request,
+        request: asgi.Request,
         response: asgi.Response,
-        part: str,
     ) -> None:
-        """Remove the evidence on a part at all hosts; unknown parts too."""
+        """Remove the evidence on the query's `part` at all hosts.
+
+        Unknown parts are accepted, so that a repeated call succeeds.
+        """
+        part = request.get_param('part', required=True)
         self._relay.lift(part)
-        response.status = HTTP_204
+        response.media = {'part': part}
 
 
 def add_quarantine_routes(app: Any, relay: QuarantineRelay) -> None:
     """Add the routes of the quarantine to the operator's application."""
-    app.add_route('/v1/quarantine', _Verdicts(relay))
-    app.add_route('/v1/quarantine/{part}', _Verdict(relay))
+    app.add_route(PATH, _Verdicts(relay))
