Quarantine: evidence without a head, retries of one request, hosts that start

Its engines end before the head of the answer is sent, and such evidence needed four crashes; a request that was sent again 0.2 s later counted as the same moment. And a restarted host asked for the verdicts only after a second, and passed requests on meanwhile. Waiting requests now weigh 4.6 instead of 3, crashes count as one moment within 0.1 s, and a starting host asks each control process as soon as it answers.

--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -47,6 +47,8 @@
     deadly_share: float
     # Crashes of one engine per second that no request causes.
     crash_rate: float
+    # The head of an answer arrives before its engine ends.
+    shows_head: bool = True
 
 
 class Result(NamedTuple):
@@ -181,7 +183,8 @@
             for parts in self._waiting.pop(engine, {}).values()
         ]
         if guilty is not None:
-            lost.append((guilty, Phase.HEAD))
+            phase = Phase.HEAD if self._scenario.shows_head else Phase.SENT
+            lost.append((guilty, phase))
         marks = [
             CrashMark(
                 part, f'{engine}-{start}', phase, following, self._clock.now
@@ -220,6 +223,7 @@
 SCENARIOS: Final = (
     Scenario('part, share 0.01', 0.01, 0),
     Scenario('part, share 0.10', 0.1, 0),
+    Scenario('part, share 0.05, no head', 0.05, 0, shows_head=False),
     Scenario('other crashes', 0, 0.02),
     Scenario('both', 0.05, 0.02),
 )
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -159,6 +159,7 @@
             self._peering,
             quarantine,
             self._member.answering_controls,
+            self._clock,
             rng,
         )
         self._app = GatewayApp(
--- a/hornbeamline/quarantine/_exchange.py
+++ b/hornbeamline/quarantine/_exchange.py
@@ -8,6 +8,7 @@
 
 from hornbeamline.core import TaskSet
 from hornbeamline.exceptions import PeeringError
+from hornbeamline.helpers.clock import Clock
 from hornbeamline.peering import Peering
 from hornbeamline.quarantine._messages import (
     EvidencePush,
@@ -15,7 +16,11 @@
     EvidenceSyncReply,
 )
 from hornbeamline.quarantine._quarantine import PartQuarantine
-from hornbeamline.quarantine.const import SYNC_INTERVAL_S, SYNC_TIMEOUT_S
+from hornbeamline.quarantine.const import (
+    FIRST_SYNC_INTERVAL_S,
+    SYNC_INTERVAL_S,
+    SYNC_TIMEOUT_S,
+)
 from hornbeamline.telemetry import log_event
 
 
@@ -32,6 +37,7 @@
         peering: Peering,
         quarantine: PartQuarantine,
         controls: Callable[[], Sequence[str]],
+        clock: Clock,
         rng: random.Random,
     ) -> None:
         """Register the message handler.
@@ -41,6 +47,7 @@
         self._peering = peering
         self._quarantine = quarantine
         self._controls = controls
+        self._clock = clock
         self._rng = rng
         self._tasks = TaskSet()
         quarantine.on_evidence = self._push
@@ -63,12 +70,28 @@
         self._quarantine.merge(push.report)
 
     async def _sync_forever(self) -> None:
+        await self._sync_first()
         while True:
+            await asyncio.sleep(SYNC_INTERVAL_S)
             self._quarantine.expire()
             controls = self._controls()
             if controls:
                 await self._sync(self._rng.choice(controls))
-            await asyncio.sleep(SYNC_INTERVAL_S)
+
+    async def _sync_first(self) -> None:
+        """Learn the verdicts in force before the first requests are sent.
+
+        Asks each control process as soon as it answers: one that has just
+        started itself knows nothing.
+        """
+        asked: set[str] = set()
+        until = self._clock.monotonic() + SYNC_INTERVAL_S
+        while not asked or self._clock.monotonic() < until:
+            for control in self._controls():
+                if control not in asked:
+                    asked.add(control)
+                    await self._sync(control)
+            await asyncio.sleep(FIRST_SYNC_INTERVAL_S)
 
     async def _sync(self, control: str) -> None:
         try:
--- a/hornbeamline/quarantine/const.py
+++ b/hornbeamline/quarantine/const.py
@@ -15,8 +15,9 @@
 # crash hardly ever meet it.
 HEAD_SCORE: Final = 7.0
 # A request that its engine had not begun to answer: requests that wait for
-# their prefill are in this state for most of the time.
-SENT_SCORE: Final = 3.0
+# their prefill are in this state for most of the time, but few of them have
+# the same part.
+SENT_SCORE: Final = 4.6
 # Answers to requests with the part had begun well before the crashes. Those
 # that begin after a crash clear the part of it.
 BEGUN_SCORE: Final = -4.0
@@ -29,7 +30,7 @@
 SUSPECT_SCORE: Final = -4.0
 # Engines that end within this time may have a common cause, such as a rack, so
 # that requests that were waiting there count once.
-SAME_MOMENT_S: Final = 0.3
+SAME_MOMENT_S: Final = 0.1
 
 # A verdict ends this long after the last crash; each further crash makes the
 # next one last longer, by this factor.
@@ -51,5 +52,7 @@
 # Interval at which a host compares its evidence with a control process.
 SYNC_INTERVAL_S: Final = 1.0
 SYNC_TIMEOUT_S: Final = 0.8
+# Interval at which a host that has just started looks for a control process.
+FIRST_SYNC_INTERVAL_S: Final = 0.02
 # Reports that arrive within this time are passed on together.
 SPREAD_DELAY_S: Final = 0.01
--- a/tests/quarantine/test_exchange.py
+++ b/tests/quarantine/test_exchange.py
@@ -48,6 +48,7 @@
             self.network.endpoint(name),
             quarantine,
             lambda: CONTROLS,
+            SystemClock(),
             random.Random(name),
         )
         self.quarantines[name] = quarantine
@@ -103,7 +104,7 @@
     crash(fleet.quarantines['h1'], 'e2')
     await until_named(fleet, 3, 0.3)
     await fleet.add_host('h3')
-    await until_named(fleet, 4, 2 * SYNC_INTERVAL_S)
+    await until_named(fleet, 4, 0.1)
 
 
 async def test_restarted_control_processes_learn_from_hosts(fleet) -> None:
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -53,6 +53,12 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def close(self) -> None:
+        """Close all connections and stop listening."""
+        self.cut()
+        if self._server is not None:
+            self._server.close()
+
     def heal(self) -> None:
         """Accept new connections again."""
         self._refusing = False
--- a/tests/soak/platform/clients.py
+++ b/tests/soak/platform/clients.py
@@ -45,6 +45,8 @@
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
         self.version = 1
+        # Share of the requests to engines whose prompts have the deadly part.
+        self.deadly_share = 0.0
 
     def start(self) -> None:
         """Start all clients, the operator and the configuration reader."""
@@ -114,7 +116,7 @@
             headers |= {
                 'X-Model': 'm',
                 'X-Token-Count': '1460,80',
-                'X-Prompt-Prefix': f'5c1e:{800},{request_id}:250',
+                'X-Prompt-Prefix': self._prompt(request_id, rng),
             }
         if route == 'plan':
             pieces = (rng.randrange(1, 4), rng.randrange(1, 5))
@@ -142,6 +144,12 @@
             self._check_body(request_id, sent, route, answer)
         return status
 
+    def _prompt(self, request_id: str, rng: random.Random) -> str:
+        own = f'{request_id}:250'
+        if self.deadly_share and rng.random() < self.deadly_share:
+            return f'5c1e:800,{self._fleet.world.deadly_part}:300,{own}'
+        return f'5c1e:800,{own}'
+
     def _check_body(
         self,
         request_id: str,
--- a/tests/soak/platform/standins/engine.py
+++ b/tests/soak/platform/standins/engine.py
@@ -32,6 +32,8 @@
             },
         )
         await response.prepare(request)
+        if self._is_deadly(request):
+            return self._end(request, response)
         first = int(request.headers.get('Last-Event-Id', '0')) + 1
         breaks = self.is_affected(self.faults.lose)
         for number in range(first, event_count(request_id) + 1):
@@ -44,3 +46,21 @@
                 break
             await response.write(event)
         return response
+
+    def _is_deadly(self, request: web.Request) -> bool:
+        prompt = request.headers.get('X-Prompt-Prefix', '')
+        parts = {entry.partition(':')[0] for entry in prompt.split(',')}
+        if self.world.deadly_part not in parts:
+            return False
+        self.world.deadly_arrivals += 1
+        return True
+
+    def _end(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> web.StreamResponse:
+        """End as the answer begins, with all answers in progress."""
+        self.world.ended_engines.append(self.id)
+        self.relay.close()
+        if request.transport is not None:
+            request.transport.abort()
+        return response
--- a/tests/soak/platform/world.py
+++ b/tests/soak/platform/world.py
@@ -34,6 +34,11 @@
         self.violations: list[str] = []
         # Request id, stage and piece of each result that a server holds.
         self.results_by_handle: dict[str, tuple[str, int, int]] = {}
+        # Prompt part under which engines end; empty for none.
+        self.deadly_part = ''
+        # Ids of the engines that ended under it, and arrivals of the part.
+        self.ended_engines: list[str] = []
+        self.deadly_arrivals = 0
         # Acknowledged configuration versions with the time of acknowledgement.
         self.acknowledged: list[tuple[float, int]] = []
 
