Platform processes: handle SIGTERM and SIGHUP while the modules are imported

A process that got SIGTERM within its first second ended with -15, and with SIGHUP with -1: the kernel installs its handlers after the imports. Now SIGTERM exits with 0 and SIGHUP is ignored until then; the settings are read later anyway.

--- a/hornbeamline/platform/__main__.py
+++ b/hornbeamline/platform/__main__.py
@@ -10,7 +10,9 @@
 import gc
 import importlib
 import os
+import signal
 import sys
+from types import FrameType
 from typing import Final
 
 from hornbeamline.exceptions import HornbeamlineError, InventoryError
@@ -26,6 +28,7 @@
 
 def main(arguments: list[str]) -> int:
     """Run a daemon until it is stopped; return the exit code."""
+    _handle_early_signals()
     # The platform uses plain HTTP only. Without this setting, the HTTP
     # client loads all CA certificates on import, which takes a sixth of the
     # start time.
@@ -51,5 +54,16 @@
     return code
 
 
+def _handle_early_signals() -> None:
+    """Handle signals until the daemon does: its imports take seconds."""
+    signal.signal(signal.SIGTERM, _exit)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
+def _exit(_signal_number: int, _frame: FrameType | None) -> None:
+    """Exit as after a stop: no request has been read yet."""
+    sys.exit()
+
+
 if __name__ == '__main__':
     sys.exit(main(sys.argv[1:]))
