--- a/hornbeamline/quarantine/_exchange.py
+++ b/hornbeamline/quarantine/_exchange.py
@@ -18,6 +18,7 @@
 from hornbeamline.quarantine._quarantine import PartQuarantine
 from hornbeamline.quarantine.const import (
     FIRST_SYNC_INTERVAL_S,
+    MAX_TURN,
     SYNC_INTERVAL_S,
     SYNC_TIMEOUT_S,
 )
@@ -48,7 +49,8 @@
         self._quarantine = quarantine
         self._controls = controls
         self._clock = clock
-        self._rng = rng
+        # Hosts begin with different control processes.
+        self._turn = rng.randrange(MAX_TURN)
         self._tasks = TaskSet()
         quarantine.on_evidence = self._push
         peering.on(EvidencePush, self._on_push)
@@ -76,7 +78,9 @@
             self._quarantine.expire()
             controls = self._controls()
             if controls:
-                await self._sync(self._rng.choice(controls))
+                # In turn, so that each control process gets the evidence.
+                self._turn += 1
+                await self._sync(controls[self._turn % len(controls)])
 
     async def _sync_first(self) -> None:
         """Learn the verdicts in force before the first requests are sent.
--- a/hornbeamline/quarantine/const.py
+++ b/hornbeamline/quarantine/const.py
@@ -52,6 +52,9 @@
 # Interval at which a host compares its evidence with a control process.
 SYNC_INTERVAL_S: Final = 1.0
 SYNC_TIMEOUT_S: Final = 0.8
+# Bound of the turn with which a host begins; above the number of control
+# processes.
+MAX_TURN: Final = 64
 # Interval at which a host that has just started looks for a control process.
 FIRST_SYNC_INTERVAL_S: Final = 0.02
 # Reports that arrive within this time are passed on together.
