Stand-ins and load play prompts that crash engines

The fault crash_on_text ends a stand-in engine when the answer to a prompt with the text begins; shared_texts of the load settings put a text into a share of the prompts for a while, without changing the schedule of a seed. The product's own pipelines name no prompt parts, so that they have no quarantine; this only lets the load tool show what happens there. Tests for both.

--- a/hornbeamline/load/__init__.py
+++ b/hornbeamline/load/__init__.py
@@ -12,7 +12,7 @@
     render_text,
 )
 from hornbeamline.load._runner import LoadRunner
-from hornbeamline.load._settings import Burst, LoadSettings
+from hornbeamline.load._settings import Burst, LoadSettings, SharedText
 from hornbeamline.load._types import Ending, EndingKind
 
 __all__ = (
@@ -25,6 +25,7 @@
     'LoadRunner',
     'LoadSettings',
     'PipelineReport',
+    'SharedText',
     'arrivals',
     'build_report',
     'render_text',
--- a/hornbeamline/load/_arrivals.py
+++ b/hornbeamline/load/_arrivals.py
@@ -17,6 +17,8 @@
     number: int
     pipeline: str
     account: str
+    # Text with which the prompt begins; may be empty.
+    shared_text: str = ''
 
 
 def arrivals(settings: LoadSettings) -> Iterator[Arrival]:
@@ -25,6 +27,8 @@
     The same settings and seed give the same schedule.
     """
     rng = random.Random(settings.seed)
+    # Texts do not change the schedule of a seed.
+    text_rng = random.Random(f'{settings.seed}/texts')
     pipelines = tuple(settings.pipelines)
     accounts = tuple(settings.accounts)
     at_s = float(0)
@@ -39,6 +43,7 @@
             number,
             rng.choices(pipelines, tuple(settings.pipelines.values()))[0],
             rng.choices(accounts, tuple(settings.accounts.values()))[0],
+            _shared_text_at(settings, at_s, text_rng),
         )
 
 
@@ -48,3 +53,13 @@
         if burst.at_s <= at_s < burst.at_s + burst.for_s:
             rate *= burst.factor
     return rate
+
+
+def _shared_text_at(
+    settings: LoadSettings, at_s: float, rng: random.Random
+) -> str:
+    for shared in settings.shared_texts:
+        is_in_period = shared.at_s <= at_s < shared.at_s + shared.for_s
+        if is_in_period and rng.random() < shared.share:
+            return shared.text
+    return ''
--- a/hornbeamline/load/_runner.py
+++ b/hornbeamline/load/_runner.py
@@ -143,7 +143,7 @@
         headers = {'Authorization': f'Bearer {credential}'}
         if key:
             headers['Idempotency-Key'] = key
-        nonce = f'{self._run_id}.{arrival.number}'
+        nonce = f'{arrival.shared_text} {self._run_id}.{arrival.number}'.strip()
         deadline_ms = self._settings.deadline_ms
         try:
             async with session.post(
--- a/hornbeamline/load/_settings.py
+++ b/hornbeamline/load/_settings.py
@@ -19,6 +19,15 @@
     factor: Annotated[float, Meta(gt=0)]
 
 
+class SharedText(LoadTable, frozen=True, kw_only=True):
+    """A period in which a share of the prompts begins with the same text."""
+
+    text: Annotated[str, Meta(min_length=1, max_length=200)]
+    share: Annotated[float, Meta(gt=0, le=1)]
+    at_s: Annotated[float, Meta(ge=0)] = 0
+    for_s: Annotated[float, Meta(gt=0)]
+
+
 class LoadSettings(LoadTable, frozen=True, kw_only=True):
     """Schedule, destination and content of the requests."""
 
@@ -28,6 +37,8 @@
     duration_s: Annotated[float, Meta(gt=0)] = 10
     seed: int = 1
     bursts: list[Burst] = []
+    # Texts in prompts; stand-in engines can end when they begin to answer one.
+    shared_texts: list[SharedText] = []
     # Relative weights of pipelines and client accounts, by name.
     pipelines: Annotated[dict[str, float], Meta(min_length=1)]
     accounts: Annotated[dict[str, float], Meta(min_length=1)]
--- a/hornbeamline/standins/_settings.py
+++ b/hornbeamline/standins/_settings.py
@@ -36,6 +36,10 @@
     # Resets all connections, refuses new ones for this time, then listens
     # again; 0 for off.
     dead_s: float = 0
+    # Engines: ends as for `dead_s` when the answer to a prompt with this text
+    # begins, and listens again after `crash_s`; empty for off.
+    crash_on_text: str = ''
+    crash_s: float = 3
     # Resets a token stream after this many tokens; 0 for never.
     break_stream_after: int = 0
     # Stalls a token stream after this many tokens without closing it; 0 for
--- a/hornbeamline/standins/_target.py
+++ b/hornbeamline/standins/_target.py
@@ -96,6 +96,17 @@
         if faults.dead_s:
             self.tasks.spawn(self._simulate_outage(faults.dead_s), 'dead')
 
+    def is_deadly(self, sequence: Sequence) -> bool:
+        """Return whether the engine ends when it answers a prompt."""
+        text = self.fault_injector.faults.crash_on_text
+        return bool(text) and text in sequence.prompt
+
+    def crash(self) -> None:
+        """Reset all connections and stop listening for `crash_s`."""
+        crash_s = self.fault_injector.faults.crash_s
+        self.fault_injector.abort_connections()
+        self.tasks.spawn(self._simulate_outage(crash_s), 'crash')
+
     async def execute(self, request_key: str, output: Any) -> dict[str, Any]:
         """Occupy a slot for a random service time; return output and usage.
 
@@ -215,6 +226,10 @@
         self._target.work_by_id[request_id] = sequence
         batch.add(sequence, int(request.headers.get('X-Priority', '0')))
         try:
+            if self._target.is_deadly(sequence):
+                await sequence.wait_beyond(sequence.generated)
+                self._target.crash()
+                return web.Response(status=_CLIENT_CLOSED)
             if payload.get('stream'):
                 return await self._stream(request, sequence)
             return await self._unstreamed(request, sequence)
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -11,6 +11,7 @@
     Ending,
     EndingKind,
     LoadSettings,
+    SharedText,
     arrivals,
     build_report,
     render_text,
@@ -56,6 +57,17 @@
     assert inside / 2 == pytest.approx(3 * before / 4, rel=0.2)
 
 
+def test_shared_text_leaves_the_schedule_as_it_is() -> None:
+    """Guards against runs with and without the text that differ otherwise."""
+    shared = SharedText(text='dead', share=0.25, at_s=2, for_s=4)
+    plain = list(arrivals(load_settings()))
+    schedule = list(arrivals(load_settings(shared_texts=[shared])))
+    assert [each._replace(shared_text='') for each in schedule] == plain
+    texts = [each for each in schedule if each.shared_text]
+    assert all(2 <= each.at_s < 6 for each in texts)
+    assert len(texts) == pytest.approx(0.25 * 4 * 100, rel=0.4)
+
+
 def test_report_counts_late_and_refused_as_not_attained() -> None:
     """Guards against an attainment that ignores late and refused requests."""
     endings = [
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -151,3 +151,24 @@
             await ask(standin, 'GET', 'load')
         await until(lambda: standin.is_listening)
         assert (await ask(standin, 'GET', 'load'))[0] == 200
+
+
+async def test_engine_ends_under_a_text_and_returns() -> None:
+    """Guards against a stand-in that cannot play a crashing prompt."""
+    async with serving(kind=ServiceKind.generation) as standin:
+        faults = {'crash_on_text': 'dead', 'crash_s': 0.2}
+        assert (await ask(standin, 'POST', 'faults', faults))[0] == 200
+        sound = {'prompt': 'alive', 'max_tokens': 2}
+        assert (await ask(standin, 'POST', 'completions', sound))[0] == 200
+        with pytest.raises(aiohttp.ClientError):
+            await ask(
+                standin,
+                'POST',
+                'completions',
+                {'prompt': 'dead', 'max_tokens': 2},
+            )
+        await until(lambda: not standin.is_listening)
+        with pytest.raises(aiohttp.ClientError):
+            await ask(standin, 'POST', 'completions', sound)
+        await until(lambda: standin.is_listening)
+        assert (await ask(standin, 'POST', 'completions', sound))[0] == 200
