--- a/review/standins.py
+++ b/review/standins.py
@@ -49,6 +49,7 @@
 _PEER_PORTS = (7740, 7755)
 _METRICS_PORTS = (9464, 9465)
 _CALL_TIMEOUT_S = 2.0
+_NOTE_STATES_S = 0.02
 _LINGER_RESET = struct.pack('ii', 1, 0)
 
 
@@ -305,28 +306,50 @@
 
 
 class ServerList(Listener):
-    """The platform's list of servers."""
+    """The platform's list of servers, which may lag."""
 
-    def __init__(self, ip: str, servers: list[Server]) -> None:
-        """List `servers`, whose states are read at each call."""
+    def __init__(
+        self, ip: str, servers: list[Server], lag_s: float = 0
+    ) -> None:
+        """List `servers` as they were `lag_s` seconds ago."""
         super().__init__(ip)
         self._servers = servers
+        self._lag_s = lag_s
+        # Entries and the times from which on they were true.
+        self._history: list[tuple[float, list[str]]] = []
+        self._noting: asyncio.Task[None] | None = None
         # Entries of another writer, as they stand in the list.
         self.other_entries: list[str] = []
         self.calls = 0
 
+    async def start(self) -> None:
+        """Listen, and begin to note the states of the servers."""
+        await super().start()
+        self._noting = asyncio.create_task(self._note_states())
+
     async def handle(self, request: Message, connection: Connection) -> None:
         """Answer with one page."""
         self.calls += 1
-        entries = [
-            json.dumps(server.entry())
-            for server in self._servers
-            if server.state != 'gone'
-        ]
-        entries += self.other_entries
-        page = '{"instances":[' + ','.join(entries) + '],"next":null}'
+        shown_at = time.monotonic() - self._lag_s
+        entries = self._history[0][1]
+        for since, noted in self._history:
+            if since <= shown_at:
+                entries = noted
+        page = ','.join([*entries, *self.other_entries])
+        body = '{"instances":[' + page + '],"next":null}'
         json_type = {'Content-Type': 'application/json'}
-        await connection.answer(200, json_type, page.encode())
+        await connection.answer(200, json_type, body.encode())
+
+    async def _note_states(self) -> None:
+        while True:
+            entries = [
+                json.dumps(server.entry())
+                for server in self._servers
+                if server.state != 'gone'
+            ]
+            if not self._history or self._history[-1][1] != entries:
+                self._history.append((time.monotonic(), entries))
+            await asyncio.sleep(_NOTE_STATES_S)
 
 
 async def call(
@@ -683,6 +706,8 @@
     record = Record(Path(case_file).resolve().parent)
     is_troubled = os.environ.get('TROUBLE', '1') != '0'
     record.add(f'trouble: {is_troubled}')
+    # Ends the started processes too when the script is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     try:
         with _fleet_in(record, machines) as fleet:
             violations = asyncio.run(case(fleet, record, is_troubled))
