Show that a sound prompt part is quarantined with all requests (review case 4)

A head without an event weighs more than the deadly request that has none, and no begun answer can clear the part while all servers are down.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,20 +1,20 @@
-"""Servers that restart under their ids are never used again."""
+"""A sound prompt part is taken for the one that crashes servers."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 import sys
-import time
-from collections import Counter
 from pathlib import Path
+from typing import NamedTuple
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from standins import (  # noqa: E402
-    DRAIN_S,
-    NOT_RUN_STATUSES,
+    STABLE_WINDOW_S,
+    Connection,
     Fleet,
+    Message,
     Record,
     Server,
     ServerList,
@@ -26,126 +26,178 @@
     run_case,
 )
 
-# Two releases, each of half of the servers, one server after the other.
-PUSH_SERVERS = 4
-READ_SERVERS = 2
-PUSHES_PER_S = 15
-READS_PER_S = 45
-# Within `max-lag-ms` of the site, 800.
-LIST_LAG_S = 0.7
-BEFORE_S = 1.0
-# A server serves for this long after the list shows it as draining.
-LEAVING_S = DRAIN_S + 0.2
-# It is down for this long; it is missing in the list meanwhile.
-DOWN_S = 0.6
-DAY_S = 80.0
-DEADLINE_MS = 1000
-# The largest share of the time left that a client waits before a retry.
-MAX_WAIT_S = DEADLINE_MS / 1000 / 3
+SERVERS = 3
+# All prompts begin with this part; the others crash servers, one after the
+# other in the course of the day.
+FIRST_PART = '5c1e07a2'
+DEADLY_PARTS = ('dead07a2', 'dead18b3', 'dead29c4')
+STREAMS_PER_S = 24
+BEFORE_S = 8.0
+# Requests with a deadly part come now and then, for this time.
+DEADLY_PAUSE_S = 1.0
+DEADLY_S = 12.0
+DOWN_S = 3.0
+# From the head of an answer to its first event, and between events.
+FIRST_EVENT_S = 0.4
+EVENT_S = 0.05
+EVENTS = 3
+DEADLINE_MS = 6000
+MIN_REQUESTS = 20
+
+
+class Engine(Server):
+    """Model server that crashes as it begins to write certain answers."""
+
+    crashed_at = 0.0
+
+    async def run(self, request: Message, connection: Connection) -> None:
+        """Stream all events, or crash with all answers in progress."""
+        prompt = request.headers['x-prompt-prefix']
+        if any(part in prompt for part in DEADLY_PARTS):
+            await self._crash()
+            return
+        headers = self.stamped(request)
+        headers['Content-Type'] = 'text/event-stream'
+        headers['Transfer-Encoding'] = 'chunked'
+        await connection.head(200, headers)
+        for number in range(1, EVENTS + 1):
+            await asyncio.sleep(FIRST_EVENT_S if number == 1 else EVENT_S)
+            await connection.chunk(b'id: %d\ndata: x\n\n' % number)
+        await connection.chunk(b'')
+
+    async def _crash(self) -> None:
+        self.record.add(f'{self.id} crashes')
+        self.crashed_at = self.record.now()
+        self.restarting = asyncio.create_task(self._restart())
+        await self.stop()
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(DOWN_S)
+        # Each start is a new incarnation with a new id.
+        self.number += SERVERS
+        self.id = f'i-{self.service}-{self.number}'
+        await self.start()
+        self.record.add(f'{self.id} has started')
+
+
+class Attempt(NamedTuple):
+    """First attempt of a sound request."""
+
+    sent_at: float
+    has_begun: bool
 
 
 class Traffic:
-    """Clients of both kinds of request, which retry once."""
+    """Clients whose prompts all begin with the same part."""
 
     def __init__(self, fleet: Fleet, record: Record) -> None:
         """Create clients that have sent nothing."""
         self._fleet = fleet
         self._record = record
         self._tasks: set[asyncio.Task[None]] = set()
-        self.sent: Counter[str] = Counter()
-        self.served: Counter[str] = Counter()
+        self.attempts: list[Attempt] = []
 
-    async def run(self, name: str, method: str, per_s: float) -> None:
-        """Send requests of a kind until cancelled."""
+    async def run(self, pause_s: float, part: str) -> None:
+        """Send requests with a part until cancelled."""
         while True:
-            task = asyncio.create_task(self._request(name, method))
+            task = asyncio.create_task(self._send(part))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(1 / per_s)
-
-    async def _request(self, name: str, method: str) -> None:
-        self.sent[name] += 1
-        for _ in range(2):
-            status = await self._attempt(name, method)
-            if status == 200:
-                self.served[name] += 1
-                return
-            if status not in NOT_RUN_STATUSES:
-                return
-            await asyncio.sleep(MAX_WAIT_S)
-
-    async def _attempt(self, name: str, method: str) -> int:
+            await asyncio.sleep(pause_s)
+
+    def begun_share(self, begin: float, end: float) -> float:
+        """Return the share of the sound requests of a time that began."""
+        begun = [
+            attempt.has_begun
+            for attempt in self.attempts
+            if begin <= attempt.sent_at < end
+        ]
+        if len(begun) < MIN_REQUESTS:
+            raise ValueError('too few requests')
+        return sum(begun) / len(begun)
+
+    async def _send(self, part: str) -> None:
         request_id = new_id()
+        parts = [f'{FIRST_PART}:198', f'{request_id}:250']
+        if part:
+            parts.insert(1, f'{part}:380')
+        headers = client_headers(request_id, DEADLINE_MS)
+        headers['X-Model'] = 'm'
+        headers['X-Token-Count'] = '828,60'
+        headers['X-Prompt-Prefix'] = ','.join(parts)
+        sent_at = self._record.now()
         front = self._fleet.front(random.choice(self._fleet.ips))
-        self._record.add(f'send {request_id} {name} by way of {front}')
+        self._record.add(f'send {request_id} {part or "sound"} to {front}')
         answer = await call(
             front,
-            method,
-            f'/{name}/1',
-            client_headers(request_id, DEADLINE_MS),
+            'POST',
+            '/translit/1',
+            headers,
+            b'{}',
             timeout_s=DEADLINE_MS / 1000,
         )
         status = 0 if answer is None else answer.status
         self._record.add(f'answer {request_id} {status or "none"}')
-        return status
-
-
-async def restart(server: Server, record: Record) -> None:
-    """Restart a server in its place: it leaves first, then starts again."""
-    server.state = 'draining'
-    record.add(f'{server.id} is draining')
-    await asyncio.sleep(LEAVING_S)
-    server.state = 'gone'
-    await server.stop()
-    record.add(f'{server.id} has ended')
-    await asyncio.sleep(DOWN_S)
-    server.born_ms = int(time.time() * 1000)
-    server.state = 'ready'
-    await server.start()
-    record.add(f'{server.id} has started again, born {server.born_ms}')
+        if not part:
+            self.attempts.append(Attempt(sent_at, status == 200))
 
 
 async def case(fleet: Fleet, record: Record, is_troubled: bool) -> list[str]:
-    """Return a violation if one kind of request is starved."""
-    ip = fleet.server_ip()
-    push = [Server(ip, 'board', n, record) for n in range(PUSH_SERVERS)]
-    read = [Server(ip, 'hymns', n, record) for n in range(READ_SERVERS)]
-    listing = ServerList(ip, [*push, *read], LIST_LAG_S)
-    for listener in (*push, *read, listing):
+    """Return a violation if sound requests begin too seldom."""
+    engines: list[Server] = [
+        Engine(fleet.server_ip(), 'lector', number, record)
+        for number in range(SERVERS)
+    ]
+    listing = ServerList(fleet.server_ip(), engines)
+    for listener in (*engines, listing):
         await listener.start()
     fleet.list_address = listing.address
     fleet.start_all(is_first=True)
-    routes = [
-        plain_route('push', 'board', 'non_idempotent'),
-        plain_route('read', 'hymns', 'idempotent'),
-    ]
-    await fleet.put(document(7, routes))
+    route = plain_route(
+        'translit',
+        'lector',
+        'streaming',
+        **{
+            'timeout-ms': 15000,
+            'target-latency-ms': 2700,
+            'max-attempts': 3,
+            'session-affinity': True,
+            'stream-resume': True,
+            'gap-aim-ms': 500,
+        },
+    )
+    await fleet.put(document(7, [route]))
     await fleet.wait_ready()
     traffic = Traffic(fleet, record)
-    tasks = [
-        asyncio.create_task(traffic.run('push', 'POST', PUSHES_PER_S)),
-        asyncio.create_task(traffic.run('read', 'GET', READS_PER_S)),
-    ]
-    ends_at = record.now() + DAY_S
+    tasks = [asyncio.create_task(traffic.run(1 / STREAMS_PER_S, ''))]
+    began = record.now()
     await asyncio.sleep(BEFORE_S)
-    if is_troubled:
-        for server in push:
-            await restart(server, record)
-    restarted_at = record.now()
-    runs_before = sum(len(server.runs) for server in push)
-    await asyncio.sleep(ends_at - record.now())
+    deadly_from = record.now()
+    for part in DEADLY_PARTS:
+        sending = asyncio.create_task(traffic.run(DEADLY_PAUSE_S, part))
+        if not is_troubled:
+            sending.cancel()
+        await asyncio.sleep(DEADLY_S)
+        sending.cancel()
+    ended = record.now()
+    crashes = sum(engine.number // SERVERS for engine in engines)
     for task in tasks:
         task.cancel()
-    runs_since = sum(len(server.runs) for server in push) - runs_before
-    pushed = traffic.served['push'] / traffic.sent['push']
-    every = traffic.served.total() / traffic.sent.total()
-    record.add(
-        f'served of push {pushed:.3f}, of all {every:.3f}; requests that '
-        f'reached the restarted servers in {ends_at - restarted_at:.0f} s: '
-        f'{runs_since}'
-    )
-    if pushed < every / 4:
-        return [f'Starved push served {pushed:.3f}, all {every:.3f}']
+    await asyncio.sleep(1)
+    # The rule counts from 2 x `stable-window-ms` after the last crash, or the
+    # fifth, if there are more.
+    last_crash = deadly_from
+    for engine in engines:
+        assert isinstance(engine, Engine)
+        last_crash = max(last_crash, engine.crashed_at)
+    counted_from = last_crash + 2 * STABLE_WINDOW_S
+    before = traffic.begun_share(began, deadly_from)
+    after = traffic.begun_share(counted_from, ended)
+    record.add(f'{crashes} crashes; begun {before:.3f} before, {after:.3f}')
+    if after < before / 2:
+        return [
+            f'LOST {after:.3f} of the sound requests begin, not {before:.3f}'
+        ]
     return []
 
 
