--- a/hornbeamline/gateway/_http.py
+++ b/hornbeamline/gateway/_http.py
@@ -13,6 +13,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from hornbeamline.gateway.errors import MayHaveRunError, TargetGoneError
+from hornbeamline.helpers.http_client import forbid_resend
 from hornbeamline.targets import (
     GuardedConnector,
     SendProgress,
@@ -144,8 +145,8 @@
     """Open a connection for each call and close it afterwards.
 
     A connection that is used once cannot deliver a late response to an
-    earlier request and cannot be stale, so aiohttp has no reason to send a
-    request again.
+    earlier request and cannot be stale. Only the forwarder decides whether a
+    request is sent again.
     """
 
     def __init__(self) -> None:
@@ -170,6 +171,7 @@
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
+            middlewares=(forbid_resend,),
             skip_auto_headers=_SKIPPED_HEADERS,
         )
 
--- a/hornbeamline/targets/_connections.py
+++ b/hornbeamline/targets/_connections.py
@@ -9,12 +9,18 @@
 
 import aiohttp
 
+from hornbeamline.helpers.http_client import forbid_resend
 from hornbeamline.targets._messages import BeforeSend
+from hornbeamline.telemetry import log_event
 
 CONNECT_TIMEOUT_S: Final = 1.0
 KEEPALIVE_TIMEOUT_S: Final = 2.0
 
 
+class CallRepeatedError(aiohttp.ClientConnectionError):
+    """The HTTP library tried to send a call a second time."""
+
+
 class SendProgress:
     """Tracks whether the first byte of a call may have been written."""
 
@@ -26,8 +32,13 @@
     def begin(self) -> None:
         """Run the hook, then record that writing begins.
 
-        If the hook raises, the call counts as unsent.
+        If the hook raises, the call counts as unsent. Raises
+        `CallRepeatedError` the second time: whether a call is repeated is
+        the decision of its sender, not of the HTTP library.
         """
+        if self.may_be_sent:
+            log_event('targets.call_repeated')
+            raise CallRepeatedError('the call has been sent before')
         if self._before_send is not None:
             self._before_send()
         self.may_be_sent = True
@@ -72,10 +83,8 @@
 def open_session(*, reuse: bool) -> aiohttp.ClientSession:
     """Return a session that never repeats a call by itself.
 
-    aiohttp resends GET, PUT and DELETE requests when a reused connection
-    turns out to be closed, and follows redirects of any method. Without
-    `reuse`, each call has its own connection; every call must disable
-    redirects.
+    aiohttp follows redirects of any method, so every call must disable them.
+    Without `reuse`, each call has its own connection.
     """
     if reuse:
         connector = GuardedConnector(
@@ -88,5 +97,6 @@
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        middlewares=(forbid_resend,),
         skip_auto_headers=('User-Agent', 'Accept-Encoding'),
     )
--- a/tests/gateway/test_http.py
+++ b/tests/gateway/test_http.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import AsyncIterator
 
 import pytest
@@ -193,3 +195,61 @@
         response, body = await http.fetch(address, 'GET', '/')
     assert body == rest
     assert response.status == 200
+
+
+class LosingTarget:
+    """Receives requests and ends their connections without a response."""
+
+    def __init__(self, *, resets: bool) -> None:
+        self._resets = resets
+        self.received = 0
+        self.was_received = asyncio.Event()
+        self.address = ''
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Lose the response to one request."""
+        await reader.readuntil(b'\r\n\r\n')
+        self.received += 1
+        if self._resets:
+            linger = struct.pack('ii', 1, 0)
+            connection = writer.get_extra_info('socket')
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+
+@pytest.fixture(params=[False, True], ids=['close', 'reset'])
+async def losing_target(request) -> AsyncIterator[LosingTarget]:
+    target = LosingTarget(resets=request.param)
+    server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    target.address = f'{host}:{port}'
+    async with server:
+        yield target
+
+
+METHODS = ('POST', 'PUT', 'DELETE', 'GET', 'HEAD', 'OPTIONS', 'TRACE', 'PATCH')
+
+
+# Failure: filings by PUT, DELETE or GET ran twice when their answer was lost
+# (TWICE, review/1). The HTTP library sent these methods again by itself.
+@pytest.mark.parametrize('body', [None, b'{}'], ids=['empty', 'body'])
+@pytest.mark.parametrize('method', METHODS)
+async def test_request_with_a_lost_answer_is_sent_once(
+    http, losing_target, method, body
+) -> None:
+    """Fault: a target runs a request, and its answer is lost."""
+    hooks = []
+    with pytest.raises(MayHaveRunError):
+        await http.fetch(
+            losing_target.address,
+            method,
+            '/',
+            body=body,
+            on_sent=lambda: hooks.append(1),
+        )
+    assert losing_target.received == 1
+    assert len(hooks) == 1
--- a/tests/orders/test_client.py
+++ b/tests/orders/test_client.py
@@ -142,3 +142,20 @@
     for engine.report in ({'models': ['m1']}, {'models': {'x' * 300_000: ''}}):
         with pytest.raises(EngineUnreadableError):
             await client.report(engine.target, 1)
+
+
+async def test_report_with_a_lost_answer_is_requested_once(client) -> None:
+    """Guards against requests that the HTTP library sends again by itself."""
+    heads = []
+
+    async def lose(reader, writer):
+        heads.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.close()
+
+    server = await asyncio.start_server(lose, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    target = Target(service='s', data_centre='d', address=f'{host}:{port}')
+    async with server:
+        with pytest.raises(EngineUnreadableError):
+            await client.report(target, 1)
+    assert len(heads) == 1
--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any
 
+import aiohttp
 import pytest
 
 from hornbeamline.inventory import ServiceKind, Target
@@ -19,6 +20,7 @@
     TargetTimeoutError,
     TargetUnreachableError,
 )
+from hornbeamline.targets._connections import SendProgress, open_session
 from tests.common import free_address
 from tests.serving import expected_tokens, inventory_target, serving
 
@@ -385,3 +387,28 @@
             await self._handler(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
+
+
+@pytest.mark.parametrize('reuse', [True, False])
+async def test_session_sends_a_call_with_a_lost_answer_once(reuse) -> None:
+    """Guards against calls that the HTTP library sends again by itself."""
+    heads = []
+
+    async def lose(reader, writer):
+        heads.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.close()
+
+    async with raw_server(lose) as target, open_session(reuse=reuse) as session:
+        with pytest.raises(aiohttp.ClientConnectionError):
+            await session.put(f'http://{target.address}/', data=b'{}')
+    assert len(heads) == 1
+
+
+def test_call_does_not_begin_twice() -> None:
+    """Guards against a second send by any way through the HTTP library."""
+    hooks = []
+    progress = SendProgress(lambda: hooks.append(1))
+    progress.begin()
+    with pytest.raises(aiohttp.ClientConnectionError):
+        progress.begin()
+    assert len(hooks) == 1
