--- a/hornbeamline/batching/__init__.py
+++ b/hornbeamline/batching/__init__.py
@@ -14,6 +14,7 @@
     Piece,
     PieceResult,
     PieceTerms,
+    call_duration_s,
 )
 from hornbeamline.batching._worker import BatchProfile, TargetAccess
 from hornbeamline.batching.errors import (
@@ -41,4 +42,5 @@
     'QueuedPiece',
     'ResultsKeptError',
     'TargetAccess',
+    'call_duration_s',
 )
--- a/hornbeamline/batching/_speeds.py
+++ b/hornbeamline/batching/_speeds.py
@@ -9,6 +9,7 @@
 from hornbeamline.batching._types import BatchTarget
 from hornbeamline.batching.const import (
     COOLDOWN_S,
+    MAX_COOLDOWN_DOUBLINGS,
     MAX_COOLDOWN_S,
     MAX_USUAL_SLOWNESS,
     RATE_WINDOW_S,
@@ -149,7 +150,8 @@
         """Start a cool-down, which doubles with each consecutive failure."""
         failures = self._consecutive_failures[target_id]
         self._consecutive_failures[target_id] += 1
-        cooldown_s = min(COOLDOWN_S * 2**failures, MAX_COOLDOWN_S)
+        doublings = min(failures, MAX_COOLDOWN_DOUBLINGS)
+        cooldown_s = min(COOLDOWN_S * 2**doublings, MAX_COOLDOWN_S)
         self._cooldown_end_by_target[target_id] = (
             self._clock.monotonic() + cooldown_s
         )
--- a/hornbeamline/batching/_types.py
+++ b/hornbeamline/batching/_types.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple, Protocol
 
+from hornbeamline.batching.const import MAX_CALL_S, MIN_CALL_S
+
 
 class EntryHost(NamedTuple):
     """Entry host that can own services."""
@@ -28,6 +30,28 @@
         """Return the data centre of the target."""
 
 
+class CallTimes(Protocol):
+    """Configured duration of a call at a target of a service."""
+
+    @property
+    def call_s(self) -> float:
+        """Return the fixed part of the call duration in seconds."""
+
+    @property
+    def piece_s(self) -> float:
+        """Return the seconds that each piece adds to a call."""
+
+
+def call_duration_s(times: CallTimes, pieces: float) -> float:
+    """Return the expected duration of a call with `pieces` pieces in seconds.
+
+    Always positive and finite, whatever an operator has configured, so that
+    rates can be computed from it.
+    """
+    configured_s = times.call_s + pieces * times.piece_s
+    return min(max(MIN_CALL_S, configured_s), MAX_CALL_S)
+
+
 class Piece(NamedTuple):
     """One piece of a stage of a request."""
 
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -18,7 +18,13 @@
 from hornbeamline.batching._releases import FreeResults, ResultReleases
 from hornbeamline.batching._result_space import ResultSpace, SpaceShare
 from hornbeamline.batching._speeds import PieceRate, TargetSpeeds
-from hornbeamline.batching._types import BatchTarget, Piece, PieceResult
+from hornbeamline.batching._types import (
+    BatchTarget,
+    CallTimes,
+    Piece,
+    PieceResult,
+    call_duration_s,
+)
 from hornbeamline.batching.const import (
     BATCH_WINDOW_S,
     CALL_TIMEOUT_FACTOR,
@@ -27,6 +33,7 @@
     MAX_PIECE_ATTEMPTS,
     MAX_USUAL_SLOWNESS,
     MIN_CALL_TIMEOUT_MARGIN_S,
+    MIN_PIECES_PER_S,
 )
 from hornbeamline.batching.errors import (
     CallDeferredError,
@@ -47,21 +54,13 @@
 _POLL_S: Final = 0.25
 
 
-class BatchProfile(Protocol):
+class BatchProfile(CallTimes, Protocol):
     """Call durations and limits of one service."""
 
     @property
     def pieces_per_call(self) -> int:
         """Return the maximum number of pieces per call."""
 
-    @property
-    def call_s(self) -> float:
-        """Return the fixed part of the call duration in seconds."""
-
-    @property
-    def piece_s(self) -> float:
-        """Return the seconds that each piece adds to a call."""
-
     @property
     def results_mb(self) -> float:
         """Return the space for results at a target in megabytes."""
@@ -176,17 +175,21 @@
         return waits
 
     def rate(self) -> float:
-        """Return the pieces per second that the targets compute."""
+        """Return the pieces per second that the targets compute.
+
+        Always positive, also while targets state limits of 0.
+        """
         batch = self._profile.pieces_per_call
         calls_per_s = 1 / self._expected_s(batch)
         limits = self._call_rates(self.service)
         if not limits:
             targets = max(len(self._targets(self.service)), 1)
             limits = [math.inf for _ in range(targets)]
-        return self._piece_rate.rate(
+        rate = self._piece_rate.rate(
             batch * sum(min(calls_per_s, limit) for limit in limits),
             is_backlogged=len(self._queue) > len(limits) * batch,
         )
+        return max(rate, MIN_PIECES_PER_S)
 
     def release(self, handles: Sequence[str]) -> None:
         """Schedule the release of results."""
@@ -466,7 +469,7 @@
         self._wakeup.set()
 
     def _expected_s(self, pieces: int) -> float:
-        return self._profile.call_s + pieces * self._profile.piece_s
+        return call_duration_s(self._profile, pieces)
 
 
 def _with_space(
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -77,3 +77,11 @@
 RATE_WINDOW_S: Final = 3.0
 # Weight of a new sample in the smoothed slowness of a target.
 SPEED_SMOOTHING: Final = 0.3
+# Bounds of the expected duration of a call and of the rate of a service, which
+# are divisors. An operator may configure calls of 0 ms, and a target may state
+# a limit of 0 calls per second.
+MIN_CALL_S: Final = 0.001
+MAX_CALL_S: Final = 3600.0
+MIN_PIECES_PER_S: Final = 0.001
+# Number of consecutive failures after which a cool-down no longer doubles.
+MAX_COOLDOWN_DOUBLINGS: Final = 8
--- a/hornbeamline/daemons/_target_list.py
+++ b/hornbeamline/daemons/_target_list.py
@@ -18,6 +18,8 @@
 _RETRY_INTERVAL_S: Final = 0.25
 # The pauses between reads are set to use this share of the allowed call rate.
 _RATE_SHARE: Final = 0.7
+# Lower bound of the allowed call rate, which is a divisor.
+MIN_LIST_RATE_PER_S: Final = 0.01
 # Interval of checking the age of a list that another process has read.
 _AGE_CHECK_INTERVAL_S: Final = 0.2
 # Interval of checking for a first list.
@@ -92,7 +94,8 @@
             self._interval_s if self._last_read_succeeded else _RETRY_INTERVAL_S
         )
         calls = self._host_count * self._source.calls
-        return max(pause_s, calls / self._rate_per_s)
+        rate_per_s = max(self._rate_per_s, MIN_LIST_RATE_PER_S)
+        return max(pause_s, calls / rate_per_s)
 
     async def _run(self) -> None:
         if self._on_read is None and self._max_age_s:
--- a/hornbeamline/gateway/_stages.py
+++ b/hornbeamline/gateway/_stages.py
@@ -12,6 +12,7 @@
     Piece,
     PiecesFailedError,
     PieceTerms,
+    call_duration_s,
 )
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._placement import Placement
@@ -243,7 +244,7 @@
         duration_s: float = 0
         if limits is not None and pieces:
             start_s = max(start_s, wait_s_by_service.get(stage.service, 0))
-            duration_s = limits.call_s + pieces * limits.piece_s
+            duration_s = call_duration_s(limits, pieces)
         end_s_by_stage[stage_index] = start_s + duration_s
     return max(end_s_by_stage.values(), default=0)
 
@@ -307,7 +308,7 @@
         own_s: float = 0
         if limits is not None:
             filled = limits.pieces_per_call / 2
-            own_s = limits.call_s + filled * limits.piece_s
+            own_s = call_duration_s(limits, filled)
         for earlier in stage.after:
             total_s = remaining_s[stage_index] + own_s * _TYPICAL_LOAD_FACTOR
             remaining_s[earlier] = max(remaining_s[earlier], total_s)
--- a/hornbeamline/gateway/_waits.py
+++ b/hornbeamline/gateway/_waits.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple, TypeVar
 
+from hornbeamline.batching import call_duration_s
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._types import BatchLimits
 
@@ -122,8 +123,7 @@
 def rate_of(limits: BatchLimits, targets: int) -> float:
     """Return the throughput with full calls in pieces per second."""
     pieces = limits.pieces_per_call
-    call_s = limits.call_s + pieces * limits.piece_s
-    return max(targets, 1) * pieces / call_s
+    return max(targets, 1) * pieces / call_duration_s(limits, pieces)
 
 
 def _values_up_to(
--- a/tests/gateway/test_waits.py
+++ b/tests/gateway/test_waits.py
@@ -3,12 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import random
 from types import SimpleNamespace
 
 import pytest
 
-from hornbeamline.gateway import StageLoad, StageRunner, wait_by_service
+from hornbeamline.gateway import (
+    BatchLimits,
+    StageLoad,
+    StageRunner,
+    rate_of,
+    wait_by_service,
+)
+from hornbeamline.gateway._admission import check_admission, retry_after_s
 from hornbeamline.gateway._job import Job
+from hornbeamline.gateway._stages import (
+    _input_space_share,
+    _remaining_s_by_stage,
+)
 from hornbeamline.gateway._waits import UpcomingPieces
 from hornbeamline.helpers.clock import SystemClock
 from tests.gateway.builders import (
@@ -110,3 +123,38 @@
         StageLoad({'second': {0: 2.0}}, {}, {}),
     ]
     assert wait_by_service(loads, 0, lambda _service: RATE) == {'second': 2.0}
+
+
+# Failure: a valid configuration with a stage of 0 ms made the queueing times of
+# all requests fail (CONFIG).
+@pytest.mark.parametrize('call_s', [0.0, -1.0, 1.7e308])
+@pytest.mark.parametrize('piece_s', [0.0, 1.7e308])
+@pytest.mark.parametrize('results_mb', [0.0, 5e-324, 1.7e308])
+async def test_figures_at_the_ends_of_their_ranges_give_finite_times(
+    call_s, piece_s, results_mb
+) -> None:
+    """Guards against figures of an operator that no calculation can bear."""
+    limits = BatchLimits(0, 0, 1, call_s, piece_s, results_mb, 0.0)
+    table = make_table(make_route(stages=CHAIN))
+    services = {
+        name: service._replace(batch=limits)
+        for name, service in table.services_by_name.items()
+    }
+    table = table._replace(services_by_name=services)
+    rate = rate_of(limits, 0)
+    assert 0 < rate < math.inf
+    load = StageLoad({}, {'second': {0: 80}}, {})
+    waits = wait_by_service([load], 0, lambda _service: rate)
+    assert 0 <= waits['second'] < math.inf
+    for route in (make_route(stages=CHAIN), make_route(stages=CHAIN, aim_s=0)):
+        request = make_request(pieces_by_stage=(2, 1))
+        decision = check_admission(request, route, table, waits, 0.0)
+        assert math.isfinite(decision.expected_s)
+        retry_s = retry_after_s(route, waits, random.Random(1))
+        assert 0 < retry_s < math.inf
+        assert all(
+            math.isfinite(left_s)
+            for left_s in _remaining_s_by_stage(route, table)
+        )
+        share = _input_space_share(request, route, table, 1)
+        assert share >= 0
