Start long-lived tasks that fail again, and stop the log when it must

Cause, second part: a long-lived task that ends by an exception was logged and never started again, and enrolment with control processes computed the load figures in the same task.

TaskSet.keep_running starts such a task again with back-off, a log line and a counter. A host whose load cannot be computed enrols without it. The writer and the applier of the replicated log stop the process on any error instead, since the state that they leave is unknown, and recovery from the disk is defined.

Message handlers already catch errors.

--- a/hornbeamline/batching/_releases.py
+++ b/hornbeamline/batching/_releases.py
@@ -36,7 +36,7 @@
 
     def start(self) -> None:
         """Start to free results in the background."""
-        self._tasks.spawn(self._run(), 'result releases')
+        self._tasks.keep_running(self._run, 'result releases')
 
     async def stop(self) -> None:
         """Stop; the remaining results expire at their targets."""
--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -78,7 +78,7 @@
 
     async def start(self) -> None:
         """Start to maintain connections to the owners."""
-        self._tasks.spawn(self._keep_links(), 'batching links')
+        self._tasks.keep_running(self._keep_links, 'batching links')
 
     async def stop(self) -> None:
         """Stop all work and drop the queues of this host."""
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -139,7 +139,7 @@
 
     def start(self) -> None:
         """Start to dispatch queued pieces."""
-        self._tasks.spawn(self._run(), f'batches {self.service}')
+        self._tasks.keep_running(self._run, f'batches {self.service}')
         self._releases.start()
 
     async def stop(self) -> None:
--- a/hornbeamline/configuration/_client.py
+++ b/hornbeamline/configuration/_client.py
@@ -98,7 +98,9 @@
 
     async def start(self) -> None:
         """Start renewing the lease in the background."""
-        self._tasks.spawn(self._renew_periodically(), 'configuration renewal')
+        self._tasks.keep_running(
+            self._renew_periodically, 'configuration renewal'
+        )
 
     async def stop(self) -> None:
         """Stop the renewals and give up the lease."""
--- a/hornbeamline/daemons/_settings_watch.py
+++ b/hornbeamline/daemons/_settings_watch.py
@@ -32,7 +32,7 @@
     async def start(self) -> None:
         """Read the settings and start polling the file."""
         self._known_controls = self._read_controls()
-        self._tasks.spawn(self._watch(), 'settings watch')
+        self._tasks.keep_running(self._watch, 'settings watch')
 
     async def stop(self) -> None:
         """Stop polling the file."""
--- a/hornbeamline/daemons/_target_list.py
+++ b/hornbeamline/daemons/_target_list.py
@@ -77,7 +77,7 @@
 
     async def start(self) -> None:
         """Start polling."""
-        self._tasks.spawn(self._run(), 'target list')
+        self._tasks.keep_running(self._run, 'target list')
 
     async def stop(self) -> None:
         """Stop polling."""
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import Callable, Mapping, Sequence
 
 from hornbeamline.core import TaskSet
@@ -112,8 +113,8 @@
             return
         self._peering.add_peer(name, address)
         self._list_read_by_control[name] = asyncio.Event()
-        self._tasks_by_control[name] = self._tasks.spawn(
-            self._enrol_forever(name),
+        self._tasks_by_control[name] = self._tasks.keep_running(
+            functools.partial(self._enrol_forever, name),
             f'directory {name}',
         )
 
@@ -146,7 +147,7 @@
                 self.document.number,
                 is_full,
                 self._targets.digest,
-                self._load(),
+                self._load_or_none(),
                 self.view.position_at(control),
             ),
             EnrolReply,
@@ -158,6 +159,18 @@
             self._apply_document(reply.document, 'enrol')
         self._apply_listed(reply.listed, list_requested_at)
 
+    def _load_or_none(self) -> ProcessLoad:
+        """Return the load of this process, or none if that fails.
+
+        A process must stay in touch with the control processes, whatever
+        is wrong with its load figures: a later document may correct them.
+        """
+        try:
+            return self._load()
+        except Exception as error:
+            log_event('directory.load_failed', error=repr(error))
+            return ProcessLoad()
+
     def _is_source(self, control: str) -> bool:
         """Return whether to request a full reply from a control process.
 
--- a/hornbeamline/ledger/_client.py
+++ b/hornbeamline/ledger/_client.py
@@ -103,7 +103,7 @@
 
     async def start(self) -> None:
         """Open and renew a session in the background."""
-        self._tasks.spawn(self._maintain_session(), 'ledger session')
+        self._tasks.keep_running(self._maintain_session, 'ledger session')
 
     async def stop(self) -> None:
         """Close the session, which ends its claims without an outcome."""
--- a/hornbeamline/ledger/_service.py
+++ b/hornbeamline/ledger/_service.py
@@ -82,7 +82,7 @@
 
     async def start(self) -> None:
         """Start to expire sessions and claims in the background."""
-        self._tasks.spawn(self._run_ticks(), 'ledger watch')
+        self._tasks.keep_running(self._run_ticks, 'ledger watch')
 
     async def stop(self) -> None:
         """Stop the background task."""
--- a/hornbeamline/limits/_service.py
+++ b/hornbeamline/limits/_service.py
@@ -68,7 +68,7 @@
 
     async def start(self) -> None:
         """Start maintaining connections to granters of limited targets."""
-        self._tasks.spawn(self._keep_links(), 'limits links')
+        self._tasks.keep_running(self._keep_links, 'limits links')
 
     async def stop(self) -> None:
         """Cancel pending reports and stop maintaining connections."""
--- a/hornbeamline/membership/_poller.py
+++ b/hornbeamline/membership/_poller.py
@@ -42,7 +42,7 @@
 
     async def start(self) -> None:
         """Start to poll in the background."""
-        self._tasks.spawn(self._run(), 'membership poller')
+        self._tasks.keep_running(self._run, 'membership poller')
 
     async def stop(self) -> None:
         """Stop polling and close the source."""
--- a/hornbeamline/orders/_service.py
+++ b/hornbeamline/orders/_service.py
@@ -89,7 +89,7 @@
         """Start the reconciliation loop in the background."""
         if self._log.is_leader:
             self._leading.set()
-        self._tasks.spawn(self._run(), 'orders')
+        self._tasks.keep_running(self._run, 'orders')
 
     async def stop(self) -> None:
         """Revoke the grant, and stop the loop and the client."""
--- a/hornbeamline/peering/_links.py
+++ b/hornbeamline/peering/_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import re
 from collections.abc import Callable
 from typing import Final
@@ -142,8 +143,8 @@
 
     def _start_link(self, link: Link) -> None:
         link.dial()
-        self._tasks_by_peer[link.peer] = self._tasks.spawn(
-            self._maintain(link),
+        self._tasks_by_peer[link.peer] = self._tasks.keep_running(
+            functools.partial(self._maintain, link),
             f'peer {link.peer}',
         )
 
--- a/hornbeamline/pipeline/_ticker.py
+++ b/hornbeamline/pipeline/_ticker.py
@@ -25,7 +25,7 @@
 
     async def start(self) -> None:
         """Start the periodic task."""
-        self._tasks.spawn(self._run_ticks(), 'decision tick')
+        self._tasks.keep_running(self._run_ticks, 'decision tick')
 
     async def stop(self) -> None:
         """Cancel the periodic task."""
--- a/hornbeamline/quarantine/_exchange.py
+++ b/hornbeamline/quarantine/_exchange.py
@@ -57,7 +57,7 @@
 
     async def start(self) -> None:
         """Start to compare the evidence with control processes."""
-        self._tasks.spawn(self._sync_forever(), 'quarantine sync')
+        self._tasks.keep_running(self._sync_forever, 'quarantine sync')
 
     async def stop(self) -> None:
         """Stop comparing the evidence."""
--- a/hornbeamline/replog/_leadership.py
+++ b/hornbeamline/replog/_leadership.py
@@ -151,8 +151,8 @@
         self.table.progress_by_name[member.name] = progress
         replication = Replication(node, self, progress)
         self._tasks.append(
-            node.tasks.spawn(
-                replication.run(),
+            node.tasks.keep_running(
+                replication.run,
                 f'replog replication to {member.name}',
             ),
         )
--- a/hornbeamline/replog/_node.py
+++ b/hornbeamline/replog/_node.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING, Any
 
 from hornbeamline.core import TaskSet
 from hornbeamline.helpers.clock import Clock
@@ -104,6 +104,18 @@
             last=self.journal.last_index,
         )
 
+    def spawn_essential(
+        self,
+        run: Callable[[], Coroutine[Any, Any, None]],
+        name: str,
+    ) -> asyncio.Task[None]:
+        """Run a task without which the log must stop.
+
+        It cannot be started again after an error, since the state that it
+        left is unknown; a restart of the process recovers from the disk.
+        """
+        return self.tasks.spawn(self._stop_on_error(run, name), name)
+
     def require_running(self) -> None:
         """Raise `LogStoppedError` after a failure or stop."""
         if self.stop_error is not None:
@@ -216,3 +228,15 @@
     def _on_durable(self) -> None:
         if self.leadership is not None:
             self.leadership.advance_commit()
+
+    async def _stop_on_error(
+        self,
+        run: Callable[[], Coroutine[Any, Any, None]],
+        name: str,
+    ) -> None:
+        try:
+            await run()
+        except LogStoppedError as error:
+            self.fail(error)
+        except Exception as error:
+            self.fail(LogStoppedError(f'{name} failed: {error!r}'))
--- a/hornbeamline/replog/_replica.py
+++ b/hornbeamline/replog/_replica.py
@@ -163,12 +163,14 @@
         for name, address in node.settings.controls_by_name.items():
             if name != node.name:
                 node.peering.add_peer(name, address)
-        node.tasks.spawn(self._write(), 'replog writer')
-        node.tasks.spawn(self._applier.run(), 'replog applier')
-        node.tasks.spawn(self._election.run(), 'replog election')
-        node.tasks.spawn(self._bootstrap.run(), 'replog bootstrap')
+        node.spawn_essential(node.journal.run, 'replog writer')
+        node.spawn_essential(self._applier.run, 'replog applier')
+        node.tasks.keep_running(self._election.run, 'replog election')
+        node.tasks.keep_running(self._bootstrap.run, 'replog bootstrap')
         if self._reconciler is not None:
-            node.tasks.spawn(self._reconciler.run(), 'replog voter reconciler')
+            node.tasks.keep_running(
+                self._reconciler.run, 'replog voter reconciler'
+            )
 
     async def stop(self) -> None:
         """Hand over the leadership, then stop all tasks and close the files."""
@@ -233,12 +235,6 @@
             raise NotLeaderError(node.leader)
         return node.leadership
 
-    async def _write(self) -> None:
-        try:
-            await self._node.journal.run()
-        except LogStoppedError as error:
-            self._node.fail(error)
-
     async def _shut_down(self) -> None:
         node = self._node
         if node.stop_error is None:
--- a/hornbeamline/targets/pollers.py
+++ b/hornbeamline/targets/pollers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 from collections.abc import Callable
 from typing import Final
@@ -50,7 +51,7 @@
 
     async def start(self) -> None:
         """Start polling the targets of the current fleet."""
-        self._tasks.spawn(self._reconcile_periodically(), 'poll reconcile')
+        self._tasks.keep_running(self._reconcile_periodically, 'poll reconcile')
 
     async def stop(self) -> None:
         """Stop polling."""
@@ -73,8 +74,9 @@
             kind = fleet.services_by_name[target.service].kind
             self._polls_by_target[added] = (
                 target,
-                self._tasks.spawn(
-                    self._poll(added, target, kind), f'poll {added}'
+                self._tasks.keep_running(
+                    functools.partial(self._poll, added, target, kind),
+                    f'poll {added}',
                 ),
             )
 
--- a/tests/directory/test_member.py
+++ b/tests/directory/test_member.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from hornbeamline.core._tasks import MAX_RESTART_DELAY_S
 from hornbeamline.daemons._target_list import ListPoller
 from hornbeamline.directory import DirectoryMember, Presence, ProcessLoad
 from hornbeamline.directory._messages import (
@@ -391,3 +392,42 @@
     assert view.others_load().in_flight_by_target == {'t1': 30}
     await asyncio.sleep(PRESENCE_SILENCE_S + 0.1)
     assert view.others_load() == ProcessLoad()
+
+
+class FailingLoad:
+    """Load of a process that cannot be computed."""
+
+    def __call__(self) -> ProcessLoad:
+        """Fail."""
+        raise ZeroDivisionError
+
+
+# Failure: a document with figures that a calculation of the load could not bear
+# ended the enrolments, so that the host learned of no later one (CONFIG).
+async def test_failing_load_does_not_end_the_enrolments(directory) -> None:
+    """Fault: the load of a process cannot be computed."""
+    await directory.start()
+    member = directory.members['entry-0']
+    member._load = FailingLoad()
+    await asyncio.sleep(2 * PRESENCE_SILENCE_S)
+    assert member.answering_controls() == CONTROLS
+    assert 'entry-0' in directory.seen_by('entry-1')
+
+
+async def test_enrolments_survive_an_unforeseen_error(directory) -> None:
+    """Fault: the presence of a process cannot be described for a while."""
+    await directory.start()
+    member = directory.members['entry-0']
+    describe = member._describe
+    failures = []
+
+    def fail() -> Presence:
+        failures.append(1)
+        raise KeyError('figure')
+
+    member._describe = fail
+    await asyncio.sleep(PRESENCE_SILENCE_S)
+    assert failures
+    member._describe = describe
+    await asyncio.sleep(MAX_RESTART_DELAY_S + PRESENCE_SILENCE_S)
+    assert 'entry-0' in directory.seen_by('entry-1')
--- a/tests/replog/test_faults.py
+++ b/tests/replog/test_faults.py
@@ -13,6 +13,7 @@
     ProposalUnknownError,
     const,
 )
+from hornbeamline.replog._replication import Replication
 from tests.replog.group import MACHINE, eventually, outcome_of
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
@@ -195,3 +196,47 @@
     leader.log._node.peering.call = counted
     await asyncio.gather(*(leader.log.read_barrier() for _ in range(200)))
     assert len(sent) <= 6
+
+
+async def test_unforeseen_error_of_the_applier_stops_the_log(
+    new_group, monkeypatch
+) -> None:
+    """Guards against a voter that acknowledges, but applies nothing."""
+    group = await new_group(3)
+    await group.propose(b'before')
+    leader = await group.leader()
+    stopped: list[LogStoppedError] = []
+    leader.log.on_stopped(stopped.append)
+
+    def fail() -> None:
+        raise KeyError('entry')
+
+    monkeypatch.setattr(leader.log._applier, '_save_when_due', fail)
+    await outcome_of(leader.log.propose(MACHINE, b'unsure'))
+    await eventually(lambda: bool(stopped))
+    assert not leader.log.is_leader
+    assert await group.propose(b'after')
+
+
+async def test_failed_replication_is_started_again(
+    new_group, monkeypatch
+) -> None:
+    """Guards against a follower that gets nothing more from its leader."""
+    group = await new_group(3)
+    await group.propose(b'before')
+    leader = await group.leader()
+    failures = []
+
+    def fail(self) -> bool:
+        failures.append(1)
+        raise KeyError('progress')
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Replication, '_has_more', fail)
+        await outcome_of(leader.log.propose(MACHINE, b'unsure'))
+        await asyncio.sleep(0.2)
+    assert failures
+    assert await group.propose(b'after')
+    await group.settle()
+    for voter in group.voters.values():
+        assert commands_of(voter)[-1] == b'after'
