Believe a refusal only for the request whose id it has (operators' report)

Callers would have been told 'not run' for a request that ran, or it would have run twice (REFUSED, TWICE). Cause: the forwarder and the target client believed a refusal before they compared its request id. On kept connections of the product's own interface an earlier refusal, written once more, became the answer to the next call; aiohttp keeps bytes that arrive while a connection is idle. The gateway uses a connection once, and had the missing check only.

A refusal with another id now means 'may have run'; one without an id counts on a connection that is used once.

--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -5,6 +5,11 @@
 import asyncio
 from typing import Final
 
+from hornbeamline.gateway._answer_checks import (
+    check_framing,
+    check_head,
+    check_not_run,
+)
 from hornbeamline.gateway._attempts import (
     OUTCOME_ANSWERED,
     OUTCOME_CANCELLED,
@@ -65,11 +70,8 @@
 _MIN_ATTEMPT_S: Final = 0.02
 _RETRY_AFTER_S: Final = 0.5
 
-_FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
-
 _HTTP_OK: Final = 200
 _HTTP_ERROR: Final = 500
-_HTTP_CONFLICT: Final = 409
 _HTTP_BAD_GATEWAY: Final = 502
 _HTTP_UNAVAILABLE: Final = 503
 
@@ -324,19 +326,8 @@
             self._gate.process_response_signals(target, head, chosen.permit)
         if head.load is not None:
             self._picker.record_load(target, head.load)
-        if head.not_run or head.wrong_target:
-            if head.status == _HTTP_CONFLICT:
-                raise InputsGoneError(
-                    f'{target.id}: inputs of the request are gone'
-                )
-            if head.wrong_target:
-                raise TargetGoneError(
-                    f'{target.id}: address belongs to another target'
-                )
-            raise NotRunError(
-                f'{target.id}: did not run the request, status {head.status}'
-            )
-        _check_head(job, target, head)
+        check_not_run(job, target, head)
+        check_head(job, target, head)
         is_stream = job.route.kind is RouteKind.STREAM
         if is_stream and head.status == _HTTP_OK:
             await self._relay_stream(
@@ -395,7 +386,7 @@
         if splitter.has_partial:
             raise MayHaveRunError(f'{target.id}: stream ended within an event')
         if not reply.has_begun:
-            _check_framing(target, response)
+            check_framing(target, response)
             await reply.begin(head.status, head.headers)
         self._picker.record_success(target)
         await reply.end()
@@ -482,21 +473,3 @@
             now=self._clock.monotonic(),
             list_age_s=self._targets.age_s,
         )
-
-
-def _check_framing(target: Target, response: TargetResponse) -> None:
-    """Raise `MayHaveRunError` if only the connection shows the end."""
-    names = {name.lower() for name, _ in response.headers}
-    if not names & _FRAMING_HEADERS:
-        raise MayHaveRunError(f'{target.id}: connection ended without an event')
-
-
-def _check_head(job: Job, target: Target, head: AnswerHead) -> None:
-    if head.request_id != job.request.id:
-        raise MayHaveRunError(
-            f'{target.id}: response belongs to another request'
-        )
-    if not head.is_signed or head.is_encoded:
-        raise MayHaveRunError(
-            f'{target.id}: response was not produced by the target'
-        )
--- a/hornbeamline/standins/_faults.py
+++ b/hornbeamline/standins/_faults.py
@@ -69,7 +69,7 @@
             return await handler(request)
         request[FAULTS_KEY] = self.faults
         if self.faults.refuse or self.faults.leaving or self.faults.rest_s:
-            return _refusal(self.faults)
+            return _refusal(request, self.faults)
         if self.faults.stuck:
             await asyncio.Event().wait()
         if self.faults.error and request.path == _STREAM_PATH:
@@ -107,8 +107,11 @@
     return web.Response(status=500, text='fault: error')
 
 
-def _refusal(faults: Faults) -> web.Response:
-    headers = {'X-Not-Run': 'true'}
+def _refusal(request: web.Request, faults: Faults) -> web.Response:
+    headers = {
+        'X-Not-Run': 'true',
+        'X-Request-Id': request.headers.get('X-Request-Id', ''),
+    }
     if faults.leaving:
         headers['X-Leaving'] = 'true'
     if faults.rest_s:
--- a/hornbeamline/targets/_client.py
+++ b/hornbeamline/targets/_client.py
@@ -214,6 +214,7 @@
                 allow_redirects=False,
             ) as response:
                 current_progress.set(None)
+                _check_refusal(name, call, response)
                 _check_status(name, response)
                 yield response
         except (aiohttp.ClientError, OSError) as error:
@@ -259,16 +260,33 @@
     return headers
 
 
+def _check_refusal(
+    name: str,
+    call: TargetCall,
+    response: aiohttp.ClientResponse,
+) -> None:
+    """Raise `TargetRefusedError` if the target proves that it ran nothing.
+
+    On a kept connection, a faulty target may repeat an earlier refusal, so
+    that only one with the id of the call proves anything.
+    """
+    if response.headers.get(HEADER_NOT_RUN) != _HEADER_TRUE:
+        return
+    if response.status not in _REFUSAL_STATUSES:
+        return
+    received_id = response.headers.get(HEADER_REQUEST_ID)
+    is_only_call = received_id is None and not call.idempotent
+    if received_id != call.request_id and not is_only_call:
+        raise TargetFailedError(f'{name}: refusal of another request')
+    is_leaving = response.headers.get(HEADER_LEAVING) == _HEADER_TRUE
+    raise TargetRefusedError(
+        name,
+        is_leaving=is_leaving,
+        pause_s=parse_retry_after_s(response.headers.get('Retry-After')) or 0,
+    )
+
+
 def _check_status(name: str, response: aiohttp.ClientResponse) -> None:
-    refused = response.headers.get(HEADER_NOT_RUN) == _HEADER_TRUE
-    if refused and response.status in _REFUSAL_STATUSES:
-        is_leaving = response.headers.get(HEADER_LEAVING) == _HEADER_TRUE
-        raise TargetRefusedError(
-            name,
-            is_leaving=is_leaving,
-            pause_s=parse_retry_after_s(response.headers.get('Retry-After'))
-            or 0,
-        )
     if response.status != _HTTP_OK:
         raise TargetFailedError(f'{name}: HTTP status {response.status}')
 
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -243,6 +243,29 @@
     assert caught.value.refusal.status == 502
 
 
+# Reported by operators: a target wrote an earlier refusal once more; the
+# request, which it ran, was run again elsewhere or refused as not run.
+@pytest.mark.parametrize('status', [503, 429, 421, 409, 400])
+@pytest.mark.parametrize('route', ['unsafe', 'stream'])
+async def test_refusal_of_another_request_proves_nothing(status, route) -> None:
+    """Guards against 'not run' for a request that a target runs."""
+    headers = [
+        (b'X-Request-Id', b'earlier'),
+        (b'X-Server-Stamp', b's'),
+        (b'X-Not-Executed', b'1'),
+        (b'Retry-After', b'5'),
+    ]
+    targets = make_targets(2)
+    http = FakeHttp(Script(status, headers), Script())
+    with pytest.raises(RefusedError) as caught:
+        await forward(
+            http, targets, **(UNSAFE if route == 'unsafe' else STREAM)
+        )
+    assert caught.value.refusal.status == 502
+    assert len(http.sent) == 1
+    assert len(targets.available_targets('service')) == 2
+
+
 async def test_truncated_answer_is_not_relayed() -> None:
     """A truncated response must not look complete."""
     http = FakeHttp(Script(parts=(b'bo', MayHaveRunError('cut'))))
--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -412,3 +412,58 @@
     with pytest.raises(aiohttp.ClientConnectionError):
         progress.begin()
     assert len(hooks) == 1
+
+
+REFUSAL = (
+    'HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: true\r\n'
+    'Retry-After: 5\r\nContent-Length: 0\r\nX-Request-Id: {request_id}\r\n\r\n'
+)
+
+
+# Failure reported by operators: a target wrote an earlier refusal once more on
+# a kept connection; the caller was told 'not run' for a request that had run.
+@pytest.mark.parametrize('comes_early', [True, False])
+async def test_repeated_refusal_says_nothing_of_the_next_call(
+    client, comes_early
+) -> None:
+    """Guards against 'not run' for a call that a target runs."""
+    calls = []
+
+    async def answer(reader, writer):
+        refusal = REFUSAL.format(request_id='r-1').encode()
+        calls.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(refusal)
+        if comes_early:
+            await asyncio.sleep(0.02)
+            writer.write(refusal)
+        calls.append(await reader.readuntil(b'\r\n\r\n'))
+        if not comes_early:
+            writer.write(refusal)
+        await asyncio.sleep(0.2)
+        writer.close()
+
+    async with raw_server(answer) as target:
+        with pytest.raises(TargetRefusedError):
+            await client.call('t', target, stage_call('r-1', idempotent=True))
+        await asyncio.sleep(0.05)
+        with pytest.raises((TargetFailedError, TargetLostError)):
+            await client.call('t', target, stage_call('r-2', idempotent=True))
+    assert len(calls) == 2 or comes_early
+
+
+async def test_refusal_without_an_id_counts_on_a_new_connection_only(
+    client,
+) -> None:
+    """A connection that is used once has no earlier refusals."""
+    refusal = REFUSAL.replace('X-Request-Id: {request_id}\r\n', '').encode()
+
+    async def answer(reader, writer):
+        while True:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(refusal)
+
+    async with raw_server(answer) as target:
+        with pytest.raises(TargetRefusedError):
+            await client.call('t', target, stage_call(idempotent=False))
+        with pytest.raises(TargetFailedError):
+            await client.call('t', target, stage_call(idempotent=True))
