--- a/hornbeamline/gateway/_answer_checks.py
+++ b/hornbeamline/gateway/_answer_checks.py
@@ -20,7 +20,10 @@
 
 
 def check_framing(target: Target, response: TargetResponse) -> None:
-    """Raise `MayHaveRunError` if only the connection shows the end."""
+    """Raise `MayHaveRunError` if only the connection shows the end.
+
+    An answer without an event ends so if its target ended after the head.
+    """
     names = {name.lower() for name, _ in response.headers}
     if not names & _FRAMING_HEADERS:
         raise MayHaveRunError(f'{target.id}: connection ended without an event')
@@ -87,6 +90,5 @@
     `is_unproven` says that no event with an id has come in the answer that
     goes on with a stream. Comments have no ids.
     """
-    is_comment = event.raw.startswith(b':')
-    if is_unproven and event.id is None and not is_comment:
+    if is_unproven and event.id is None and not event.is_comment:
         raise MayHaveRunError('event without an id in a continued stream')
--- a/hornbeamline/gateway/_events.py
+++ b/hornbeamline/gateway/_events.py
@@ -19,6 +19,13 @@
     raw: bytes
     id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether the event has no content, as a heartbeat."""
+        return all(
+            line.startswith(b':') for line in self.raw.splitlines() if line
+        )
+
 
 class EventSplitter:
     """Buffer bytes and return the events that are complete."""
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -384,25 +384,32 @@
         started_at = self._clock.monotonic() - (attempts.head_s or 0)
         async for chunk in response.chunks():
             for event in splitter.feed(chunk):
+                check_event(
+                    event, is_unproven=attempts.is_unproven_continuation
+                )
                 if not reply.has_begun:
                     await reply.begin(head.status, head.headers)
-                if attempts.first_event_s is None:
-                    now = self._clock.monotonic()
-                    attempts.first_event_s = now - started_at
-                    self._record_first_event(job, target, attempts)
+                if not event.is_comment:
+                    self._record_event(job, target, attempts, started_at)
                 await self._relay_event(attempts, reply, event)
         if splitter.has_partial:
             raise MayHaveRunError(f'{target.id}: stream ended within an event')
-        if not reply.has_begun:
+        if attempts.first_event_s is None:
             check_framing(target, response)
+        if not reply.has_begun:
             await reply.begin(head.status, head.headers)
         self._picker.record_success(target)
         await reply.end()
         self._log_attempt(job, target, attempts, OUTCOME_ANSWERED, None)
 
-    def _record_first_event(
-        self, job: Job, target: Target, attempts: Attempts
+    def _record_event(
+        self, job: Job, target: Target, attempts: Attempts, started_at: float
     ) -> None:
+        """Record that an answer has begun; further events change nothing."""
+        attempts.is_unproven_continuation = False
+        if attempts.first_event_s is not None:
+            return
+        attempts.first_event_s = self._clock.monotonic() - started_at
         job.guard.answer_begun(attempts.timing_at(target.service))
         job.on_inputs_fetched()
         self._picker.record_prompt(target, job.request)
@@ -413,9 +420,6 @@
         reply: Reply,
         event: StreamEvent,
     ) -> None:
-        is_unproven = attempts.is_unproven_continuation
-        check_event(event, is_unproven=is_unproven)
-        attempts.is_unproven_continuation = is_unproven and event.id is None
         last = attempts.last_event_id
         if event.id is not None and last is not None:
             if event.id <= last:
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -253,6 +253,30 @@
     assert received == (200, expected, received.is_complete)
 
 
+# Failure: a resumed stream whose answer, without a length or chunks, ended
+# before its first event was ended as complete (ORDER, review/5).
+@pytest.mark.parametrize(
+    'rest', [b'', b': comment\n\n', b'id: 3\ndata'], ids=str
+)
+async def test_stream_does_not_end_with_an_empty_continuation(
+    gateway, rest
+) -> None:
+    """Fault: targets break off after the head, or before the first event."""
+    answer = head(200, EVENT_STREAM) + rest
+    received = await gateway.call(BROKEN_STREAM, answer, answer, **RESUMABLE)
+    assert received.status == 200
+    assert received.body.startswith(event(1) + event(2))
+    assert event(3) not in received.body
+    assert not received.is_complete
+
+
+async def test_stream_may_end_with_a_framed_empty_continuation(gateway) -> None:
+    """A stream that broke off after its last event has no rest."""
+    answer = STREAM_HEAD + chunk(b'')
+    received = await gateway.call(BROKEN_STREAM, answer, **RESUMABLE)
+    assert received == Received(200, event(1) + event(2), is_complete=True)
+
+
 async def test_quarantine_does_not_end_a_stream_with_a_refusal(
     gateway, monkeypatch
 ) -> None:
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -30,3 +31,20 @@
     splitter = EventSplitter()
     assert len(splitter.feed(STREAM[:-1])) == 4
     assert splitter.has_partial
+
+
+@pytest.mark.parametrize(
+    ('raw', 'is_comment'),
+    [
+        (b': beat\n\n', True),
+        (b':\n\n', True),
+        (b': a\r\n: b\r\n\n\n', True),
+        (b': a\nid: 3\ndata: x\n\n', False),
+        (b'data: x\n\n', False),
+        (b'text\n\n', False),
+    ],
+)
+def test_comment_has_comment_lines_only(raw, is_comment) -> None:
+    """Guards against events that are taken for heartbeats."""
+    (event,) = EventSplitter().feed(raw)[:1]
+    assert event.is_comment == is_comment
