--- a/hornbeamline/helpers/codec.py
+++ b/hornbeamline/helpers/codec.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+from typing import Any, Final, TypeVar
 
 import msgspec
 
 _DecodedT = TypeVar('_DecodedT')
 
+# Deep nesting raises `RecursionError`.
+_UNREADABLE: Final = (msgspec.DecodeError, ValueError, RecursionError)
+
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -24,7 +27,7 @@
     """Decode MessagePack into a typed value; raises `CodecError`."""
     try:
         return msgspec.msgpack.decode(frame, type=kind)
-    except (msgspec.DecodeError, ValueError) as error:
+    except _UNREADABLE as error:
         raise CodecError(str(error)) from error
 
 
@@ -37,5 +40,5 @@
     """Decode JSON into a typed value; raises `CodecError`."""
     try:
         return msgspec.json.decode(text, type=kind)
-    except (msgspec.DecodeError, ValueError) as error:
+    except _UNREADABLE as error:
         raise CodecError(str(error)) from error
--- a/hornbeamline/platform/_document.py
+++ b/hornbeamline/platform/_document.py
@@ -117,7 +117,7 @@
     """
     try:
         document = _decoder.decode(content)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise InvalidDocumentError(str(error)) from error
     services = {service.name: service for service in document.services}
     _check_unique_prefixes(document.routes)
--- a/hornbeamline/platform/_list.py
+++ b/hornbeamline/platform/_list.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import re
 from typing import Final
 from urllib.parse import urlencode
 
@@ -9,10 +11,14 @@
 
 from hornbeamline.exceptions import GatewayError
 from hornbeamline.gateway import Target, TargetHttp
+from hornbeamline.platform._entries import split_page
 from hornbeamline.telemetry import log_event
 
 _HTTP_OK: Final = 200
 _MAX_PAGES: Final = 400
+_UNREADABLE: Final = (msgspec.DecodeError, ValueError, RecursionError)
+_NAME: Final = re.compile('[!-~]{1,256}')
+_ADDRESS: Final = re.compile(r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}')
 _is_leaving_by_state: Final = {'ready': False, 'draining': True}
 
 
@@ -88,20 +94,42 @@
             raise ListUnavailableError(
                 f'server list answered with status {response.status}'
             )
-        try:
-            return msgspec.json.decode(body, type=_PageBody)
-        except (msgspec.DecodeError, ValueError) as error:
-            raise ListUnavailableError(str(error)) from error
+        return _read_body(body)
+
+
+def _read_body(body: bytes) -> _PageBody:
+    """Return the content of a page; raises `ListUnavailableError`.
+
+    Entries that no decoder can read do not hide the others.
+    """
+    with contextlib.suppress(*_UNREADABLE):
+        return msgspec.json.decode(body, type=_PageBody)
+    try:
+        parts = split_page(body, b'"instances"', b'"next"')
+        next_page = (
+            msgspec.json.decode(parts.next_page, type=str | None)
+            if parts.next_page
+            else None
+        )
+    except _UNREADABLE as error:
+        raise ListUnavailableError(str(error)) from error
+    return _PageBody(
+        instances=[msgspec.Raw(entry) for entry in parts.entries],
+        next=next_page,
+    )
 
 
 def _read_entry(raw: msgspec.Raw) -> Target | None:
     """Return the target of an entry; None if it is invalid."""
     try:
         entry = msgspec.json.decode(raw, type=_Entry)
-    except (msgspec.DecodeError, ValueError):
+    except _UNREADABLE:
         return None
     if entry.state not in _is_leaving_by_state:
         return None
+    # Ids become header values, and addresses parts of URLs.
+    if not _NAME.fullmatch(entry.id) or not _ADDRESS.fullmatch(entry.address):
+        return None
     return Target(
         id=entry.id,
         service=entry.service,
--- a/hornbeamline/platform/_wire.py
+++ b/hornbeamline/platform/_wire.py
@@ -265,7 +265,7 @@
         """
         try:
             answer = msgspec.json.decode(body, type=_StageAnswer)
-        except (msgspec.DecodeError, ValueError) as error:
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
             raise CallLostError(
                 f'results cannot be decoded: {error}'
             ) from error
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -216,7 +216,9 @@
     assert [result.failure for result in results] == ['', 'gone', 'error']
 
 
-@pytest.mark.parametrize('body', [b'{"items":[]}', b'{', b'{"items":1}'])
+@pytest.mark.parametrize(
+    'body', [b'{"items":[]}', b'{', b'{"items":1}', b'[' * 100_000]
+)
 def test_unreadable_results_are_lost(body) -> None:
     """Guards against results that belong to other pieces."""
     with pytest.raises(CallLostError):
@@ -231,6 +233,7 @@
         b'{"id":1,"service":"s","address":"a","zone":"z","state":"ready"}',
         b'{"id":"i","service":"s","address":"a","zone":"z","state":"odd"}',
         b'{"id":"i","service":"s","zone":"z","state":"ready"}',
+        b'{"id":"i","service":"s","address":"a","zone":"z","state":"ready"}',
     ],
 )
 def test_unreadable_list_entry_is_skipped(raw) -> None:
