--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -388,7 +388,11 @@
         services = list(route.weight_by_service)
         if len(services) == 1:
             return services[0]
-        weights = list(route.weight_by_service.values())
+        # Relative to the largest one, so that their sum is finite.
+        largest = max(route.weight_by_service.values())
+        weights = [
+            weight / largest for weight in route.weight_by_service.values()
+        ]
         return self._rng.choices(services, weights)[0]
 
     def _record_end(
