--- a/tests/replog/test_reconciler.py
+++ b/tests/replog/test_reconciler.py
@@ -198,3 +198,101 @@
     await victim.start()
     await learner.start()
     await wait_for_voters(group, INITIAL_VOTERS, REPAIR_TIMEOUT_S)
+
+
+# Guards against a repair that waits for a voter that is gone for good.
+@pytest.mark.parametrize('lost_first', ['removed', 'emptied'])
+async def test_host_replaces_the_voter_that_was_changed_last(
+    new_group, lost_first
+) -> None:
+    """Fault: the voter that was taken in last is lost for good."""
+    group = await new_group(3, desired_voters=3)
+    await group.propose(b'first')
+    leader = await group.leader()
+    newest = next(v for v in group.running if v.name != leader.name)
+    await newest.empty()
+    if lost_first == 'removed':
+        del group.voters[newest.name]
+        newest = group.add('control-4')
+    newest.options['join'] = True
+    await newest.start()
+    names = INITIAL_VOTERS
+    if lost_first == 'removed':
+        names = {voter.name for voter in group.running}
+    await wait_for_voters(group, names, 2 * REPAIR_TIMEOUT_S)
+    await newest.crash()
+    del group.voters[newest.name]
+    await asyncio.sleep(1)
+    await group.add('control-9').start()
+    names = names - {newest.name} | {'control-9'}
+    await wait_for_voters(group, names, REPAIR_TIMEOUT_S)
+    # The repaired group tolerates the loss of another disk.
+    await group.propose(b'second')
+    last = await group.leader()
+    await last.empty()
+    assert await group.propose(b'third') == b'3'
+
+
+# Guards against a repair that waits for another lost voter.
+async def test_emptied_voter_votes_again_while_another_is_lost(
+    new_group,
+) -> None:
+    """Fault: of five voters the one changed last is down, one is emptied."""
+    group = await new_group(3, desired_voters=5)
+    for name in ('control-4', 'control-5'):
+        await group.add(name).start()
+    names = {*INITIAL_VOTERS, 'control-4', 'control-5'}
+    await wait_for_voters(group, names, REPAIR_TIMEOUT_S)
+    await group.propose(b'first')
+    leader = await group.leader()
+    changed = leader.log.members.changed
+    await group.voters[changed].crash()
+    await asyncio.sleep(REPAIR_TIMEOUT_S)
+    leader = await group.leader()
+    emptied = next(v for v in group.running if v.name != leader.name)
+    await emptied.empty()
+    emptied.options['join'] = True
+    await emptied.start()
+    await wait_for_voters(group, names, REPAIR_TIMEOUT_S)
+    # Two of five are lost again, which the group tolerates.
+    another = next(
+        v for v in group.running if v.name not in {leader.name, emptied.name}
+    )
+    await another.empty()
+    assert await group.propose(b'second') == b'2'
+
+
+# Guards against a group that stays short of a voter.
+async def test_group_grows_beside_a_voter_lost_during_the_growth(
+    new_group,
+) -> None:
+    """Fault: the first of two further voters is lost once it may vote."""
+    group = await new_group(3, desired_voters=5)
+    first = group.add('control-4')
+    await first.start()
+    names = {*INITIAL_VOTERS, 'control-4'}
+    await wait_for_voters(group, names, REPAIR_TIMEOUT_S)
+    await first.crash()
+    del group.voters[first.name]
+    await asyncio.sleep(REPAIR_TIMEOUT_S)
+    await group.add('control-5').start()
+    await wait_for_voters(group, {*names, 'control-5'}, REPAIR_TIMEOUT_S)
+    assert await group.propose(b'first') == b'1'
+
+
+# Guards against one host without an answer that delays all repairs.
+async def test_unreachable_host_delays_no_other_replacement(new_group) -> None:
+    """Fault: a host that enrols, but does not answer, joins before others."""
+    group = await new_group(3, desired_voters=3)
+    await group.propose(b'first')
+    leader = await group.leader()
+    victim = next(v for v in group.running if v.name != leader.name)
+    await victim.crash()
+    del group.voters[victim.name]
+    deaf = group.add('control-4')
+    await deaf.start()
+    group.network.isolate(deaf.name)
+    await asyncio.sleep(1)
+    await group.add('control-9').start()
+    names = INITIAL_VOTERS - {victim.name} | {'control-9'}
+    await wait_for_voters(group, names, REPAIR_TIMEOUT_S)
