Let repairs go on while the voter that was changed last is lost

Cause: a change of voters was refused until the voter of the previous change had caught up. If that voter was gone for good, its successor could not be taken in as a learner, and without a learner that has caught up the lost voter is not removed: both wait for each other for ever. The next lost disk then takes the quorum, although it comes long after the first loss was repairable.

Fix: only a change that takes the vote of a voter which is up to date waits for the previous one. Adding learners, promoting those that have caught up, and removing or replacing lost voters are repairs; each step is committed under the quorums before and after it, and a removal or demotion still needs a quorum of the remaining voters that has caught up.

--- a/hornbeamline/replog/_voters.py
+++ b/hornbeamline/replog/_voters.py
@@ -142,15 +142,26 @@
         last = leadership.members.members_by_name.get(
             leadership.members.changed,
         )
-        if last is None or not last.is_voter:
-            # Learners are in no quorum, so the next change need not wait.
+        if last is None or change.name == last.name:
             return
-        if leadership.table.is_caught_up(last):
+        if last.is_voter and not leadership.table.is_caught_up(last):
+            self._check_takes_no_live_vote(leadership, change, last)
+
+    def _check_takes_no_live_vote(
+        self,
+        leadership: Leadership,
+        change: VoterChange,
+        last: Member,
+    ) -> None:
+        """Refuse to take a vote from a voter that is up to date.
+
+        All other changes are repairs. They must not wait for `last`, which
+        may be lost for good.
+        """
+        member = leadership.members.members_by_name.get(change.name)
+        if member is None or not member.is_voter:
             return
-        # The member may have failed or lost its data folder meanwhile; it
-        # may still be removed or replaced.
-        is_repair = change.action in {CHANGE_REMOVE, CHANGE_REPLACE}
-        if change.name != last.name or not is_repair:
+        if leadership.table.is_caught_up(member):
             raise VoterChangeRefusedError(f'{last.name} has not caught up')
 
     @_planner_for(CHANGE_ADD_LEARNER)
