Try the changes of voters that do not depend on each other in turn

Seen in a test (virtual time): a host that enrols but does not answer sorted before a successor that does; each round asked it alone, for a second, and the lost voter was not replaced while that lasted. Found in the search for other repairs that wait for something that may never come.

Change: a round lists all changes that are due and makes the first that is allowed. Those that finish a repair come before the additions, which have to ask a host first.

--- a/hornbeamline/replog/_reconciler.py
+++ b/hornbeamline/replog/_reconciler.py
@@ -83,15 +83,17 @@
     def next_changes(self, leadership: Leadership) -> list[VoterChange]:
         """Return the changes to make, the most urgent one first.
 
-        The first may be refused until one of the others has been made.
+        Any of them may be refused for long, such as those of a host that
+        does not answer, so the others must not depend on it.
         """
-        desired = (
-            self._repair_changed_identity(leadership),
-            self._add_new_learner(leadership),
-            self._fill_voter_slot(leadership),
-            self._remove_lost_learner(leadership),
-        )
-        return [change for change in desired if change is not None]
+        return [
+            *self._replace_changed_identities(leadership),
+            *self._fill_voter_slot(leadership),
+            # Asks a host that may not answer, so it comes after the changes
+            # that finish a repair.
+            *self._add_new_learners(leadership),
+            *self._remove_lost_learners(leadership),
+        ]
 
     async def _try_change(
         self, leadership: Leadership, change: VoterChange
@@ -119,72 +121,84 @@
             reason=reason,
         )
 
-    def _repair_changed_identity(
+    def _replace_changed_identities(
         self, leadership: Leadership
-    ) -> VoterChange | None:
+    ) -> list[VoterChange]:
+        replaced: list[VoterChange] = []
+        removed: list[VoterChange] = []
         for name, progress in leadership.table.progress_by_name.items():
             member = leadership.members.members_by_name.get(name)
             if member is None or progress.identity in {'', member.identity}:
                 continue
             if member.is_voter:
-                return VoterChange(CHANGE_REPLACE, name, progress.identity)
-            # Replacing would make it a voter. A learner without its data is
-            # removed instead and then joins again as a learner.
-            return VoterChange(CHANGE_REMOVE, name)
-        return None
-
-    def _add_new_learner(self, leadership: Leadership) -> VoterChange | None:
-        for name, host in sorted(self._control_hosts().items()):
-            if name not in leadership.members.members_by_name:
-                return VoterChange(CHANGE_ADD_LEARNER, name, '', host.address)
-        return None
-
-    def _fill_voter_slot(self, leadership: Leadership) -> VoterChange | None:
+                replaced.append(
+                    VoterChange(CHANGE_REPLACE, name, progress.identity)
+                )
+            else:
+                # Replacing would make it a voter. A learner without its data
+                # is removed instead and then joins again as a learner.
+                removed.append(VoterChange(CHANGE_REMOVE, name))
+        return replaced + removed
+
+    def _add_new_learners(self, leadership: Leadership) -> list[VoterChange]:
+        return [
+            VoterChange(CHANGE_ADD_LEARNER, name, '', host.address)
+            for name, host in sorted(self._control_hosts().items())
+            if name not in leadership.members.members_by_name
+        ]
+
+    def _fill_voter_slot(self, leadership: Leadership) -> list[VoterChange]:
         members = leadership.members
         ready = [
-            member
-            for _, member in sorted(members.members_by_name.items())
+            name
+            for name, member in sorted(members.members_by_name.items())
             if not member.is_voter
-            and self._is_durable(member.name)
+            and self._is_durable(name)
             and leadership.table.is_caught_up(member)
         ]
         if not ready:
-            return None
+            return []
         if len(members.voters) < self._voter_count:
-            return VoterChange(CHANGE_PROMOTE, ready[0].name)
-        silent = self._find_silent(leadership, members.voters, VOTER_SILENCE_S)
-        if silent is not None:
-            return VoterChange(CHANGE_REMOVE, silent.name)
-        return None
+            return [VoterChange(CHANGE_PROMOTE, name) for name in ready]
+        return [
+            VoterChange(CHANGE_REMOVE, silent.name)
+            for silent in self._silent_members(
+                leadership, members.voters, VOTER_SILENCE_S
+            )
+        ]
 
     def _is_durable(self, name: str) -> bool:
         host = self._control_hosts().get(name)
         return host is not None and host.is_durable
 
-    def _remove_lost_learner(
+    def _remove_lost_learners(
         self, leadership: Leadership
-    ) -> VoterChange | None:
+    ) -> list[VoterChange]:
         learners = [
             member
             for member in leadership.members.members_by_name.values()
             if not member.is_voter
         ]
-        silent = self._find_silent(leadership, learners, LEARNER_SILENCE_S)
-        if silent is None or silent.name in self._control_hosts():
-            return None
-        return VoterChange(CHANGE_REMOVE, silent.name)
+        return [
+            VoterChange(CHANGE_REMOVE, silent.name)
+            for silent in self._silent_members(
+                leadership, learners, LEARNER_SILENCE_S
+            )
+            if silent.name not in self._control_hosts()
+        ]
 
-    def _find_silent(
+    def _silent_members(
         self,
         leadership: Leadership,
         members: list[Member],
         silence_s: float,
-    ) -> Member | None:
+    ) -> list[Member]:
         now = self._node.clock.monotonic()
+        silent: list[Member] = []
         for member in members:
             progress = leadership.table.progress_by_name.get(member.name)
             if progress is None or member.name == self._node.name:
                 continue
             if now - progress.last_contact_at > silence_s:
-                return member
-        return None
+                silent.append(member)
+        return silent
