--- a/tests/replog/group.py
+++ b/tests/replog/group.py
@@ -19,7 +19,7 @@
     StorageSettings,
 )
 from hornbeamline.replog import ControlHost, Disk, MemoryDisk, RaftLog
-from tests.local_network import LocalNetwork
+from tests.local_network import LocalNetwork, LocalPeering
 
 MACHINE = 'list'
 ADDRESS = '127.0.0.1:1'
@@ -177,7 +177,7 @@
         """Start the voter on its data folder."""
         group = self.group
         peering = group.network.endpoint(self.name)
-        self.machine = ListMachine(group.on_machine_change)
+        self.machine = self.new_machine()
         self.leadership_changes = []
         self.log = RaftLog(
             control_settings(
@@ -192,7 +192,7 @@
             disk=self.disk,
             run_blocking=group.run_blocking,
         )
-        self.log.register_state_machine(MACHINE, self.machine)
+        self.attach(peering, self.log)
         if group.desired_voters:
             self.log.enable_voter_reconciliation(
                 group.present, group.desired_voters
@@ -200,6 +200,14 @@
         self.log.on_leadership(self.leadership_changes.append)
         await self.log.start()
 
+    def new_machine(self) -> Any:
+        """Return a state machine for the next start."""
+        return ListMachine(self.group.on_machine_change)
+
+    def attach(self, peering: LocalPeering, log: RaftLog) -> None:
+        """Register the state machine and what uses it, before the start."""
+        log.register_state_machine(MACHINE, self.machine)
+
     async def stop(self) -> None:
         """Stop gracefully."""
         if self.log is not None:
@@ -232,8 +240,10 @@
         snapshot_entries: int = 4096,
         network: LocalNetwork | None = None,
         desired_voters: int = 0,
+        voter_class: type[Voter] = Voter,
     ) -> None:
         self.folder = folder
+        self.voter_class = voter_class
         # Number of voters to keep without an operator; 0 disables this.
         self.desired_voters = desired_voters
         # Control processes without a disk.
@@ -248,7 +258,9 @@
         self.initial_names = [
             f'control-{number}' for number in range(1, voters + 1)
         ]
-        self.voters = {name: Voter(self, name) for name in self.initial_names}
+        self.voters = {
+            name: voter_class(self, name) for name in self.initial_names
+        }
 
     async def run_blocking(
         self,
@@ -270,7 +282,7 @@
 
     def add(self, name: str) -> Voter:
         """Add another node, which joins the group when it starts."""
-        self.voters[name] = Voter(self, name, join=True)
+        self.voters[name] = self.voter_class(self, name, join=True)
         return self.voters[name]
 
     def voter_names(self) -> set[str]:
