Hand out documents to starting hosts only once a leader has confirmed them

Fix: the log tells whether the applied state is confirmed, that is, whether it includes all that a leader, which has committed in its own term, reported at most one election timeout ago. A process without a document gets one only from a control process whose state is confirmed; until then it answers 503. Processes that hold a document still take any newer one, as all of them are committed. The document is pushed as soon as it is confirmed.

--- a/hornbeamline/directory/registry.py
+++ b/hornbeamline/directory/registry.py
@@ -25,7 +25,7 @@
     ROLE_ENTRY,
     SUM_INTERVAL_S,
 )
-from hornbeamline.documents import DocumentMachine
+from hornbeamline.documents import DocumentMachine, StoredDocument
 from hornbeamline.gateway import TargetDirectory
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.peering import Peering
@@ -73,6 +73,8 @@
         self._removals_by_name: dict[str, int] = {}
         self._summary = _Summary()
         self._push_pending = False
+        # Processes that are told no document before it is confirmed.
+        self._withheld_from: set[str] = set()
         machine.on_change = self._schedule_push
         peering.on(Enrol, self._on_enrol)
 
@@ -111,16 +113,36 @@
 
     async def _on_enrol(self, _sender: str, request: Enrol) -> EnrolReply:
         self._record(request)
-        document = self._machine.current
-        is_newer = document.number > request.document_number
+        document = self._newer_document(request)
         if not request.is_full:
-            return EnrolReply(document if is_newer else None)
+            return EnrolReply(document)
         return EnrolReply(
-            document if is_newer else None,
+            document,
             self._listed_targets(request),
             self._changes_since(request),
         )
 
+    def _newer_document(self, request: Enrol) -> StoredDocument | None:
+        """Return the document if the sender should replace its own.
+
+        A process without a document gets only one that is confirmed: it
+        would obey an overtaken one, whereas it refuses requests as long as
+        it has none.
+        """
+        document = self._machine.current
+        if document.number <= request.document_number:
+            return None
+        if request.document_number or self._machine.is_confirmed():
+            return document
+        if request.presence.name not in self._withheld_from:
+            self._withheld_from.add(request.presence.name)
+            log_event(
+                'documents.withheld',
+                peer=request.presence.name,
+                number=document.number,
+            )
+        return None
+
     def _record(self, request: Enrol) -> None:
         presence = request.presence
         known = self._enrolments_by_name.get(presence.name)
@@ -228,7 +250,14 @@
     def _push(self) -> None:
         self._push_pending = False
         document = self._machine.current
-        log_event('documents.applied', number=document.number)
+        is_confirmed = self._machine.is_confirmed()
+        log_event(
+            'documents.applied', number=document.number, confirmed=is_confirmed
+        )
+        if not is_confirmed:
+            # Processes that hold a document get this one when they enrol.
+            return
+        self._withheld_from.clear()
         for presence in self.present():
             if presence.role != ROLE_CONTROL:
                 self._peering.send(presence.name, DocumentPush(document))
--- a/hornbeamline/documents/_machine.py
+++ b/hornbeamline/documents/_machine.py
@@ -39,6 +39,10 @@
     return StoredDocument(number, zlib.compress(content, _COMPRESSION_LEVEL))
 
 
+def _always() -> bool:
+    return True
+
+
 class DocumentMachine:
     """Keeps the document with the highest number of all applied commands."""
 
@@ -46,6 +50,13 @@
         """Start with the empty document, which has number 0."""
         self.current = NO_DOCUMENT
         self.on_change: Callable[[], None] | None = None
+        # Whether `current` is known to be the newest stored document.
+        self.is_confirmed: Callable[[], bool] = _always
+
+    def announce(self) -> None:
+        """Report the document, now that it is known to be the newest."""
+        if self.current.number and self.on_change is not None:
+            self.on_change()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Store the document if its number is higher than the stored one."""
--- a/hornbeamline/documents/service.py
+++ b/hornbeamline/documents/service.py
@@ -50,6 +50,8 @@
         self._machine = machine
         self._validate = validate
         log.register_state_machine(MACHINE_NAME, machine)
+        machine.is_confirmed = log.is_state_confirmed
+        log.on_state_confirmed(machine.announce)
         server.register_handler(PutDocument, self._on_put)
         server.register_handler(ReadDocument, self._on_read)
 
--- a/hornbeamline/replog/_applier.py
+++ b/hornbeamline/replog/_applier.py
@@ -59,6 +59,7 @@
             node.applied.advance(index)
             if node.leadership is not None:
                 node.leadership.note_applied(index, outcome)
+        node.freshness.note_applied(last)
         self._announce_leadership(last)
 
     def _announce_leadership(self, applied: int) -> None:
@@ -69,6 +70,7 @@
             return
         if applied >= leadership.noop_index:
             leadership.is_announced = True
+            self._node.freshness.note_leadership(applied)
             self._node.announce(leads=True)
 
     def _save_when_due(self) -> None:
--- a/hornbeamline/replog/_follower.py
+++ b/hornbeamline/replog/_follower.py
@@ -53,6 +53,7 @@
             match = request.previous_index + len(request.entries)
             await journal.durable.wait(match)
             node.commit.advance(min(request.commit_index, match))
+            self._note_report(request, match)
             return AppendReply(node.term, True, node.identity, match)
 
     async def _on_install_snapshot(
@@ -102,6 +103,15 @@
             raise
         return self._snapshot_reply(request.total, is_installed=True)
 
+    def _note_report(self, request: Append, match: int) -> None:
+        node = self._node
+        if request.commit_index > match:
+            return
+        if node.journal.term_at(request.commit_index) == request.term:
+            node.freshness.note_report(
+                request.commit_index, node.applied.position
+            )
+
     async def _accept_leader(self, sender: str, term: int) -> bool:
         """Accept the sender as leader, unless its term is outdated."""
         node = self._node
--- a/hornbeamline/replog/_interface.py
+++ b/hornbeamline/replog/_interface.py
@@ -38,6 +38,12 @@
     def term(self) -> int:
         """Return the current term."""
 
+    def is_state_confirmed(self) -> bool:
+        """Return whether the state machines are known to be up to date."""
+
+    def on_state_confirmed(self, callback: Callable[[], None]) -> None:
+        """Register a callback for when `is_state_confirmed` becomes True."""
+
     def register_state_machine(
         self, name: str, machine: ReplicatedStateMachine
     ) -> None:
--- a/hornbeamline/replog/_node.py
+++ b/hornbeamline/replog/_node.py
@@ -12,6 +12,7 @@
 from hornbeamline.inventory import ControlSettings
 from hornbeamline.peering import Peering
 from hornbeamline.replog._entries import VoteState
+from hornbeamline.replog._freshness import Freshness
 from hornbeamline.replog._journal import BlockingRunner, Journal
 from hornbeamline.replog._metrics import LEADERSHIPS_LOST
 from hornbeamline.replog._state_machines import StateMachines
@@ -57,6 +58,9 @@
         self.journal = Journal(store, run_blocking, self._on_durable)
         self.commit = Watermark()
         self.applied = Watermark()
+        self.freshness = Freshness(
+            clock, settings.storage.election_timeout_max_s
+        )
         self.leader: str | None = None
         self.leadership: Leadership | None = None
         self.is_transferring = False
@@ -133,6 +137,12 @@
         silence_s = self.clock.monotonic() - self._leader_contact_at
         return silence_s < self.settings.storage.election_timeout_min_s
 
+    def is_state_confirmed(self) -> bool:
+        """Return whether the applied state is known to be up to date."""
+        if self.leadership is not None and self.leadership.is_announced:
+            return True
+        return self.freshness.is_recent()
+
     def note_leader_contact(self, leader: str) -> None:
         """Record a message from the leader of the current term."""
         self.leader = leader
--- a/hornbeamline/replog/_replica.py
+++ b/hornbeamline/replog/_replica.py
@@ -113,6 +113,19 @@
         """Return the index of the last entry that was applied."""
         return self._node.applied.position
 
+    def is_state_confirmed(self) -> bool:
+        """Return whether the state machines are known to be up to date.
+
+        They include all that was committed up to one election timeout ago.
+        False after a start until a leader has been heard from, and while
+        this node is cut off from the leader.
+        """
+        return self._node.is_state_confirmed()
+
+    def on_state_confirmed(self, callback: Callable[[], None]) -> None:
+        """Register a callback for when `is_state_confirmed` becomes True."""
+        self._node.freshness.on_confirmed(callback)
+
     def register_state_machine(
         self, name: str, machine: ReplicatedStateMachine
     ) -> None:
--- a/tests/shared_log.py
+++ b/tests/shared_log.py
@@ -72,6 +72,13 @@
         """Return the current term."""
         return self.shared.term
 
+    def is_state_confirmed(self) -> bool:
+        """Return True, as commits are applied on all voters at once."""
+        return True
+
+    def on_state_confirmed(self, callback: Callable[[], None]) -> None:
+        """Ignore the callback, as the state is always confirmed."""
+
     def register_state_machine(self, name: str, machine: Any) -> None:
         """Register a state machine that applies commands."""
         self.machines[name] = machine
