Refuse requests that may outlast a planned stop (operators' report)

Report: requests that came late in the grace of a planned stop were passed on and cut off at its end, also ones that may not be repeated (LOST). It could happen here: after the load balancer had left, only streams were refused, and a plain request on a kept connection was sent whatever time it had left; one that came after an early end of the drain had a second.

Fix: from then on a request is sent only if its deadline is before the end of the drain, and after the drain before the end of the listener's wait. Others are refused at once as not run, with Retry-After 0 for another host.

--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -30,6 +30,9 @@
 # are one second apart.
 BALANCER_WAIT_S: Final = 2.3
 _DRAIN_POLL_S: Final = 0.1
+# Time for which the listener of the callers waits for open responses once the
+# drain has ended.
+CALLERS_STOP_TIMEOUT_S: Final = 1.0
 # Reserved for closing connections and files after the drain.
 _STOP_MARGIN_S: Final = 0.6
 _HTTP_OK: Final = 200
@@ -129,11 +132,13 @@
         self._batching.ownership.is_leaving = True
         log_event('entry.draining', in_progress=self._app.in_progress)
         await asyncio.sleep(BALANCER_WAIT_S)
-        self._app.refuses_streams = True
         left_s = self._stop_timeout_s - BALANCER_WAIT_S - _STOP_MARGIN_S
+        self._app.refuse_what_outlasts(left_s)
         while left_s > 0 and self._has_work:
             await asyncio.sleep(_DRAIN_POLL_S)
             left_s -= _DRAIN_POLL_S
+        # The listener closes now and waits no longer for open responses.
+        self._app.refuse_what_outlasts(min(left_s, CALLERS_STOP_TIMEOUT_S))
         log_event('entry.drained', in_progress=self._app.in_progress)
 
     @property
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -14,6 +14,7 @@
 )
 from hornbeamline.core import Kernel
 from hornbeamline.daemons._gateway_services import (
+    CALLERS_STOP_TIMEOUT_S,
     GatewayDrain,
     ReadinessApp,
     StageCaller,
@@ -221,7 +222,11 @@
         )
         self.kernel.register(
             'callers',
-            HttpServer(self._app, settings.caller_address, stop_timeout_s=1),
+            HttpServer(
+                self._app,
+                settings.caller_address,
+                stop_timeout_s=CALLERS_STOP_TIMEOUT_S,
+            ),
         )
         self.kernel.register(
             'readiness',
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -104,6 +104,9 @@
         self.closes_connections = False
         # New streams are refused, since they would outlast the process.
         self.refuses_streams = False
+        # Requests that may take longer than until then are refused, since the
+        # end of the process would cut them off.
+        self.work_ends_at = math.inf
 
     async def __call__(
         self,
@@ -128,6 +131,14 @@
             self.in_progress -= 1
             IN_PROGRESS.set(self.in_progress)
 
+    def refuse_what_outlasts(self, left_s: float) -> None:
+        """Refuse new requests that may take more than `left_s` seconds.
+
+        Streams are refused whatever their deadline.
+        """
+        self.refuses_streams = True
+        self.work_ends_at = self._clock.monotonic() + left_s
+
     def update_table(self, table: RoutingTable) -> None:
         """Apply a newer configuration to new requests."""
         self._table = table
@@ -216,6 +227,10 @@
             )
         account = account_of(table, route, request)
         deadline_at = deadline_of(request, route)
+        if deadline_at > self.work_ends_at:
+            raise RefusedError(
+                Refusal(_UNAVAILABLE, REASON_HOST_STOPS, retry_after_s=0),
+            )
         try:
             async with asyncio.timeout(deadline_at - self._clock.monotonic()):
                 with guarded(self._quarantine, request) as guard:
