--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 from typing import Any
 
 import pytest
@@ -45,10 +46,11 @@
 class StartingApp:
     """Application of a process without a configuration."""
 
-    def __init__(self) -> None:
+    def __init__(self, http: Any = None) -> None:
         clock = LoopClock()
         self.targets = TargetDirectory(clock)
-        self.http = FakeHttp(Script())
+        self.http = http or FakeHttp(Script())
+        self.quarantine = PartQuarantine('host', clock)
         rng = random.Random(1)
         budget = RetryBudget(BudgetSettings(0.2, 10, 64), clock)
         wire = PlatformWire()
@@ -75,16 +77,20 @@
             forwarder,
             stages,
             budget,
-            PartQuarantine('host', clock),
+            self.quarantine,
         )
         self.app = GatewayApp(wire, services, clock, rng)
 
-    async def request(self) -> tuple[Caller, float]:
+    async def request(
+        self,
+        body: bytes = b'',
+        headers: Sequence[tuple[bytes, bytes]] = HEADERS,
+    ) -> tuple[Caller, float]:
         """Send a request; return its response and the seconds it took."""
         caller = Caller()
         loop = asyncio.get_running_loop()
         began = loop.time()
-        sent = [{'type': 'http.request', 'body': b''}]
+        sent = [{'type': 'http.request', 'body': body}]
 
         async def receive() -> Any:
             if sent:
@@ -94,7 +100,7 @@
         scope = {
             'type': 'http',
             'method': 'POST',
-            'headers': HEADERS,
+            'headers': headers,
             'query_string': b'',
             'raw_path': b'/p/1',
         }
