Refuse requests whose content has crashed targets before (BUDGET)

Cause: crashes were attributed to shared prompt parts only. A request without such parts, as all plain ones are, left no evidence, so that each time its caller sent it again, at any host, it was new. Where it had shared parts, a sound one was named in its place, with the sound requests that had it.

Fix: the quarantine knows a request also by its content (a digest of caller, method, path and body). A target that ends before the answer, or within a second after its first event, leaves a mark; two that have no common moment and no complete answer in between name the content for a minute, and longer after each further crash. The marks spread as those of parts do, and have a bound of their own. Several crashes under one content count once for the parts of its prompt, as those under one request did.

--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -233,7 +233,7 @@
             )
         try:
             async with asyncio.timeout(deadline_at - self._clock.monotonic()):
-                with guarded(self._quarantine, request) as guard:
+                with guarded(self._quarantine, request, body) as guard:
                     job = Job(
                         request,
                         body,
--- a/hornbeamline/gateway/_attempts.py
+++ b/hornbeamline/gateway/_attempts.py
@@ -18,6 +18,9 @@
 OUTCOME_LOST: Final = 'lost'
 OUTCOME_NOT_RUN: Final = 'not_run'
 
+# Time after the first event of an answer within which the end of its target
+# counts against the request: one that crashes targets does so soon.
+EARLY_EVENTS_S: Final = 1.0
 # Prompt parts come from callers, so that log lines bound their number and size.
 _MAX_LOGGED_PARTS: Final = 16
 _MAX_LOGGED_ID: Final = 32
@@ -70,6 +73,8 @@
         # response and to its first event; None if there was none.
         self.head_s: float | None = None
         self.first_event_s: float | None = None
+        # When the first event arrived, by the clock of the forwarder.
+        self.begun_at: float | None = None
         # Cause of the last failure, which is reported if no target answers.
         self.reason = 'no target available'
 
@@ -80,12 +85,16 @@
         self.sent_s = None
         self.head_s = None
         self.first_event_s = None
+        self.begun_at = None
 
-    @property
-    def phase(self) -> Phase | None:
-        """Return how far a stream got; None if it had an event."""
-        if self.first_event_s is not None:
-            return None
+    def phase_at(self, now: float) -> Phase | None:
+        """Return how far an answer got that was lost at the time `now`.
+
+        None if it had begun too long before to be the cause of the loss.
+        """
+        if self.begun_at is not None:
+            is_early = now - self.begun_at <= EARLY_EVENTS_S
+            return Phase.BEGUN if is_early else None
         return Phase.SENT if self.head_s is None else Phase.HEAD
 
     def timing_at(self, service: str) -> AnswerTiming:
@@ -98,7 +107,9 @@
     @property
     def progress(self) -> str:
         """Return how far the last attempt got."""
-        return 'events' if self.phase is None else self.phase.name.lower()
+        if self.first_event_s is not None:
+            return 'events'
+        return 'sent' if self.head_s is None else 'head'
 
 
 def log_attempt(
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -160,9 +160,9 @@
         target: Target,
         attempts: Attempts,
     ) -> None:
-        """Record evidence if a target ended before the answer had an event."""
-        phase = attempts.phase
-        if phase is None or not job.guard.parts:
+        """Record evidence if a target ended early in an answer."""
+        phase = attempts.phase_at(self._clock.monotonic())
+        if phase is None or not job.guard.keys:
             return
         if await self._http.is_listening(target.address):
             return
@@ -340,6 +340,7 @@
         answer = BufferedAnswer(head, await response.body())
         if head.status < _HTTP_ERROR:
             job.guard.answer_begun()
+            job.guard.answer_completed()
             self._picker.record_success(target)
             await self._deliver(job, target, attempts, answer, reply)
             return
@@ -399,6 +400,7 @@
         if not reply.has_begun:
             await reply.begin(head.status, head.headers)
         self._picker.record_success(target)
+        job.guard.answer_completed()
         await reply.end()
         self._log_attempt(job, target, attempts, OUTCOME_ANSWERED, None)
 
@@ -409,7 +411,8 @@
         attempts.is_unproven_continuation = False
         if attempts.first_event_s is not None:
             return
-        attempts.first_event_s = self._clock.monotonic() - started_at
+        attempts.begun_at = self._clock.monotonic()
+        attempts.first_event_s = attempts.begun_at - started_at
         job.guard.answer_begun(attempts.timing_at(target.service))
         job.on_inputs_fetched()
         self._picker.record_prompt(target, job.request)
--- a/hornbeamline/gateway/_guarded.py
+++ b/hornbeamline/gateway/_guarded.py
@@ -13,6 +13,7 @@
     PartQuarantine,
     PartQuarantinedError,
     RequestGuard,
+    content_of,
 )
 
 _BAD_GATEWAY: Final = 502
@@ -21,14 +22,22 @@
 
 @contextlib.contextmanager
 def guarded(
-    quarantine: PartQuarantine, request: CallerRequest
+    quarantine: PartQuarantine, request: CallerRequest, body: bytes = b''
 ) -> Iterator[RequestGuard]:
     """Guard a request until its answer begins.
 
-    Raises `RefusedError` if its prompt is, or meanwhile gets, quarantined.
+    Raises `RefusedError` if it is, or meanwhile gets, quarantined.
     """
     guard = quarantine.guard(
-        request.id, [part.id for part in request.shared_parts]
+        request.id,
+        [part.id for part in request.shared_parts],
+        content_of(
+            (request.credential or '').encode(),
+            request.method.encode(),
+            request.host.encode(),
+            request.raw_target.encode(),
+            body,
+        ),
     )
     try:
         with guard:
--- a/hornbeamline/quarantine/__init__.py
+++ b/hornbeamline/quarantine/__init__.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from hornbeamline.quarantine._attribution import Finding, attribute
+from hornbeamline.quarantine._contents import content_of
 from hornbeamline.quarantine._evidence import EvidenceTable
 from hornbeamline.quarantine._exchange import QuarantineExchange
 from hornbeamline.quarantine._guard import RequestGuard
@@ -39,4 +40,5 @@
     'SoundTraffic',
     'Verdict',
     'attribute',
+    'content_of',
 )
--- a/hornbeamline/quarantine/_attribution.py
+++ b/hornbeamline/quarantine/_attribution.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
@@ -92,26 +93,25 @@
         self.score = mark.weight.score
         self._began_at = mark.at
         self._requests = {mark.request}
+        self._contents = {mark.content} - {''}
 
     def includes(self, mark: CrashMark) -> bool:
         """Return whether a mark may have the cause of this occasion.
 
         A common cause ends engines at one time, under requests that were sent
-        before.
+        before. A request that is sent again may be the cause itself.
         """
-        if mark.request in self._requests:
+        if mark.request in self._requests or mark.content in self._contents:
             return True
         if mark.weight.is_telling:
             return False
-        return (
-            mark.at - self._began_at <= SAME_MOMENT_S
-            and mark.at - mark.waited_s < self._began_at
-        )
+        return _is_same_moment(mark, self._began_at)
 
     def add(self, mark: CrashMark) -> None:
         """Add a mark; the one that says most counts."""
         self.score = max(self.score, mark.weight.score)
         self._requests.add(mark.request)
+        self._contents |= {mark.content} - {''}
 
 
 def _scores(marks: list[CrashMark]) -> list[float]:
@@ -134,6 +134,23 @@
     return [occasion.score for occasion in occasions]
 
 
+def separate_occasions(marks: Iterable[CrashMark]) -> int:
+    """Return the number of crashes that cannot have one common cause."""
+    count = 0
+    began_at = -math.inf
+    for mark in sorted(marks, key=_time_of):
+        if not _is_same_moment(mark, began_at):
+            count += 1
+            began_at = mark.at
+    return count
+
+
+def _is_same_moment(mark: CrashMark, began_at: float) -> bool:
+    """Return whether a crash may have the cause of an earlier one."""
+    is_close = mark.at - began_at <= SAME_MOMENT_S
+    return is_close and mark.at - mark.waited_s < began_at
+
+
 def _time_of(mark: CrashMark) -> tuple[float, str]:
     return mark.at, mark.target
 
--- a/hornbeamline/quarantine/_evidence.py
+++ b/hornbeamline/quarantine/_evidence.py
@@ -6,13 +6,19 @@
 
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.helpers.codec import encode
+from hornbeamline.quarantine._contents import is_content
 from hornbeamline.quarantine._messages import (
     EvidenceReport,
     LiftReport,
     MarkReport,
 )
 from hornbeamline.quarantine._types import CrashMark, MarkWeight
-from hornbeamline.quarantine.const import MARK_TTL_S, MAX_LIFTS, MAX_MARKS
+from hornbeamline.quarantine.const import (
+    MARK_TTL_S,
+    MAX_CONTENT_MARKS,
+    MAX_LIFTS,
+    MAX_MARKS,
+)
 
 # Part and target.
 _Crash = tuple[str, str]
@@ -81,7 +87,7 @@
             return False
         self._marks_by_crash[crash] = merged
         self._crashes_by_part.setdefault(mark.part, set()).add(crash)
-        self._evict()
+        self._evict(mark)
         self._digest = None
         return True
 
@@ -171,6 +177,7 @@
                     mark.waited_s,
                     *mark.weight,
                     mark.is_cleared,
+                    mark.content,
                 )
                 for mark in self._marks_by_crash.values()
             ],
@@ -181,9 +188,21 @@
             ],
         )
 
-    def _evict(self) -> None:
-        while len(self._marks_by_crash) > MAX_MARKS:
-            self._remove(min(self._marks_by_crash, key=self._time_of))
+    def _evict(self, added: CrashMark) -> None:
+        """Remove the oldest marks beyond the bound of their kind.
+
+        Each lost request has a content of its own, so that contents must not
+        displace prompt parts.
+        """
+        has_content = is_content(added.part)
+        kind = [
+            crash
+            for crash in self._marks_by_crash
+            if is_content(crash[0]) is has_content
+        ]
+        excess = len(kind) - (MAX_CONTENT_MARKS if has_content else MAX_MARKS)
+        for crash in sorted(kind, key=self._time_of)[: max(excess, 0)]:
+            self._remove(crash)
 
     def _time_of(self, crash: _Crash) -> float:
         return self._marks_by_crash[crash].at
@@ -200,8 +219,9 @@
 
 def _merge_marks(known: CrashMark, other: CrashMark) -> CrashMark:
     """Join marks of several requests; the one that says most is kept."""
-    weight, request, waited_s = max(
-        (mark.weight, mark.request, mark.waited_s) for mark in (known, other)
+    weight, request, waited_s, content = max(
+        (mark.weight, mark.request, mark.waited_s, mark.content)
+        for mark in (known, other)
     )
     return known._replace(
         phase=max(known.phase, other.phase),
@@ -210,6 +230,7 @@
         weight=weight,
         following=max(known.following, other.following),
         is_cleared=known.is_cleared or other.is_cleared,
+        content=content,
     )
 
 
@@ -224,4 +245,5 @@
         report.waited_s,
         MarkWeight(report.score, report.is_telling),
         report.is_cleared,
+        report.content,
     )
--- a/hornbeamline/quarantine/_guard.py
+++ b/hornbeamline/quarantine/_guard.py
@@ -29,13 +29,14 @@
         """Stop watching a request."""
 
     def record_begun(
-        self, parts: Sequence[str], timing: AnswerTiming | None
+        self, guard: RequestGuard, timing: AnswerTiming | None
     ) -> None:
         """Record that an answer has begun."""
 
-    def record_crash(
-        self, request_id: str, parts: Sequence[str], crash: EngineCrash
-    ) -> None:
+    def record_completed(self, guard: RequestGuard) -> None:
+        """Record that an answer is complete."""
+
+    def record_crash(self, guard: RequestGuard, crash: EngineCrash) -> None:
         """Record that an engine ended before an answer had an event."""
 
 
@@ -47,12 +48,22 @@
     """
 
     def __init__(
-        self, owner: GuardOwner, request_id: str, parts: Sequence[str]
+        self,
+        owner: GuardOwner,
+        request_id: str,
+        parts: Sequence[str],
+        content: str = '',
     ) -> None:
-        """Create a guard for a request with these shared parts."""
+        """Create a guard for a request with these shared parts.
+
+        `content` is the key of the request's content.
+        """
         self._owner = owner
         self.request_id = request_id
         self.parts = parts
+        self.content = content
+        # What may be in quarantine.
+        self.keys = (*parts, content) if content else tuple(parts)
         # The request was sent to a target and may run there.
         self.may_have_run = False
         self._ended_engines = 0
@@ -62,7 +73,7 @@
     def __enter__(self) -> RequestGuard:
         """Raise `PartQuarantinedError` at once if the request is refused."""
         self.check()
-        if self.parts:
+        if self.keys:
             self._task = asyncio.current_task()
             self._owner.enter(self)
         return self
@@ -83,8 +94,8 @@
             raise self._interrupted
 
     def check(self) -> None:
-        """Raise `PartQuarantinedError` if a part is in quarantine."""
-        self._owner.check(self.parts)
+        """Raise `PartQuarantinedError` if the request is in quarantine."""
+        self._owner.check(self.keys)
 
     @property
     def is_suspect(self) -> bool:
@@ -107,7 +118,12 @@
         """
         self._owner.leave(self)
         if self.parts:
-            self._owner.record_begun(self.parts, timing)
+            self._owner.record_begun(self, timing)
+
+    def answer_completed(self) -> None:
+        """Record that a target has completed the answer."""
+        if self.content:
+            self._owner.record_completed(self)
 
     def engine_ended(self, crash: EngineCrash) -> None:
         """Record that the target of the request ended before an event."""
@@ -115,4 +131,4 @@
         # next check ends it.
         self._owner.leave(self)
         self._ended_engines += 1
-        self._owner.record_crash(self.request_id, self.parts, crash)
+        self._owner.record_crash(self, crash)
--- a/hornbeamline/quarantine/_likelihood.py
+++ b/hornbeamline/quarantine/_likelihood.py
@@ -9,7 +9,7 @@
 
 import math
 from collections.abc import Mapping, Sequence
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from hornbeamline.quarantine._types import MarkWeight, Phase
 from hornbeamline.quarantine.const import (
@@ -28,6 +28,10 @@
 )
 
 
+# Phases before the first event of an answer.
+_WAITING_PHASES: Final = (Phase.SENT, Phase.HEAD)
+
+
 class AnswerTiming(NamedTuple):
     """How long an answer took to begin."""
 
@@ -93,7 +97,7 @@
         seconds: Mapping[Phase, float] = self._seconds_by_service.get(
             service, {}
         )
-        total_s = sum(seconds.values()) + PRIOR_PHASE_S * len(Phase)
+        total_s = sum(seconds.values()) + PRIOR_PHASE_S * len(_WAITING_PHASES)
         return (seconds.get(phase, 0) + PRIOR_PHASE_S) / total_s
 
     def _record_timing(self, timing: AnswerTiming) -> None:
--- a/hornbeamline/quarantine/_messages.py
+++ b/hornbeamline/quarantine/_messages.py
@@ -20,6 +20,7 @@
     score: float
     is_telling: bool
     is_cleared: bool
+    content: str = ''
 
 
 class LiftReport(NamedTuple):
--- a/hornbeamline/quarantine/_quarantine.py
+++ b/hornbeamline/quarantine/_quarantine.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from hornbeamline.helpers.clock import Clock
-from hornbeamline.quarantine._attribution import Finding, attribute
+from hornbeamline.quarantine._attribution import Finding
+from hornbeamline.quarantine._contents import find_crashing, is_content
 from hornbeamline.quarantine._evidence import EvidenceTable
 from hornbeamline.quarantine._guard import RequestGuard
 from hornbeamline.quarantine._likelihood import AnswerTiming, SoundTraffic
@@ -18,7 +19,13 @@
     QUARANTINED,
     VERDICTS,
 )
-from hornbeamline.quarantine._types import CrashMark, EngineCrash, Verdict
+from hornbeamline.quarantine._types import (
+    CrashMark,
+    EngineCrash,
+    MarkWeight,
+    Phase,
+    Verdict,
+)
 from hornbeamline.quarantine._verdicts import verdict_of
 from hornbeamline.quarantine.const import (
     MAX_PART_ID,
@@ -67,28 +74,32 @@
             if verdict.until > now
         ]
 
-    def guard(self, request_id: str, part_ids: Iterable[str]) -> RequestGuard:
+    def guard(
+        self, request_id: str, part_ids: Iterable[str], content: str = ''
+    ) -> RequestGuard:
         """Return the guard of a request, given the ids of its shared parts.
 
+        `content` is the key of the request's content, see `content_of`.
+
         Of more than `MAX_PARTS_PER_REQUEST` parts the last ones are watched:
         the first ones are those that most requests share.
         """
         parts = [_key(part_id) for part_id in part_ids]
         return RequestGuard(
-            self, request_id, tuple(parts[-MAX_PARTS_PER_REQUEST:])
+            self, request_id, tuple(parts[-MAX_PARTS_PER_REQUEST:]), content
         )
 
-    def check(self, parts: Sequence[str]) -> None:
-        """Raise `PartQuarantinedError` if a part is in quarantine."""
+    def check(self, keys: Sequence[str]) -> None:
+        """Raise `PartQuarantinedError` if a part or content is quarantined."""
         if not self._verdicts_by_part:
             return
-        for part in parts:
-            verdict = self._verdicts_by_part.get(part)
+        for key in keys:
+            verdict = self._verdicts_by_part.get(key)
             if verdict is None:
                 continue
             left_s = verdict.until - self._clock.monotonic()
             if left_s > 0:
-                raise PartQuarantinedError(part, left_s)
+                raise PartQuarantinedError(key, left_s)
 
     def is_suspect(self, parts: Sequence[str]) -> bool:
         """Return whether a part may have crashed an engine."""
@@ -103,13 +114,12 @@
         self._guards.discard(guard)
 
     def record_begun(
-        self, parts: Sequence[str], timing: AnswerTiming | None
+        self, guard: RequestGuard, timing: AnswerTiming | None
     ) -> None:
-        """Record that an answer to a request with these parts has begun."""
-        self._traffic.record_begun(parts, timing)
-        now = self._clock.monotonic()
-        cleared = [part for part in parts if self._table.clear(part)]
-        self._remember_begun(parts, now)
+        """Record that the answer to a request has begun."""
+        self._traffic.record_begun(guard.parts, timing)
+        cleared = [part for part in guard.parts if self._table.clear(part)]
+        self._remember_begun(guard.parts, self._clock.monotonic())
         if not cleared:
             return
         is_urgent = any(
@@ -120,10 +130,16 @@
         if is_urgent:
             self.on_evidence()
 
-    def record_crash(
-        self, request_id: str, parts: Sequence[str], crash: EngineCrash
-    ) -> None:
-        """Record that an engine ended before the first event of a request."""
+    def record_completed(self, guard: RequestGuard) -> None:
+        """Clear the content of a request whose answer is complete."""
+        if not self._table.clear(guard.content):
+            return
+        log_event('quarantine.cleared', content=guard.content)
+        self._judge()
+        self.on_evidence()
+
+    def record_crash(self, guard: RequestGuard, crash: EngineCrash) -> None:
+        """Record that a target ended while it answered a request."""
         CRASHES.labels(crash.phase.name.lower()).inc()
         now = self._clock.monotonic()
         marks = [
@@ -133,16 +149,23 @@
                 crash.phase,
                 following,
                 now,
-                request_id,
+                guard.request_id,
                 crash.waited_s,
                 self._traffic.weigh(part, crash.phase, crash.service),
+                content=guard.content,
             )
-            for following, part in enumerate(reversed(parts))
+            for following, part in enumerate(reversed(guard.parts))
+            if crash.phase is not Phase.BEGUN
         ]
         changes = [self._table.add_mark(mark) for mark in marks]
+        if guard.content:
+            changes.append(
+                self._table.add_mark(_content_mark(guard, crash, now))
+            )
         log_event(
             'quarantine.crash',
-            request=request_id,
+            request=guard.request_id,
+            content=guard.content,
             target=crash.target,
             phase=crash.phase.name.lower(),
             parts=','.join(mark.part for mark in marks),
@@ -197,7 +220,7 @@
     def _judge(self) -> None:
         """Derive findings and verdicts, and end requests with named parts."""
         now = self._clock.monotonic()
-        self._findings_by_part = attribute(
+        self._findings_by_part = find_crashing(
             self._table.marks, self._table.begun_parts
         )
         verdicts_by_part = {
@@ -226,7 +249,7 @@
         interrupted = [
             guard
             for guard in self._guards
-            if verdict.part in guard.parts
+            if verdict.part in guard.keys
             and not (has_begun and guard.may_have_run)
         ]
         log_event(
@@ -245,9 +268,26 @@
             )
 
 
+def _content_mark(
+    guard: RequestGuard, crash: EngineCrash, now: float
+) -> CrashMark:
+    # A target may start again under its id and end under the request again.
+    return CrashMark(
+        guard.content,
+        f'{crash.target}/{guard.request_id}',
+        crash.phase,
+        0,
+        now,
+        guard.request_id,
+        crash.waited_s,
+        MarkWeight(0, is_telling=False),
+        content=guard.content,
+    )
+
+
 def _key(part_id: str) -> str:
-    """Return a key of bounded size for a part."""
-    if len(part_id) <= MAX_PART_ID:
+    """Return a key of bounded size for a part, which a caller has named."""
+    if len(part_id) <= MAX_PART_ID and not is_content(part_id):
         return part_id
     return hashlib.blake2b(part_id.encode(), digest_size=16).hexdigest()
 
--- a/hornbeamline/quarantine/_relay.py
+++ b/hornbeamline/quarantine/_relay.py
@@ -8,7 +8,7 @@
 from hornbeamline.core import TaskSet
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.peering import Peering
-from hornbeamline.quarantine._attribution import attribute
+from hornbeamline.quarantine._contents import find_crashing
 from hornbeamline.quarantine._evidence import EvidenceTable
 from hornbeamline.quarantine._messages import (
     EvidencePush,
@@ -54,7 +54,7 @@
         """Return the verdicts in force; their times are on this clock."""
         self.table.expire()
         now = self._clock.monotonic()
-        findings = attribute(self.table.marks, self.table.begun_parts)
+        findings = find_crashing(self.table.marks, self.table.begun_parts)
         verdicts = [
             verdict_of(finding)
             for finding in findings.values()
--- a/hornbeamline/quarantine/_types.py
+++ b/hornbeamline/quarantine/_types.py
@@ -13,6 +13,9 @@
     SENT = 1
     # The head of the answer had arrived, and no complete event.
     HEAD = 2
+    # Events had arrived, so that the prompt parts are not suspected, but the
+    # content of the request is.
+    BEGUN = 3
 
 
 class EngineCrash(NamedTuple):
@@ -54,6 +57,8 @@
     weight: MarkWeight
     # An answer to another request with the part has begun since.
     is_cleared: bool = False
+    # Key of the request's content; empty if it is not known.
+    content: str = ''
 
 
 class Verdict(NamedTuple):
--- a/hornbeamline/quarantine/const.py
+++ b/hornbeamline/quarantine/const.py
@@ -46,6 +46,9 @@
 # Engines that ended under one request, from which it is not sent to another,
 # whatever its parts: other causes hardly ever meet a request twice.
 SUSPECT_ENGINES: Final = 2
+# Crashes under the same content, without an answer that began in between, from
+# which a request is refused: other causes hardly ever meet a request twice.
+CONTENT_CRASHES: Final = 2
 # Engines that end within this time may have a common cause, such as a rack or
 # one request that was sent to each of them, so that they count once.
 SAME_MOMENT_S: Final = 0.1
@@ -60,6 +63,7 @@
 
 # Parts come from callers: bounds of the state and of messages.
 MAX_MARKS: Final = 512
+MAX_CONTENT_MARKS: Final = 256
 MARK_TTL_S: Final = 2 * MAX_VERDICT_S
 MAX_LIFTS: Final = 64
 MAX_PARTS_PER_REQUEST: Final = 16
