Bear list entries with figures out of range (operators' report)

Report: machines ended, or stopped following the list, for an entry of another writer with deep nesting, a number too large or a port out of range. Deep nesting and numbers that do not decode are borne since. A port above 65535, port 0, octets above 255, digits of other scripts and any number of slots became targets; connecting to such a port raises OverflowError, which no caller expects.

--- a/hornbeamline/platform/_list.py
+++ b/hornbeamline/platform/_list.py
@@ -4,7 +4,8 @@
 
 import contextlib
 import re
-from typing import Final
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated, Final
 from urllib.parse import urlencode
 
 import msgspec
@@ -18,7 +19,9 @@
 _MAX_PAGES: Final = 400
 _UNREADABLE: Final = (msgspec.DecodeError, ValueError, RecursionError)
 _NAME: Final = re.compile('[!-~]{1,256}')
-_ADDRESS: Final = re.compile(r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}')
+_PORT: Final = re.compile('[0-9]{1,5}')
+_MAX_PORT: Final = 65_535
+_MAX_SLOTS: Final = 1_000_000
 _is_leaving_by_state: Final = {'ready': False, 'draining': True}
 
 
@@ -32,7 +35,7 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
+    slots: Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)] = 1
 
 
 class _PageBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -128,7 +131,7 @@
     if entry.state not in _is_leaving_by_state:
         return None
     # Ids become header values, and addresses parts of URLs.
-    if not _NAME.fullmatch(entry.id) or not _ADDRESS.fullmatch(entry.address):
+    if not _NAME.fullmatch(entry.id) or not _is_address(entry.address):
         return None
     return Target(
         id=entry.id,
@@ -138,3 +141,15 @@
         slots=entry.slots,
         is_leaving=_is_leaving_by_state[entry.state],
     )
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address with a port."""
+    host, _, port = text.partition(':')
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= _MAX_PORT:
+        return False
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return True
--- a/hornbeamline/quarantine/_likelihood.py
+++ b/hornbeamline/quarantine/_likelihood.py
@@ -27,7 +27,6 @@
     WAITING_PER_ENGINE,
 )
 
-
 # Phases before the first event of an answer.
 _WAITING_PHASES: Final = (Phase.SENT, Phase.HEAD)
 
