--- a/tests/soak/platform/fleet.py
+++ b/tests/soak/platform/fleet.py
@@ -169,15 +169,22 @@
 
         On a busy host the interpreter alone takes seconds to start.
         """
-        before = self.group.log_of(name).count(_CONTROL_STARTS)
+        before = self._starts_of(name)
         self.start(name)
         deadline = time.monotonic() + START_S
-        while self.group.log_of(name).count(_CONTROL_STARTS) == before:
+        while self._starts_of(name) == before:
             assert time.monotonic() < deadline, (
                 f'{name} did not log its start in time'
             )
             await asyncio.sleep(_START_POLL_S)
 
+    def _starts_of(self, name: str) -> int:
+        try:
+            return self.group.log_of(name).count(_CONTROL_STARTS)
+        except FileNotFoundError:
+            # The process has not been started before.
+            return 0
+
     def wipe(self, name: str) -> None:
         """Delete the disk of a stopped control process."""
         shutil.rmtree(self._disk(name))
