Show that streams are joined from two software versions (ORDER)

Callers of streams got 200 and a whole body whose first part came from a target of one software version and the rest from one of another.

Stand-in servers have a software version and write it into their events, so that clients notice joined streams; the clients of the soak require one version in each answer.

--- a/tests/soak/platform/clients.py
+++ b/tests/soak/platform/clients.py
@@ -21,6 +21,7 @@
     NOT_RUN_STATUSES,
     SentRequest,
     event_count,
+    event_of,
     expected_body,
 )
 
@@ -159,8 +160,9 @@
     ) -> None:
         expected = expected_body(request_id, sent)
         if route in {'plan', 'ask'}:
+            version = answer.strip().rpartition(b' ')[2].decode('latin-1')
             expected = b''.join(
-                f'id: {number}\ndata: {request_id}-{number}\n\n'.encode()
+                event_of(request_id, number, version)
                 for number in range(1, event_count(request_id) + 1)
             )
         if answer != expected:
--- a/tests/soak/platform/standins/engine.py
+++ b/tests/soak/platform/standins/engine.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from tests.soak.platform.standins.server import StandinServer
-from tests.soak.platform.world import event_count
+from tests.soak.platform.world import event_count, event_of
 
 _EVENT_S = 0.01
 
@@ -36,9 +36,10 @@
             return self._end(request, response)
         first = int(request.headers.get('Last-Event-Id', '0')) + 1
         breaks = self.is_affected(self.faults.lose)
-        for number in range(first, event_count(request_id) + 1):
+        stream = self.world.stream_of(request_id)
+        for number in range(first, event_count(stream) + 1):
             await self.simulate_work(_EVENT_S)
-            event = f'id: {number}\ndata: {request_id}-{number}\n\n'.encode()
+            event = event_of(stream, number, self.version)
             if breaks and request.transport is not None and number > 2:
                 # Breaks the connection in the middle of an event.
                 await response.write(event[:6])
--- a/tests/soak/platform/standins/server.py
+++ b/tests/soak/platform/standins/server.py
@@ -40,6 +40,8 @@
         self.service = service
         self.rng = rng
         self.id = f'i-{rng.getrandbits(40):010x}'
+        # Version of the software, as the list tells it.
+        self.version = 'v1'
         self.faults = ServerFaults()
         self.is_draining = False
         # Announces that it is leaving, which the list does not show.
@@ -79,6 +81,7 @@
             'service': self.service,
             'address': self.relay.address,
             'zone': 'z1',
+            'version': self.version,
             'slots': 8,
             'state': 'draining' if self.is_draining else 'ready',
             'warmup-left-ms': 0,
--- a/tests/soak/platform/world.py
+++ b/tests/soak/platform/world.py
@@ -20,6 +20,8 @@
     may_repeat: bool
     pieces: tuple[int, ...] = ()
     piece_key: str = ''
+    # Id of the attempt that brought the first event of a resumed stream.
+    resumes: str = ''
 
 
 class World:
@@ -46,6 +48,11 @@
         """Record a violation with the time at which it was seen."""
         self.violations.append(f'{time.monotonic():.2f} {text}')
 
+    def stream_of(self, request_id: str) -> str:
+        """Return the id of the attempt that began the stream of an attempt."""
+        sent = self.sent_by_id.get(request_id)
+        return request_id if sent is None else sent.resumes or request_id
+
     def record_execution(self, request_id: str) -> None:
         """Record that a server started to execute a request.
 
@@ -121,3 +128,23 @@
 def event_count(request_id: str) -> int:
     """Return the number of events in the stream of a request."""
     return 3 + int(request_id[:2], 16) % 10
+
+
+def event_of(stream: str, number: int, version: str) -> bytes:
+    """Return one event of a stream as a server of a version writes it."""
+    return f'id: {number}\ndata: {stream}-{number} {version}\n\n'.encode()
+
+
+def versions_in(stream: str, body: bytes) -> list[str]:
+    """Return the versions whose servers wrote the events of a body, in order.
+
+    Raises `ValueError` if the body is not made of events of the stream.
+    """
+    versions = []
+    for event in body.split(b'\n\n')[:-1]:
+        written, _, version = event.decode().rpartition(' ')
+        number = int(written.partition('\n')[0].removeprefix('id: '))
+        if event_of(stream, number, version) != event + b'\n\n':
+            raise ValueError(f'not an event of {stream}: {event!r}')
+        versions.append(version)
+    return versions
