Origins: remember the software version that began a stream

Change: new component origins. Its belief about the default holds while the version is listed since the leader confirmed it. LeaderClient takes a function of names as well.

--- a/hornbeamline/control_link/_client.py
+++ b/hornbeamline/control_link/_client.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+import functools
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, TypeVar
 
 from hornbeamline.control_link._messages import ControlReply
@@ -23,11 +24,22 @@
 class LeaderClient:
     """Calls the leader, directly or through a follower that forwards."""
 
-    def __init__(self, peering: Peering, control_hosts: Iterable[str]) -> None:
-        """Use `peering` to reach the control hosts with the given names."""
+    def __init__(
+        self,
+        peering: Peering,
+        control_hosts: Iterable[str] | Callable[[], Sequence[str]],
+    ) -> None:
+        """Use `peering` to reach the control hosts with the given names.
+
+        A function is asked for the names before each attempt; it may return
+        none for a time.
+        """
         self._peering = peering
-        self._control_hosts = list(control_hosts)
-        self._preferred = self._control_hosts[0]
+        if callable(control_hosts):
+            self._control_hosts = control_hosts
+        else:
+            self._control_hosts = functools.partial(list, control_hosts)
+        self._preferred = ''
 
     async def call(
         self,
@@ -63,11 +75,13 @@
             if reply is not None:
                 return reply.body
             failures += 1
-            if failures % len(self._control_hosts) == 0:
+            if failures % max(len(self._control_hosts()), 1) == 0:
                 await asyncio.sleep(ROUND_RETRY_DELAY_S)
 
     async def _attempt(self, request: tuple[Any, ...]) -> ControlReply | None:
-        peer = self._preferred
+        peer = self._current_peer()
+        if peer is None:
+            return None
         try:
             reply = await self._peering.call(
                 peer,
@@ -81,9 +95,15 @@
         self._update_preferred(peer, reply)
         return reply if reply.status == STATUS_OK else None
 
+    def _current_peer(self) -> str | None:
+        names = self._control_hosts()
+        if self._preferred not in names:
+            self._preferred = names[0] if names else ''
+        return self._preferred or None
+
     def _update_preferred(self, peer: str, reply: ControlReply) -> None:
         names_other_host = (
-            reply.leader in self._control_hosts and reply.leader != peer
+            reply.leader in self._control_hosts() and reply.leader != peer
         )
         if names_other_host and self._peering.is_alive(reply.leader):
             self._preferred = reply.leader
@@ -91,8 +111,9 @@
             self._fail_over_from(peer)
 
     def _fail_over_from(self, peer: str) -> None:
-        start = self._control_hosts.index(peer) + 1
-        order = self._control_hosts[start:] + self._control_hosts[:start]
+        names = list(self._control_hosts())
+        start = names.index(peer) + 1 if peer in names else 0
+        order = names[start:] + names[:start]
         alive = [name for name in order if self._peering.is_alive(name)]
         others = [name for name in alive if name != peer] or order
-        self._preferred = others[0]
+        self._preferred = others[0] if others else ''
--- a/hornbeamline/exceptions.py
+++ b/hornbeamline/exceptions.py
@@ -57,3 +57,7 @@
 
 class QuarantineError(HornbeamlineError):
     """A request must not be sent to an engine."""
+
+
+class OriginError(HornbeamlineError):
+    """The software version that began a stream is not known."""
--- /dev/null
+++ b/hornbeamline/origins/_beliefs.py
@@ -0,0 +1,163 @@
+"""What an entry host believes about the default versions."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Mapping
+from typing import NamedTuple
+
+from hornbeamline.origins.const import (
+    CONFIRMED_FOR_S,
+    MAX_LIST_GAP_S,
+    SOLE_VERSION_S,
+)
+from hornbeamline.telemetry import log_event
+
+
+class _Belief(NamedTuple):
+    """Default version of a service, as last told by the leader."""
+
+    version: str
+    # Time at which the answer that confirmed it was requested.
+    confirmed_at: float
+    # Last times of lists with another version and without this one.
+    others_at: float = -math.inf
+    absent_at: float = -math.inf
+
+
+class _SoleVersion(NamedTuple):
+    """Version that was the only listed one at all times since `since`."""
+
+    version: str | None
+    since: float
+    listed_at: float
+
+
+class DefaultBeliefs:
+    """Tells whether a stream at a version needs no record.
+
+    The leader keeps a default for at least the retention after the last use
+    that it has confirmed, and after the version was last listed. So a belief
+    holds while each list since its confirmation has the version.
+    """
+
+    def __init__(self) -> None:
+        """Start without beliefs."""
+        self._by_service: dict[str, _Belief] = {}
+        self._sole_by_service: dict[str, _SoleVersion] = {}
+        self._listed_at = -math.inf
+        # Time of the first list after an interruption.
+        self._gap_ended_at = -math.inf
+
+    def version_of(self, service: str) -> str | None:
+        """Return the believed default of a service, if any."""
+        belief = self._by_service.get(service)
+        return None if belief is None else belief.version
+
+    def is_steady(self, service: str, now: float) -> bool:
+        """Return whether the version is listed since its confirmation."""
+        belief = self._by_service.get(service)
+        if belief is None:
+            return False
+        seen_at = max(self._listed_at, belief.confirmed_at)
+        lost_at = max(belief.absent_at, self._gap_ended_at)
+        return (
+            belief.confirmed_at >= lost_at and now - seen_at <= MAX_LIST_GAP_S
+        )
+
+    def is_fresh(self, service: str, now: float) -> bool:
+        """Return whether the belief holds without asking the leader."""
+        belief = self._by_service.get(service)
+        if belief is None or not self.is_steady(service, now):
+            return False
+        return (
+            now - belief.confirmed_at <= CONFIRMED_FOR_S
+            or belief.others_at < belief.confirmed_at
+        )
+
+    def confirm(
+        self, service: str, version: str | None, requested_at: float
+    ) -> None:
+        """Record the leader's answer to a use of the version."""
+        self._replace(service, version, requested_at)
+
+    def hear(self, service: str, version: str | None) -> None:
+        """Record a default that came with another answer.
+
+        It is not confirmed, as the leader does not know of a use.
+        """
+        if version != self.version_of(service):
+            self._replace(service, version, -math.inf)
+
+    def note_listed(
+        self,
+        versions_by_service: Mapping[str, Collection[str]],
+        now: float,
+    ) -> None:
+        """Record the versions in a list of targets."""
+        has_gap = now - self._listed_at > MAX_LIST_GAP_S
+        self._listed_at = now
+        if has_gap:
+            self._gap_ended_at = now
+            self._sole_by_service.clear()
+        for service, belief in self._by_service.items():
+            versions = versions_by_service.get(service, ())
+            if belief.version not in versions:
+                belief = belief._replace(absent_at=now)
+            if any(version != belief.version for version in versions):
+                belief = belief._replace(others_at=now)
+            self._by_service[service] = belief
+        self._note_sole(versions_by_service, now)
+
+    def sole_version(self, service: str, now: float) -> str | None:
+        """Return the only version listed for `SOLE_VERSION_S`, if any."""
+        sole = self._sole_by_service.get(service)
+        if sole is None or now - self._listed_at > MAX_LIST_GAP_S:
+            return None
+        return sole.version if now - sole.since >= SOLE_VERSION_S else None
+
+    def _replace(
+        self, service: str, version: str | None, confirmed_at: float
+    ) -> None:
+        previous = self._by_service.get(service)
+        if version is None:
+            self._by_service.pop(service, None)
+            return
+        if previous is not None and previous.version == version:
+            self._by_service[service] = previous._replace(
+                confirmed_at=max(confirmed_at, previous.confirmed_at),
+            )
+            return
+        self._by_service[service] = _Belief(
+            version,
+            confirmed_at,
+            # The lists since the request are not known.
+            others_at=self._listed_at,
+            absent_at=self._listed_at,
+        )
+        log_event(
+            'origins.belief_changed',
+            service=service,
+            previous=None if previous is None else previous.version,
+            version=version,
+        )
+
+    def _note_sole(
+        self,
+        versions_by_service: Mapping[str, Collection[str]],
+        now: float,
+    ) -> None:
+        self._sole_by_service = {
+            service: sole
+            for service, sole in self._sole_by_service.items()
+            if now - sole.listed_at <= SOLE_VERSION_S
+        }
+        for service, versions in versions_by_service.items():
+            if not versions:
+                continue
+            distinct = frozenset(versions)
+            version = next(iter(distinct)) if len(distinct) == 1 else None
+            sole = self._sole_by_service.get(service)
+            is_same = sole is not None and sole.version == version
+            since = sole.since if sole is not None and is_same else now
+            self._sole_by_service[service] = _SoleVersion(version, since, now)
--- /dev/null
+++ b/tests/origins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the versions that began streams."""
