--- a/hornbeamline/daemons/document_control.py
+++ b/hornbeamline/daemons/document_control.py
@@ -8,6 +8,11 @@
 
 from hornbeamline.control_link import LeaderServer
 from hornbeamline.core import Kernel
+from hornbeamline.daemons._control_origins import (
+    LongestStream,
+    StreamLimitReader,
+    origin_service,
+)
 from hornbeamline.daemons._memory import GarbageCollectorService
 from hornbeamline.daemons._settings_watch import SettingsWatch
 from hornbeamline.daemons._target_list import ListPoller, TargetListSource
@@ -69,6 +74,7 @@
         operator_app: Callable[[DocumentService], Any],
         open_list: Callable[[TargetHttp], TargetListSource],
         read_controls: Callable[[], Mapping[str, str]],
+        read_stream_limit: StreamLimitReader | None = None,
     ) -> None:
         """Build the services from the settings and the platform adapter."""
         clock = SystemClock()
@@ -91,12 +97,8 @@
         )
         log.on_stopped(self.kernel.fail)
         machine = DocumentMachine()
-        documents = DocumentService(
-            log,
-            LeaderServer(peering, log),
-            machine,
-            validate,
-        )
+        server = LeaderServer(peering, log)
+        documents = DocumentService(log, server, machine, validate)
         own = _own_presence(settings)
         targets = TargetDirectory(BootClock())
         registry = DirectoryRegistry(peering, machine, own, targets, clock)
@@ -119,15 +121,23 @@
             lambda: own,
             targets,
         )
-        watch = SettingsWatch(read_controls, member)
-        self.kernel.on_reload(watch.reload)
         self.kernel.register('peering', peering)
         self.kernel.register('replog', log)
         if settings.is_durable:
             self.kernel.register('http', http)
             self.kernel.register('targets', poller)
         self.kernel.register('directory', member)
-        self.kernel.register('settings', watch)
+        self.kernel.register(
+            'origins',
+            origin_service(
+                log,
+                server,
+                targets,
+                LongestStream(machine, read_stream_limit),
+                clock,
+            ),
+        )
+        self._watch_settings(read_controls, member)
         self.kernel.register(
             'metrics',
             HttpServer(metrics_app, settings.metrics_address),
@@ -153,6 +163,15 @@
         log_event('control.stopped', code=code)
         return code
 
+    def _watch_settings(
+        self,
+        read_controls: Callable[[], Mapping[str, str]],
+        member: DirectoryMember,
+    ) -> None:
+        watch = SettingsWatch(read_controls, member)
+        self.kernel.on_reload(watch.reload)
+        self.kernel.register('settings', watch)
+
     def _register_operator(self, app: Any, relay: QuarantineRelay) -> None:
         """Register the quarantine, and the routes of the operator."""
         add_quarantine_routes(app, relay)
