--- a/tests/origins/group.py
+++ b/tests/origins/group.py
@@ -92,6 +92,7 @@
     """Control processes, the platform's list, and entry hosts."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
+        self.is_upgraded = True
         self.max_records = options.pop('max_records', 1000)
         self.longest_stream_s = 20.0
         self.platform = Platform()
@@ -99,7 +100,7 @@
         self.list_age_s_by_voter: dict[str, float] = {}
         self.proposals: list[tuple[str, bytes]] = []
         self.hosts: list[EntryHost] = []
-        super().__init__(*args, voter_class=OriginVoter, **options)
+        super().__init__(*args, **{'voter_class': OriginVoter, **options})
 
     async def entry(self, name: str) -> EntryHost:
         """Start an entry host, instead of an earlier one of that name."""
