--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -15,15 +15,20 @@
     Piece,
     PieceResult,
 )
+from hornbeamline.directory import DirectoryMember
 from hornbeamline.gateway import (
     GatewayApp,
     MayHaveRunError,
     NotRunError,
     Target,
+    TargetDirectory,
     TargetGate,
     TargetHttp,
     Wire,
 )
+from hornbeamline.helpers.clock import Clock
+from hornbeamline.origins import StreamOrigins
+from hornbeamline.peering import Peering
 from hornbeamline.telemetry import log_event
 
 # The load balancer stops sending requests after two failed checks, which
@@ -38,6 +43,22 @@
 _HTTP_OK: Final = 200
 
 
+def open_origins(
+    peering: Peering,
+    clock: Clock,
+    member: DirectoryMember,
+    targets: TargetDirectory,
+) -> StreamOrigins:
+    """Return the origins of streams, which follow the list of targets."""
+    origins = StreamOrigins(peering, clock, member.answering_controls)
+
+    def note_list() -> None:
+        origins.note_listed(targets.versions_by_service())
+
+    targets.on_list = note_list
+    return origins
+
+
 class StageCaller:
     """Sends pieces of a stage to a target."""
 
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -18,6 +18,7 @@
     GatewayDrain,
     ReadinessApp,
     StageCaller,
+    open_origins,
 )
 from hornbeamline.daemons._granters import ServiceGranters
 from hornbeamline.daemons._hosts import OtherHosts
@@ -39,6 +40,7 @@
     RoutingTable,
     StageLoad,
     StageRunner,
+    StreamVersions,
     TargetDirectory,
     TargetGate,
     TargetHttp,
@@ -138,6 +140,9 @@
             ),
             RetryBudget.of_owner(settings.budget, self._clock),
         )
+        self._origins = open_origins(
+            self._peering, self._clock, self._member, self._targets
+        )
         self._batching.ownership.other_reason_to_keep = self._limits.keeps
         forwarder = Forwarder(
             http,
@@ -171,6 +176,7 @@
                 self._stages,
                 self._budget,
                 quarantine,
+                StreamVersions(self._origins, self._targets),
             ),
             self._clock,
             rng,
@@ -193,6 +199,7 @@
         self.kernel.register('limits', self._limits)
         self.kernel.register('batching', self._batching)
         self.kernel.register('quarantine', exchange)
+        self.kernel.register('origins', self._origins)
         self.kernel.register('collector', GarbageCollectorService())
         self._register_listeners()
 
--- a/hornbeamline/gateway/__init__.py
+++ b/hornbeamline/gateway/__init__.py
@@ -11,6 +11,10 @@
 from hornbeamline.gateway._release import ResultReleaser
 from hornbeamline.gateway._services import GatewayServices
 from hornbeamline.gateway._stages import StageRunner
+from hornbeamline.gateway._stream_versions import (
+    StreamVersions,
+    VersionBinding,
+)
 from hornbeamline.gateway._table import RoutingTable, group_by_host
 from hornbeamline.gateway._targets import TargetDirectory
 from hornbeamline.gateway._types import (
@@ -64,6 +68,7 @@
     'Stage',
     'StageLoad',
     'StageRunner',
+    'StreamVersions',
     'Target',
     'TargetDirectory',
     'TargetGate',
@@ -71,6 +76,7 @@
     'TargetHttp',
     'TargetLoad',
     'TargetPicker',
+    'VersionBinding',
     'Wire',
     'rate_of',
     'wait_by_service',
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -6,7 +6,7 @@
 import contextlib
 import math
 import random
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any, Final
 
 from hornbeamline.batching import PiecesFailedError
@@ -35,6 +35,7 @@
 from hornbeamline.gateway._stages import StageResults
 from hornbeamline.gateway._table import RoutingTable
 from hornbeamline.gateway._types import (
+    Account,
     CallerRequest,
     Refusal,
     Route,
@@ -93,6 +94,7 @@
         self._stages = services.stages
         self._budget = services.budget
         self._quarantine = services.quarantine
+        self._versions = services.versions
         self._clock = clock
         self._rng = rng
         self._table: RoutingTable | None = None
@@ -233,20 +235,9 @@
             )
         try:
             async with asyncio.timeout(deadline_at - self._clock.monotonic()):
-                with guarded(self._quarantine, request, body) as guard:
-                    job = Job(
-                        request,
-                        body,
-                        route,
-                        self._choose_service(route),
-                        account,
-                        rank_of(route, account),
-                        deadline_at,
-                        [],
-                        {},
-                        _do_nothing,
-                        guard,
-                    )
+                async with self._open_job(
+                    request, body, route, account, deadline_at
+                ) as job:
                     await self._run_with_retry(job, table, reply)
         except TimeoutError as error:
             if reply.has_begun:
@@ -255,6 +246,41 @@
                 Refusal(_TIMED_OUT, REASON_OUT_OF_TIME),
             ) from error
 
+    @contextlib.asynccontextmanager
+    async def _open_job(
+        self,
+        request: CallerRequest,
+        body: bytes,
+        route: Route,
+        account: Account | None,
+        deadline_at: float,
+    ) -> AsyncIterator[Job]:
+        """Yield the job of a request; raises `RefusedError`."""
+        service = self._choose_service(route)
+        binding = await self._versions.bind_request(
+            request,
+            route,
+            service,
+            account,
+            deadline_at - self._clock.monotonic(),
+        )
+        async with binding:
+            with guarded(self._quarantine, request, body) as guard:
+                yield Job(
+                    request,
+                    body,
+                    route,
+                    service,
+                    account,
+                    rank_of(route, account),
+                    deadline_at,
+                    [],
+                    {},
+                    _do_nothing,
+                    guard,
+                    binding,
+                )
+
     async def _wait_for_start(self, request: CallerRequest) -> None:
         """Wait for the configuration while the process is starting.
 
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -48,6 +48,7 @@
     InputsGoneError,
     MayHaveRunError,
     NotRunError,
+    OriginNotRecordedError,
     RefusedError,
     TargetGoneError,
 )
@@ -144,9 +145,8 @@
         except MayHaveRunError as error:
             attempts.may_have_run_count += 1
             attempts.reason = str(error)
-            self._picker.record_failure(target)
             self._log_attempt(job, target, attempts, OUTCOME_LOST, error)
-            await self._check_for_crash(job, target, attempts)
+            await self._check_target(job, target, attempts, error)
         except asyncio.CancelledError:
             # The caller has disconnected or the deadline has passed.
             self._log_attempt(job, target, attempts, OUTCOME_CANCELLED, None)
@@ -154,13 +154,17 @@
         else:
             attempts.may_have_run_count += 1
 
-    async def _check_for_crash(
+    async def _check_target(
         self,
         job: Job,
         target: Target,
         attempts: Attempts,
+        error: MayHaveRunError,
     ) -> None:
-        """Record evidence if a target ended early in an answer."""
+        """Record a lost answer, and evidence if its target ended early."""
+        if isinstance(error, OriginNotRecordedError):
+            return
+        self._picker.record_failure(target)
         phase = attempts.phase_at(self._clock.monotonic())
         if phase is None or not job.guard.keys:
             return
@@ -205,7 +209,7 @@
         limited = [
             target
             for target in self._targets.accepting_targets(job.service)
-            if target.id not in attempts.tried
+            if target.id not in attempts.tried and job.binding.allows(target)
         ]
         if not limited:
             return None
@@ -229,7 +233,8 @@
         criteria = PickCriteria(
             job.request, job.input_bytes_by_data_centre, excluded
         )
-        targets = self._targets.available_targets(job.service)
+        version = job.binding.version
+        targets = self._targets.available_targets(job.service, version)
         if job.route.kind is RouteKind.STREAM:
             return self._picker.pick_engine(targets, criteria)
         return self._picker.pick(targets, criteria)
@@ -287,6 +292,7 @@
                 attempts.last_event_id,
             ),
         )
+        await job.binding.attempt_started(target)
         self._picker.attempt_started(target)
         fetch_timer = DelayedCall(INPUT_FETCH_S, job.on_inputs_fetched)
         started_at = self._clock.monotonic()
@@ -389,6 +395,7 @@
                     event, is_unproven=attempts.is_unproven_continuation
                 )
                 if not reply.has_begun:
+                    await job.binding.bind(target)
                     await reply.begin(head.status, head.headers)
                 if not event.is_comment:
                     self._record_event(job, target, attempts, started_at)
--- a/hornbeamline/gateway/_job.py
+++ b/hornbeamline/gateway/_job.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from hornbeamline.gateway._stream_versions import VersionBinding
 from hornbeamline.gateway._types import Account, CallerRequest, Route
 from hornbeamline.quarantine import RequestGuard
 
@@ -25,3 +26,4 @@
     # Called when the target has fetched the inputs.
     on_inputs_fetched: Callable[[], None]
     guard: RequestGuard
+    binding: VersionBinding
--- a/hornbeamline/gateway/_services.py
+++ b/hornbeamline/gateway/_services.py
@@ -6,6 +6,7 @@
 
 from hornbeamline.gateway._forwarder import Forwarder
 from hornbeamline.gateway._stages import StageRunner
+from hornbeamline.gateway._stream_versions import StreamVersions
 from hornbeamline.gateway._targets import TargetDirectory
 from hornbeamline.helpers.budget import RetryBudget
 from hornbeamline.quarantine import PartQuarantine
@@ -20,3 +21,4 @@
     # Limits the retries of all requests.
     budget: RetryBudget
     quarantine: PartQuarantine
+    versions: StreamVersions
--- a/hornbeamline/gateway/_targets.py
+++ b/hornbeamline/gateway/_targets.py
@@ -5,6 +5,7 @@
 import hashlib
 import math
 from collections.abc import Callable, Collection, Iterable
+from typing import Final
 
 from hornbeamline.gateway._types import Target
 from hornbeamline.helpers.clock import Clock
@@ -14,6 +15,10 @@
 from hornbeamline.membership import TargetAvailability
 from hornbeamline.telemetry import log_event
 
+# Time for which a draining target takes requests that no other can serve. It
+# serves longer, but hosts see its state some time after the list shows it.
+LINGER_S: Final = 1.2
+
 
 class TargetDirectory:
     """Targets of the last valid list, with their state and rate limits.
@@ -28,6 +33,8 @@
         self._clock = clock
         self.read_at: float | None = None
         self.on_first_list: Callable[[], None] | None = None
+        # Called for each list, also if it has not changed.
+        self.on_list: Callable[[], None] | None = None
         # Digest of the list, equal on all hosts with the same list; empty
         # before the first list.
         self.digest = b''
@@ -36,6 +43,8 @@
         self._targets_by_service: dict[str, list[Target]] = {}
         self._targets_by_id: dict[str, Target] = {}
         self._targets_by_address: dict[str, Target] = {}
+        # Time at which a list first showed that a target is draining.
+        self._leaving_since_by_id: dict[str, float] = {}
 
     @property
     def is_known(self) -> bool:
@@ -88,7 +97,6 @@
             self._log_changes(targets_by_id)
         self.read_at = at
         self.digest = _digest(targets_by_id.values())
-        self._record_listed(targets_by_id.keys())
         by_service: dict[str, list[Target]] = {}
         for listed in targets_by_id.values():
             if not listed.is_leaving:
@@ -100,6 +108,13 @@
         self._targets_by_address = {
             target.address: target for target in targets_by_id.values()
         }
+        now = self.now()
+        self._leaving_since_by_id = {
+            target.id: self._leaving_since_by_id.get(target.id, now)
+            for target in targets_by_id.values()
+            if target.is_leaving
+        }
+        self._record_listed(targets_by_id.keys())
         if is_first and self.on_first_list is not None:
             self.on_first_list()
 
@@ -112,13 +127,47 @@
             if accepts_work(target.id)
         ]
 
-    def available_targets(self, service: str) -> list[Target]:
-        """Return the targets of a service that accept a request now."""
-        return [
+    def available_targets(
+        self, service: str, version: str | None = None
+    ) -> list[Target]:
+        """Return the targets of a service that accept a request now.
+
+        With `version`, only those of this software version; if there are
+        none, those that have begun to drain a short time ago.
+        """
+        available = [
             target
             for target in self.accepting_targets(service)
             if not self.limits.permit_pause_s(target.id)
         ]
+        if version is None:
+            return available
+        return [
+            target for target in available if target.version == version
+        ] or [
+            target
+            for target in self._lingering_targets(service)
+            if target.version == version
+        ]
+
+    def serving_version(self, service: str, version: str) -> list[Target]:
+        """Return the targets that take a stream of a software version."""
+        return [
+            target
+            for target in (
+                *self.accepting_targets(service),
+                *self._lingering_targets(service),
+            )
+            if target.version == version
+        ]
+
+    def versions_by_service(self) -> dict[str, dict[str, int]]:
+        """Return the number of listed targets by service and version."""
+        counts: dict[str, dict[str, int]] = {}
+        for target in self._targets_by_id.values():
+            by_version = counts.setdefault(target.service, {})
+            by_version[target.version] = by_version.get(target.version, 0) + 1
+        return counts
 
     def call_rates(self, service: str) -> list[float]:
         """Return the calls per second that each accepting target allows."""
@@ -163,19 +212,36 @@
         """Return the target listed at an address, or None."""
         return self._targets_by_address.get(address)
 
+    def _lingering_targets(self, service: str) -> list[Target]:
+        """Return targets that have begun to drain a short time ago.
+
+        They take requests that no other target can serve.
+        """
+        oldest = self.now() - LINGER_S
+        return [
+            target
+            for target in self._targets_by_id.values()
+            if target.service == service
+            and self._leaving_since_by_id.get(target.id, -math.inf) >= oldest
+            and self.availability.accepts_work(target.id)
+        ]
+
     def _record_listed(self, target_ids: Collection[str]) -> None:
         self.availability.apply_listed(target_ids)
         self.limits.evict_unlisted(target_ids)
+        if self.on_list is not None:
+            self.on_list()
 
     def _log_changes(self, targets_by_id: dict[str, Target]) -> None:
         before = self._targets_by_id
         for target_id, target in targets_by_id.items():
             old = before.get(target_id)
-            if old is None or old.is_leaving != target.is_leaving:
+            if old is None or _has_news(old, target):
                 log_event(
                     'targets.changed',
                     target=target_id,
                     service=target.service,
+                    version=target.version,
                     leaving=target.is_leaving,
                     list_age_s=self.age_s,
                 )
@@ -183,5 +249,9 @@
             log_event('targets.gone', target=gone, list_age_s=self.age_s)
 
 
+def _has_news(old: Target, new: Target) -> bool:
+    return (old.is_leaving, old.version) != (new.is_leaving, new.version)
+
+
 def _digest(targets: Iterable[Target]) -> bytes:
     return hashlib.blake2b(encode(sorted(targets)), digest_size=8).digest()
--- a/hornbeamline/gateway/_types.py
+++ b/hornbeamline/gateway/_types.py
@@ -104,6 +104,8 @@
     data_centre: str
     slots: int
     is_leaving: bool
+    # Version of the software; empty if the list does not tell it.
+    version: str = ''
 
 
 class PromptPart(NamedTuple):
@@ -139,6 +141,8 @@
     piece_key: str
     # Id of the last event that the caller has, if it resumes a stream.
     last_event_id: int | None
+    # Id of the caller's attempt that brought the first event of that stream.
+    resumes: str | None = None
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- a/hornbeamline/gateway/errors.py
+++ b/hornbeamline/gateway/errors.py
@@ -38,5 +38,9 @@
     """An attempt failed without a usable answer and may have run."""
 
 
+class OriginNotRecordedError(MayHaveRunError):
+    """The version that began a stream is not recorded; no event was sent."""
+
+
 class AnswerBrokenError(GatewayError):
     """A response to a caller that has begun cannot be completed."""
--- a/hornbeamline/platform/_list.py
+++ b/hornbeamline/platform/_list.py
@@ -22,6 +22,7 @@
 _PORT: Final = re.compile('[0-9]{1,5}')
 _MAX_PORT: Final = 65_535
 _MAX_SLOTS: Final = 1_000_000
+_MAX_VERSION: Final = 256
 _is_leaving_by_state: Final = {'ready': False, 'draining': True}
 
 
@@ -36,6 +37,7 @@
     zone: str
     state: str
     slots: Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)] = 1
+    version: Annotated[str, msgspec.Meta(max_length=_MAX_VERSION)] = ''
 
 
 class _PageBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -140,6 +142,7 @@
         data_centre=entry.zone,
         slots=entry.slots,
         is_leaving=_is_leaving_by_state[entry.state],
+        version=entry.version,
     )
 
 
--- a/hornbeamline/platform/_wire.py
+++ b/hornbeamline/platform/_wire.py
@@ -35,6 +35,7 @@
 _DEADLINE: Final = 'x-deadline-ms'
 _CREDENTIAL: Final = 'x-api-key'
 _LAST_EVENT: Final = 'last-event-id'
+_RESUMES: Final = 'resumes'
 _LEAVING: Final = 'server-leaving'
 _RATE_LIMIT: Final = 'server-limit'
 _RETRY_AFTER: Final = 'retry-after'
@@ -160,6 +161,7 @@
             pieces_by_stage=_parse_integers(first_by_name.get('x-pieces', '')),
             piece_key=first_by_name.get('x-piece-key', ''),
             last_event_id=_parse_integer(first_by_name.get(_LAST_EVENT)),
+            resumes=first_by_name.get(_RESUMES),
         )
 
     def target_headers(
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -24,6 +24,7 @@
 )
 from hornbeamline.helpers.clock import Clock, SystemClock
 from hornbeamline.limits import LimitService
+from hornbeamline.origins import OriginUnavailableError, StreamKey
 from hornbeamline.platform._wire import PlatformWire
 from hornbeamline.quarantine import PartQuarantine, RequestGuard
 from tests.local_network import LocalNetwork
@@ -90,6 +91,35 @@
     return Target(**{**fields, **changes})
 
 
+class KnownOrigins:
+    """Records of the versions that began streams, in memory."""
+
+    def __init__(self) -> None:
+        self.version_by_stream: dict[StreamKey, str] = {}
+        # Version of streams without a record; None if it is not known.
+        self.default: str | None = ''
+        # No leader answers.
+        self.is_lost = False
+
+    def sole_version(self, _service: str) -> str | None:
+        """Return that no version has been the only one for long."""
+        return None
+
+    async def record(
+        self, stream: StreamKey, version: str, _timeout_s: float
+    ) -> None:
+        """Store the version that began a stream."""
+        if self.is_lost:
+            raise OriginUnavailableError('no leader')
+        self.version_by_stream[stream] = version
+
+    async def find(self, stream: StreamKey, _timeout_s: float) -> str | None:
+        """Return the version that began a stream."""
+        if self.is_lost:
+            raise OriginUnavailableError('no leader')
+        return self.version_by_stream.get(stream, self.default)
+
+
 def make_table(route: Route) -> RoutingTable:
     """Return a table with the services of a route."""
     limits = BatchLimits(1, 2, 9, 0.24, 0.02, 1.0, 4.0)
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -30,6 +30,7 @@
     StageLoad,
     StageRunner,
     Target,
+    VersionBinding,
     rate_of,
     wait_by_service,
 )
@@ -443,6 +444,7 @@
         {},
         lambda: None,
         open_guard(),
+        VersionBinding(),
     )
 
 
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -19,6 +19,7 @@
     RetryBudget,
     RouteKind,
     StageRunner,
+    StreamVersions,
     TargetDirectory,
     TargetHttp,
     TargetPicker,
@@ -29,6 +30,7 @@
 from hornbeamline.quarantine import PartQuarantine, PartQuarantinedError
 from tests.common import free_address
 from tests.gateway.builders import (
+    KnownOrigins,
     make_gate,
     make_route,
     make_table,
@@ -138,6 +140,7 @@
             ),
             budget,
             self.quarantine,
+            StreamVersions(KnownOrigins(), self.targets),
         )
         self.app = GatewayApp(wire, services, clock, rng)
         self.address = free_address()
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from hornbeamline.gateway import PromptPart, RefusedError, RouteKind
+from hornbeamline.gateway import (
+    PromptPart,
+    RefusedError,
+    RouteKind,
+    VersionBinding,
+)
 from hornbeamline.gateway._guarded import guarded
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._reply import Reply
@@ -64,6 +69,7 @@
                     {},
                     _nothing,
                     guard,
+                    VersionBinding(),
                 )
                 await self._forwarder.forward(job, reply)
         except (RefusedError, AnswerBrokenError, PartQuarantinedError):
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -18,6 +18,7 @@
     TargetDirectory,
     TargetGate,
     TargetPicker,
+    VersionBinding,
 )
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._reply import Reply
@@ -159,6 +160,7 @@
         {},
         lambda: None,
         open_guard(),
+        VersionBinding(),
     )
     caller = Caller()
     reply = Reply(caller.send, clock, closes=lambda: False)
--- a/tests/gateway/test_leaving_and_paused.py
+++ b/tests/gateway/test_leaving_and_paused.py
@@ -25,6 +25,7 @@
     Target,
     TargetDirectory,
     TargetPicker,
+    VersionBinding,
 )
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._reply import Reply
@@ -141,6 +142,7 @@
             {},
             lambda: None,
             open_guard(),
+            VersionBinding(),
         )
         reply = Reply(Caller().send, self.clock, closes=lambda: False)
         try:
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -14,6 +14,7 @@
     Stage,
     TargetDirectory,
     TargetPicker,
+    VersionBinding,
 )
 from hornbeamline.gateway._job import Job
 from hornbeamline.helpers.clock import ManualClock
@@ -64,6 +65,7 @@
         {},
         lambda: None,
         open_guard(),
+        VersionBinding(),
     )
 
 
--- a/tests/gateway/test_stages.py
+++ b/tests/gateway/test_stages.py
@@ -8,7 +8,7 @@
 import pytest
 
 from hornbeamline.batching import PieceTerms
-from hornbeamline.gateway import StageRunner
+from hornbeamline.gateway import StageRunner, VersionBinding
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._stages import ENGINE_START_S
 from hornbeamline.helpers.clock import ManualClock
@@ -61,6 +61,7 @@
         {},
         lambda: None,
         open_guard(),
+        VersionBinding(),
     )
     runner = StageRunner(batching, lambda _rank: {}, placement, clock)
     await runner.run(job, make_table(route))
--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -18,6 +18,7 @@
     RetryBudget,
     RouteKind,
     StageRunner,
+    StreamVersions,
     TargetDirectory,
     TargetPicker,
 )
@@ -25,6 +26,7 @@
 from hornbeamline.platform._wire import PlatformWire
 from hornbeamline.quarantine import PartQuarantine
 from tests.gateway.builders import (
+    KnownOrigins,
     make_gate,
     make_route,
     make_table,
@@ -78,6 +80,7 @@
             stages,
             budget,
             self.quarantine,
+            StreamVersions(KnownOrigins(), self.targets),
         )
         self.app = GatewayApp(wire, services, clock, rng)
 
--- a/tests/gateway/test_waits.py
+++ b/tests/gateway/test_waits.py
@@ -13,6 +13,7 @@
     BatchLimits,
     StageLoad,
     StageRunner,
+    VersionBinding,
     rate_of,
     wait_by_service,
 )
@@ -106,6 +107,7 @@
         {},
         lambda: None,
         open_guard(),
+        VersionBinding(),
     )
     for steps in range(4):
         work = asyncio.ensure_future(runner.run(job, make_table(route)))
--- a/tests/platform/test_document_ranges.py
+++ b/tests/platform/test_document_ranges.py
@@ -30,13 +30,14 @@
     RetryBudget,
     RoutingTable,
     StageRunner,
+    StreamVersions,
     TargetDirectory,
     TargetPicker,
 )
 from hornbeamline.platform._document import read_routing_table
 from hornbeamline.platform._wire import PlatformWire
 from hornbeamline.quarantine import PartQuarantine
-from tests.gateway.builders import make_gate, make_target
+from tests.gateway.builders import KnownOrigins, make_gate, make_target
 from tests.gateway.test_forwarder import Caller, FakeHttp, Script
 from tests.local_network import LocalNetwork
 from tests.platform.test_document import DOCUMENT
@@ -157,6 +158,7 @@
             stages,
             budget,
             PartQuarantine('host', clock),
+            StreamVersions(KnownOrigins(), self.targets),
         )
         self.app = GatewayApp(wire, services, clock, rng)
 
