--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -91,6 +91,7 @@
     ) -> tuple[Caller, float]:
         """Send a request; return its response and the seconds it took."""
         caller = Caller()
+        self.last_caller = caller
         loop = asyncio.get_running_loop()
         began = loop.time()
         sent = [{'type': 'http.request', 'body': body}]
--- a/tests/platform/test_list.py
+++ b/tests/platform/test_list.py
@@ -38,6 +38,9 @@
     'many slots': SOUND.replace(b'"slots":8', b'"slots":9223372036854775807')
     % (9, 9),
     'negative slots': SOUND.replace(b'"slots":8', b'"slots":-1') % (9, 9),
+    'version': SOUND.replace(b'"v1"', b'7') % (9, 9),
+    'no version': SOUND.replace(b'"v1"', b'null') % (9, 9),
+    'long version': SOUND.replace(b'v1', b'v' * 400) % (9, 9),
     'header': SOUND.replace(b'i-%d', rb'i\r\nX-Api-Key: %d') % (9, 9),
     'empty': b'{}',
     'text': b'"\xc3("',
@@ -120,6 +123,15 @@
         await read(broken)
 
 
+# Failure: streams went on at targets of another version, which the list tells.
+async def test_version_of_a_target_is_read() -> None:
+    """Guards against versions that are mixed up or taken from other fields."""
+    other = SOUND.replace(b'"v1"', b'"v1.2-rc \xc3\xa9"') % (2, 2)
+    absent = SOUND.replace(b'"version":"v1",', b'') % (3, 3)
+    targets = await read(page(SOUND % (1, 1), other, absent))
+    assert [target.version for target in targets] == ['v1', 'v1.2-rc \xe9', '']
+
+
 async def test_empty_list_has_no_targets() -> None:
     """Guards against entries that are not there."""
     assert not await read(page())
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -42,6 +42,7 @@
             x_pieces='1,0,4',
             x_api_key='secret',
             last_event_id='12',
+            resumes='r0',
         ),
         5.0,
     )
@@ -51,6 +52,8 @@
     assert [part.tokens for part in request.prompt] == [800, 410]
     assert request.pieces_by_stage == (1, 0, 4)
     assert request.last_event_id == 12
+    assert request.resumes == 'r0'
+    assert ('resumes', 'r0') in request.headers
     assert request.credential == 'secret'
 
 
