Log why a control process knows no leader, and who gave a document

Lines: directory.control_unreachable (once for each process until it answers), control.no_leader and control.leader_known (when the situation changes, one a second at most), and the field control of documents.in_force.

--- a/hornbeamline/daemons/document_control.py
+++ b/hornbeamline/daemons/document_control.py
@@ -8,6 +8,7 @@
 
 from hornbeamline.control_link import LeaderServer
 from hornbeamline.core import Kernel
+from hornbeamline.daemons._leader_watch import LeaderWatch
 from hornbeamline.daemons._memory import GarbageCollectorService
 from hornbeamline.daemons._settings_watch import SettingsWatch
 from hornbeamline.daemons._target_list import ListPoller, TargetListSource
@@ -136,6 +137,7 @@
         self._register_operator(
             operator_app(documents),
             QuarantineRelay(peering, BootClock(), registry.entry_names),
+            LeaderWatch(log, member, registry, settings.name),
         )
 
     async def run(self) -> int:
@@ -153,8 +155,11 @@
         log_event('control.stopped', code=code)
         return code
 
-    def _register_operator(self, app: Any, relay: QuarantineRelay) -> None:
-        """Register the quarantine, and the routes of the operator."""
+    def _register_operator(
+        self, app: Any, relay: QuarantineRelay, watch: LeaderWatch
+    ) -> None:
+        """Register the quarantine, and the routes and logs for operators."""
+        self.kernel.register('leader_watch', watch)
         add_quarantine_routes(app, relay)
         self.kernel.register('quarantine', relay)
         self.kernel.register(
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -69,6 +69,8 @@
         self._tasks_by_control: dict[str, asyncio.Task[None]] = {}
         # Control processes that have answered the last enrolment.
         self._answering: set[str] = set()
+        # Control processes that do not answer, for which this was logged.
+        self._unreachable: set[str] = set()
         self.document = StoredDocument(0, b'')
         self.document_received_at = clock.monotonic()
         self.on_document: Callable[[StoredDocument], None] | None = None
@@ -104,6 +106,10 @@
         """Return the control processes that answered the last enrolment."""
         return sorted(self._answering)
 
+    def known_controls(self) -> list[str]:
+        """Return the control processes with which this process enrols."""
+        return sorted(self._tasks_by_control)
+
     def is_suspected(self, name: str) -> bool:
         """Return whether a process is reported, but no longer heard from."""
         return self.view.is_suspected(name)
@@ -156,7 +162,7 @@
         if reply.changes is not None:
             self._apply_changes(control, reply.changes, began)
         if reply.document is not None:
-            self._apply_document(reply.document, 'enrol')
+            self._apply_document(reply.document, 'enrol', control)
         self._apply_listed(reply.listed, list_requested_at)
 
     def _load_or_none(self) -> ProcessLoad:
@@ -200,12 +206,20 @@
         return presence.is_durable or len(durable) < PRESENT_SOURCES
 
     def _record_answer(self, control: str, error: str) -> None:
-        if not error and control not in self._answering:
-            self._answering.add(control)
-            log_event('directory.control_regained', control=control)
-        elif error and control in self._answering:
+        if not error:
+            if control not in self._answering:
+                self._answering.add(control)
+                self._unreachable.discard(control)
+                log_event('directory.control_regained', control=control)
+        elif control in self._answering:
             self._answering.discard(control)
+            self._unreachable.add(control)
             log_event('directory.control_lost', control=control, error=error)
+        elif control not in self._unreachable:
+            self._unreachable.add(control)
+            log_event(
+                'directory.control_unreachable', control=control, error=error
+            )
 
     def _apply_changes(
         self,
@@ -239,10 +253,12 @@
         if list_read is not None:
             list_read.set()
 
-    async def _on_push(self, _sender: str, push: DocumentPush) -> None:
-        self._apply_document(push.document, 'push')
+    async def _on_push(self, sender: str, push: DocumentPush) -> None:
+        self._apply_document(push.document, 'push', sender)
 
-    def _apply_document(self, document: StoredDocument, source: str) -> None:
+    def _apply_document(
+        self, document: StoredDocument, source: str, control: str
+    ) -> None:
         if document.number <= self.document.number:
             return
         log_event(
@@ -250,6 +266,7 @@
             number=document.number,
             previous=self.document.number,
             source=source,
+            control=control,
         )
         self.document = document
         self.document_received_at = self._clock.monotonic()
