--- a/tests/soak/platform/fleet.py
+++ b/tests/soak/platform/fleet.py
@@ -127,6 +127,9 @@
         self._net = loopback_net()
         self.entries = [f'entry-{number}' for number in entries]
         self.controls = [f'control-{number}' for number in controls]
+        # Control processes that the settings of a process name; by default
+        # the first three that are running.
+        self.seeds_by_name: dict[str, list[str]] = {}
 
     def ip(self, name: str) -> str:
         """Return the IP address of the host on which a process runs."""
@@ -155,8 +158,7 @@
     def start(self, name: str, *, is_first: bool = False) -> None:
         """Write the settings of a process and start it without waiting."""
         role = name.partition('-')[0]
-        path = self.folder / f'{name}.toml'
-        write_toml(path, self._settings(name, is_first=is_first))
+        path = self.write_settings(name, is_first=is_first)
         self.group.start(
             name,
             [role],
@@ -164,6 +166,13 @@
             {'HORNBEAMLINE_SETTINGS': str(path)},
         )
 
+    def write_settings(self, name: str, *, is_first: bool = False) -> Path:
+        """Write the settings of a process, which may be running."""
+        return write_toml(
+            self.folder / f'{name}.toml',
+            self._settings(name, is_first=is_first),
+        )
+
     async def start_control(self, name: str) -> None:
         """Start a control process and wait for its log line of the start.
 
@@ -233,7 +242,7 @@
             disk.mkdir(exist_ok=True)
         seeds = [
             f'{self.ip(control)}:{CONTROL_PORT}'
-            for control in self.controls[:3]
+            for control in self.seeds_by_name.get(name, self.controls[:3])
         ]
         return {
             'node': name,
