Show that voters do not find each other when their settings name lost hosts

The network of the tests knew every endpoint by its name, so a missing address could not show. With needs_addresses an endpoint reaches those that were added and those that have sent to it, as with real links.

--- a/tests/local_network.py
+++ b/tests/local_network.py
@@ -27,6 +27,9 @@
         self.rng = rng
         self.delay_s = delay_s
         self.loss = 0.0
+        # Whether an endpoint needs the address of a peer to send to it. It
+        # then knows those that were added, and those that have sent to it.
+        self.needs_addresses = False
         self.cuts: set[tuple[str, str]] = set()
         self.endpoints_by_name: dict[str, LocalPeering] = {}
 
@@ -66,6 +69,7 @@
         self._network = network
         self._handlers: dict[str, tuple[type[Any], Handler]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._known: set[str] = set()
         self.closed = False
 
     def on(self, message_class: type[Any], handler: Handler) -> None:
@@ -81,7 +85,8 @@
     ) -> Any:
         """Send a request and return its reply."""
         receiver = self._network.endpoints_by_name.get(peer)
-        if receiver is None:
+        is_known = not self._network.needs_addresses or peer in self._known
+        if receiver is None or not is_known:
             raise UnknownPeerError(peer)
         try:
             async with asyncio.timeout(timeout_s):
@@ -103,10 +108,12 @@
         task.add_done_callback(self._tasks.discard)
 
     def add_peer(self, name: str, address: str) -> None:
-        """Do nothing: the network knows all endpoints."""
+        """Record that the address of an endpoint is known."""
+        self._known.add(name)
 
     def remove_peer(self, name: str) -> None:
-        """Do nothing: the network knows all endpoints."""
+        """Forget the address of an endpoint."""
+        self._known.discard(name)
 
     def is_alive(self, peer: str) -> bool:
         """Return whether the peer is running and reachable."""
@@ -120,10 +127,14 @@
 
     async def _deliver(self, peer: str, request: Message) -> Message | None:
         await asyncio.sleep(self._network.delay_s)
-        receiver = self._network.endpoints_by_name.get(peer)
+        network = self._network
+        receiver = network.endpoints_by_name.get(peer)
+        if network.needs_addresses and peer not in self._known:
+            receiver = None
         lost = receiver is None or receiver.closed or self.closed
         if lost or not self._network.passes(self.name, peer):
             await asyncio.Event().wait()
+        receiver._known.add(self.name)
         kind, handler = receiver._handlers[kind_of(type(request))]
         copy = decode(encode(request), kind)
         # The handler goes on when the caller's timeout expires.
