Show that a control host which only others know does not join

The settings of the successor name two lost hosts and itself, those of the others are written again and name the successor. They enrol with it; it does not enrol with them, so that no leader hears of it: control.no_leader term=0 asked=127.88.50.91,127.88.50.92 answering="" enrolled=127.88.50.2,127.88.50.3. Its entry process serves, since the registry beside it names the others.

--- a/tests/soak/platform/test_control_turnover.py
+++ b/tests/soak/platform/test_control_turnover.py
@@ -29,6 +29,8 @@
 ENTRY: Final = 'entry-{}'
 FIRST: Final = 1
 SUCCESSORS: Final = (15, 16, 17)
+# Numbers of hosts that were never started.
+ABSENT: Final = (91, 92, 93)
 
 
 class Turnover:
@@ -73,6 +75,15 @@
         await asyncio.gather(*(asyncio.to_thread(kill, name) for name in names))
 
 
+def turn_seeds_over(
+    fleet: PlatformFleet, names: Sequence[str], seeds: Sequence[int]
+) -> None:
+    """Name other control hosts in the settings of running processes."""
+    for name in names:
+        fleet.seeds_by_name[name] = [CONTROL.format(seed) for seed in seeds]
+        fleet.write_settings(name)
+
+
 # Failure: the successor of a control host was not taken in, and after a lost
 # disk and a loss of power it knew no leader and had no document (CONFIG).
 async def test_third_successor_serves_after_lost_disk_and_power(
@@ -100,3 +111,27 @@
         )
     violations = fleet.world.violations + failed_exits(fleet.group, codes)
     assert not violations, '\n'.join(violations)
+
+
+# Failure: a control host whose settings named lost hosts only did not enrol
+# with those that enrolled with it, so that it had no leader and no document.
+async def test_host_joins_that_only_others_know(tmp_path: Path) -> None:
+    """Fault: the settings of a new host name lost control hosts only."""
+    rng = random.Random(2)
+    async with platform_fleet(tmp_path, rng, entries=(1, 2, 3)) as fleet:
+        turnover = Turnover(fleet)
+        clients = Clients(fleet, 2)
+        new = SUCCESSORS[0]
+        async with aiohttp.ClientSession() as session:
+            await put_until_acknowledged(fleet, session, 1, START_S)
+            for name in (CONTROL.format(new), ENTRY.format(new)):
+                fleet.seeds_by_name[name] = [
+                    CONTROL.format(seed) for seed in (*ABSENT[:2], new)
+                ]
+            await turnover.replace(new)
+            others = [CONTROL.format(2), CONTROL.format(3)]
+            turn_seeds_over(fleet, others, (2, 3, new))
+            await put_until_acknowledged(fleet, session, 2, RECOVERY_S)
+            await until_served(fleet, clients, RECOVERY_S)
+            await check_end(fleet, session)
+    assert not fleet.world.violations, '\n'.join(fleet.world.violations)
