Enrol with the control processes that enrol here

The operator got 503 from a new control host to the end, and it never voted, when its settings named lost control hosts only, although those of the others named it and they enrolled with it. Whom a process enrols with came from its settings and from replies; a leader takes in only hosts that enrol with it, so each side waited for the other. A control process now enrols with those that enrol with it, which makes the relation mutual at the first contact of either side.

--- a/hornbeamline/daemons/document_control.py
+++ b/hornbeamline/daemons/document_control.py
@@ -120,6 +120,8 @@
             lambda: own,
             targets,
         )
+        # The settings of this host may name lost control hosts only.
+        registry.on_control = member.add_present_control
         watch = SettingsWatch(read_controls, member)
         self.kernel.on_reload(watch.reload)
         self.kernel.register('peering', peering)
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -95,6 +95,11 @@
         for name, address in controls_by_name.items():
             self._enrol_with(name, address)
 
+    def add_present_control(self, presence: Presence) -> None:
+        """Enrol with a control process that is present, if it is needed."""
+        if self._should_enrol_with(presence):
+            self._enrol_with(presence.name, presence.address)
+
     def present(self) -> Sequence[Presence]:
         """Return the processes that were heard from recently.
 
@@ -229,8 +234,7 @@
     ) -> None:
         self.view.apply_changes(control, changes, requested_at)
         for presence in changes.changed:
-            if self._should_enrol_with(presence):
-                self._enrol_with(presence.name, presence.address)
+            self.add_present_control(presence)
         if self.on_present is not None:
             self.on_present(self.present())
 
--- a/hornbeamline/directory/registry.py
+++ b/hornbeamline/directory/registry.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import secrets
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from hornbeamline.directory._loads import ProcessLoad, subtract_load, sum_loads
@@ -75,6 +76,8 @@
         self._push_pending = False
         # Processes that are told no document before it is confirmed.
         self._withheld_from: set[str] = set()
+        # Called when a control process enrols for the first time.
+        self.on_control: Callable[[Presence], None] | None = None
         machine.on_change = self._schedule_push
         peering.on(Enrol, self._on_enrol)
 
@@ -152,6 +155,8 @@
                 peer=presence.name,
                 role=presence.role,
             )
+            if presence.role == ROLE_CONTROL and self.on_control is not None:
+                self.on_control(presence)
         change = 0 if known is None else known.change
         if known is None or known.presence != presence:
             self._change_count += 1
