Keep the addresses of all voters in the log, and use them after a restart

After a loss of power of all hosts the operator got 503 to the end, with all disks intact, when the settings named control hosts that were lost. Founding voters had no address in the log, those of added voters were used by the leader only, and the directory started from the settings alone: no voter could ask another for a vote. Now the first configuration has the addresses, a node opens links to all members that its log has, and the directory enrols with them too.

Groups founded before this commit have no addresses of their founders; those are found by the settings as before.

--- a/hornbeamline/daemons/document_control.py
+++ b/hornbeamline/daemons/document_control.py
@@ -121,6 +121,7 @@
             targets,
         )
         # The settings of this host may name lost control hosts only.
+        member.remembered_controls = log.addresses_by_name
         registry.on_control = member.add_present_control
         watch = SettingsWatch(read_controls, member)
         self.kernel.on_reload(watch.reload)
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -74,6 +74,8 @@
         self.document = StoredDocument(0, b'')
         self.document_received_at = clock.monotonic()
         self.on_document: Callable[[StoredDocument], None] | None = None
+        # Returns control processes known from an earlier run of this process.
+        self.remembered_controls: Callable[[], Mapping[str, str]] = dict
         self.on_present: Callable[[Sequence[Presence]], None] | None = None
         # Set when a control process announces that it has read the list of
         # targets.
@@ -83,8 +85,8 @@
 
     async def start(self) -> None:
         """Start to enrol with the known control processes."""
-        for name, address in tuple(self._controls_by_name.items()):
-            self._enrol_with(name, address)
+        self.add_controls(self._controls_by_name)
+        self.add_controls(self.remembered_controls())
 
     async def stop(self) -> None:
         """Cancel all enrolments."""
--- a/hornbeamline/replog/_bootstrap.py
+++ b/hornbeamline/replog/_bootstrap.py
@@ -84,9 +84,15 @@
         node = self._node
         identities = [node.identity]
         identities.extend(reply.identity for reply in replies if reply)
+        addresses_by_name = node.settings.controls_by_name
         members = Members(
             {
-                name: Member(name, identity, is_voter=True)
+                name: Member(
+                    name,
+                    identity,
+                    is_voter=True,
+                    address=addresses_by_name[name],
+                )
                 for name, identity in zip(self._names, identities, strict=True)
             },
         )
--- a/hornbeamline/replog/_replica.py
+++ b/hornbeamline/replog/_replica.py
@@ -113,6 +113,19 @@
         """Return the index of the last entry that was applied."""
         return self._node.applied.position
 
+    def addresses_by_name(self) -> dict[str, str]:
+        """Return the addresses of the control hosts known to this node.
+
+        They are those in the settings and those of the members, since the
+        hosts in the settings may all be lost.
+        """
+        addresses_by_name = {
+            member.name: member.address
+            for member in self.members.members_by_name.values()
+            if member.address
+        }
+        return {**addresses_by_name, **self._node.settings.controls_by_name}
+
     def is_state_confirmed(self) -> bool:
         """Return whether the state machines are known to be up to date.
 
@@ -173,7 +186,7 @@
         """
         node = self._node
         node.load(await node.run_blocking(self._store.open))
-        for name, address in node.settings.controls_by_name.items():
+        for name, address in self.addresses_by_name().items():
             if name != node.name:
                 node.peering.add_peer(name, address)
         node.spawn_essential(node.journal.run, 'replog writer')
--- a/tests/soak/platform/test_control_turnover.py
+++ b/tests/soak/platform/test_control_turnover.py
@@ -135,3 +135,24 @@
             await until_served(fleet, clients, RECOVERY_S)
             await check_end(fleet, session)
     assert not fleet.world.violations, '\n'.join(fleet.world.violations)
+
+
+# Failure: voters that started again knew each other by their settings only;
+# while these named lost hosts, no leader was elected.
+async def test_voters_find_each_other_without_their_settings(
+    tmp_path: Path,
+) -> None:
+    """Fault: all lose power, and their settings name lost hosts only."""
+    rng = random.Random(3)
+    async with platform_fleet(tmp_path, rng, entries=(1, 2, 3)) as fleet:
+        turnover = Turnover(fleet)
+        async with aiohttp.ClientSession() as session:
+            await put_until_acknowledged(fleet, session, 1, START_S)
+            await turnover.replace(SUCCESSORS[0])
+            await asyncio.sleep(CATCH_UP_S)
+            await put_until_acknowledged(fleet, session, 2, RECOVERY_S)
+            turn_seeds_over(fleet, fleet.controls, ABSENT)
+            await turnover.lose_power()
+            await put_until_acknowledged(fleet, session, 3, RECOVERY_S)
+            await check_end(fleet, session)
+    assert not fleet.world.violations, '\n'.join(fleet.world.violations)
