--- a/hornbeamline/daemons/document_control.py
+++ b/hornbeamline/daemons/document_control.py
@@ -13,6 +13,7 @@
     StreamLimitReader,
     origin_service,
 )
+from hornbeamline.daemons._leader_watch import LeaderWatch
 from hornbeamline.daemons._memory import GarbageCollectorService
 from hornbeamline.daemons._settings_watch import SettingsWatch
 from hornbeamline.daemons._target_list import ListPoller, TargetListSource
@@ -121,6 +122,9 @@
             lambda: own,
             targets,
         )
+        # The settings of this host may name lost control hosts only.
+        member.remembered_controls = log.addresses_by_name
+        registry.on_control = member.add_present_control
         self.kernel.register('peering', peering)
         self.kernel.register('replog', log)
         if settings.is_durable:
@@ -146,6 +150,7 @@
         self._register_operator(
             operator_app(documents),
             QuarantineRelay(peering, BootClock(), registry.entry_names),
+            LeaderWatch(log, member, registry, settings.name),
         )
 
     async def run(self) -> int:
@@ -172,8 +177,11 @@
         self.kernel.on_reload(watch.reload)
         self.kernel.register('settings', watch)
 
-    def _register_operator(self, app: Any, relay: QuarantineRelay) -> None:
-        """Register the quarantine, and the routes of the operator."""
+    def _register_operator(
+        self, app: Any, relay: QuarantineRelay, watch: LeaderWatch
+    ) -> None:
+        """Register the quarantine, and the routes and logs for operators."""
+        self.kernel.register('leader_watch', watch)
         add_quarantine_routes(app, relay)
         self.kernel.register('quarantine', relay)
         self.kernel.register(
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -69,9 +69,13 @@
         self._tasks_by_control: dict[str, asyncio.Task[None]] = {}
         # Control processes that have answered the last enrolment.
         self._answering: set[str] = set()
+        # Control processes that do not answer, for which this was logged.
+        self._unreachable: set[str] = set()
         self.document = StoredDocument(0, b'')
         self.document_received_at = clock.monotonic()
         self.on_document: Callable[[StoredDocument], None] | None = None
+        # Returns control processes known from an earlier run of this process.
+        self.remembered_controls: Callable[[], Mapping[str, str]] = dict
         self.on_present: Callable[[Sequence[Presence]], None] | None = None
         # Set when a control process announces that it has read the list of
         # targets.
@@ -81,8 +85,8 @@
 
     async def start(self) -> None:
         """Start to enrol with the known control processes."""
-        for name, address in tuple(self._controls_by_name.items()):
-            self._enrol_with(name, address)
+        self.add_controls(self._controls_by_name)
+        self.add_controls(self.remembered_controls())
 
     async def stop(self) -> None:
         """Cancel all enrolments."""
@@ -93,6 +97,11 @@
         for name, address in controls_by_name.items():
             self._enrol_with(name, address)
 
+    def add_present_control(self, presence: Presence) -> None:
+        """Enrol with a control process that is present, if it is needed."""
+        if self._should_enrol_with(presence):
+            self._enrol_with(presence.name, presence.address)
+
     def present(self) -> Sequence[Presence]:
         """Return the processes that were heard from recently.
 
@@ -104,6 +113,10 @@
         """Return the control processes that answered the last enrolment."""
         return sorted(self._answering)
 
+    def known_controls(self) -> list[str]:
+        """Return the control processes with which this process enrols."""
+        return sorted(self._tasks_by_control)
+
     def is_suspected(self, name: str) -> bool:
         """Return whether a process is reported, but no longer heard from."""
         return self.view.is_suspected(name)
@@ -156,7 +169,7 @@
         if reply.changes is not None:
             self._apply_changes(control, reply.changes, began)
         if reply.document is not None:
-            self._apply_document(reply.document, 'enrol')
+            self._apply_document(reply.document, 'enrol', control)
         self._apply_listed(reply.listed, list_requested_at)
 
     def _load_or_none(self) -> ProcessLoad:
@@ -200,12 +213,20 @@
         return presence.is_durable or len(durable) < PRESENT_SOURCES
 
     def _record_answer(self, control: str, error: str) -> None:
-        if not error and control not in self._answering:
-            self._answering.add(control)
-            log_event('directory.control_regained', control=control)
-        elif error and control in self._answering:
+        if not error:
+            if control not in self._answering:
+                self._answering.add(control)
+                self._unreachable.discard(control)
+                log_event('directory.control_regained', control=control)
+        elif control in self._answering:
             self._answering.discard(control)
+            self._unreachable.add(control)
             log_event('directory.control_lost', control=control, error=error)
+        elif control not in self._unreachable:
+            self._unreachable.add(control)
+            log_event(
+                'directory.control_unreachable', control=control, error=error
+            )
 
     def _apply_changes(
         self,
@@ -215,8 +236,7 @@
     ) -> None:
         self.view.apply_changes(control, changes, requested_at)
         for presence in changes.changed:
-            if self._should_enrol_with(presence):
-                self._enrol_with(presence.name, presence.address)
+            self.add_present_control(presence)
         if self.on_present is not None:
             self.on_present(self.present())
 
@@ -239,10 +259,12 @@
         if list_read is not None:
             list_read.set()
 
-    async def _on_push(self, _sender: str, push: DocumentPush) -> None:
-        self._apply_document(push.document, 'push')
+    async def _on_push(self, sender: str, push: DocumentPush) -> None:
+        self._apply_document(push.document, 'push', sender)
 
-    def _apply_document(self, document: StoredDocument, source: str) -> None:
+    def _apply_document(
+        self, document: StoredDocument, source: str, control: str
+    ) -> None:
         if document.number <= self.document.number:
             return
         log_event(
@@ -250,6 +272,7 @@
             number=document.number,
             previous=self.document.number,
             source=source,
+            control=control,
         )
         self.document = document
         self.document_received_at = self._clock.monotonic()
