Software versions of targets in the inventory and of the stand-in engines

Callers see nothing yet. Targets get an optional `software_version` (text of up to 64 characters, without an order); documents without it are as before, a document with it is refused by builds that do not know the key.

Stand-in engines take the version from their settings, name it in the header `X-Software-Version` of token streams, and generate tokens that depend on it, so that joined text of two versions can be detected. The answer check of the load generator takes the versions of the fleet and accepts a text of one version only. The text of engines without a version is unchanged.

--- a/hornbeamline/cli/_demo.py
+++ b/hornbeamline/cli/_demo.py
@@ -206,4 +206,10 @@
         keyed_pipelines=[
             name for name in pipelines if not plan.fleet.may_repeat(name)
         ],
+        software_versions=tuple(
+            {
+                target.software_version
+                for target in plan.fleet.targets_by_name.values()
+            },
+        ),
     )
--- a/hornbeamline/inventory/_schema.py
+++ b/hornbeamline/inventory/_schema.py
@@ -20,6 +20,11 @@
     str,
     Meta(pattern=r'^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$'),
 ]
+# Versions have no order; an empty one is a version of its own.
+SoftwareVersion = Annotated[
+    str,
+    Meta(pattern='^([A-Za-z0-9][A-Za-z0-9._+-]{0,63})?$'),
+]
 Sha256 = Annotated[str, Meta(pattern='^[0-9a-f]{64}$')]
 
 
@@ -103,6 +108,9 @@
     state: TargetState = TargetState.live
     concurrency: PositiveInt = 8
     engine: EngineOptions = EngineOptions()
+    # Version of the server software; streams of different versions cannot be
+    # joined.
+    software_version: SoftwareVersion = ''
 
 
 class Model(Table, frozen=True, kw_only=True):
--- a/hornbeamline/load/_runner.py
+++ b/hornbeamline/load/_runner.py
@@ -6,7 +6,7 @@
 import random
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Final
 
 import aiohttp
@@ -165,7 +165,11 @@
                 reason=type(error).__name__,
             )
         is_checked = self._settings.check_answers and attempt.output is not None
-        if is_checked and not is_own_answer(attempt.output or {}, nonce):
+        if is_checked and not is_own_answer(
+            attempt.output or {},
+            nonce,
+            self._settings.software_versions,
+        ):
             return _Attempt(kind=EndingKind.wrong_answer)
         return attempt
 
@@ -179,20 +183,31 @@
     output: dict[str, Any] | None = None
 
 
-def is_own_answer(output: dict[str, Any], nonce: str) -> bool:
+def is_own_answer(
+    output: dict[str, Any],
+    nonce: str,
+    software_versions: Iterable[str] = ('',),
+) -> bool:
     """Return whether an output of a stand-in belongs to a prompt.
 
-    Plain stand-ins echo the input; engines generate text that depends on the
-    prompt only.
+    Plain stand-ins echo the input; engines generate text that depends only on
+    the prompt and the engine's software version, which must be one of
+    `software_versions`.
     """
     text = output.get('text')
     if text is None:
         echo = output.get('echo')
         return isinstance(echo, dict) and echo.get('nonce') == nonce
-    seed = prompt_seed(nonce)
     tokens = len(text.split())
-    expected_text = ''.join(token_text(seed, index) for index in range(tokens))
-    return tokens > 0 and text == expected_text
+    expected_texts = (
+        _expected_text(prompt_seed(nonce, version), tokens)
+        for version in software_versions
+    )
+    return tokens > 0 and text in expected_texts
+
+
+def _expected_text(seed: int, tokens: int) -> str:
+    return ''.join(token_text(seed, index) for index in range(tokens))
 
 
 def _parse_answer(status: int, body: bytes) -> _Attempt:
--- a/hornbeamline/load/_settings.py
+++ b/hornbeamline/load/_settings.py
@@ -56,4 +56,7 @@
     # Whether answers are compared with those expected of the project's
     # stand-ins.
     check_answers: bool = True
+    # Software versions of the stand-in engines. The tokens of an answer must
+    # all be of one version.
+    software_versions: Annotated[tuple[str, ...], Meta(min_length=1)] = ('',)
     max_in_progress: Annotated[int, Meta(ge=1)] = 4000
--- a/hornbeamline/local_fleet/_files.py
+++ b/hornbeamline/local_fleet/_files.py
@@ -102,7 +102,7 @@
     """Return the settings of a stand-in target."""
     target = plan.fleet.targets_by_name[name]
     service = plan.fleet.services_by_name[target.service]
-    return {
+    settings: dict[str, Any] = {
         'name': name,
         'address': target.address,
         'service': target.service,
@@ -117,6 +117,10 @@
             },
         },
     }
+    if target.software_version:
+        # Stand-ins of builds that do not know this key refuse it.
+        settings['software_version'] = target.software_version
+    return settings
 
 
 def control_settings(
--- a/hornbeamline/standins/_settings.py
+++ b/hornbeamline/standins/_settings.py
@@ -97,5 +97,7 @@
     # Delay of the figures that `GET /v1/load` reports.
     load_delay_s: float = 0.2
     engine: EngineSettings = EngineSettings()
+    # Version of the server software; generated tokens depend on it.
+    software_version: str = ''
     faults: Faults = Faults()
     seed: int = 0
--- a/hornbeamline/standins/_target.py
+++ b/hornbeamline/standins/_target.py
@@ -221,6 +221,7 @@
             payload['prompt'],
             payload['max_tokens'],
             payload.get('resume_from', 0),
+            self._target.settings.software_version,
         )
         request_id = request.headers.get('X-Request-Id', '')
         self._target.work_by_id[request_id] = sequence
@@ -307,6 +308,10 @@
                 'X-Request-Id': _reported_request_id(request),
             },
         )
+        if self._target.settings.software_version:
+            response.headers['X-Software-Version'] = (
+                self._target.settings.software_version
+            )
         started_at = asyncio.get_running_loop().time()
         first = sequence.generated
         await response.prepare(request)
--- a/tests/inventory/test_inventory.py
+++ b/tests/inventory/test_inventory.py
@@ -85,6 +85,14 @@
     accounts['auditoria'] = accounts['cementos-boyaca']
 
 
+def break_software_version(document):
+    document['targets_by_name']['drafting-1']['software_version'] = 'v 1'
+
+
+def break_long_software_version(document):
+    document['targets_by_name']['drafting-1']['software_version'] = '1' * 65
+
+
 @pytest.mark.parametrize(
     ('breakage', 'key_path'),
     [
@@ -97,6 +105,8 @@
         (break_host_name_address, 'targets_by_name.drafting-1.address'),
         (break_shared_address, 'targets_by_name.drafting-2.address'),
         (break_shared_credential, 'accounts_by_name.auditoria'),
+        (break_software_version, 'drafting-1.software_version'),
+        (break_long_software_version, 'drafting-1.software_version'),
     ],
 )
 def test_invalid_document_is_refused(breakage, key_path: str) -> None:
@@ -108,6 +118,16 @@
     assert key_path in caught.value.key_path
 
 
+@pytest.mark.parametrize('version', ['', '7', 'v1.2-rc.1+build_5', '1' * 64])
+def test_software_version_is_optional_text(version: str) -> None:
+    """Guards against versions that must be numbers or have an order."""
+    document = copy.deepcopy(example('tunja'))
+    document['targets_by_name']['drafting-1']['software_version'] = version
+    targets = validate(document).targets_by_name
+    assert targets['drafting-1'].software_version == version
+    assert targets['drafting-2'].software_version == ''
+
+
 def test_name_in_two_files_is_refused(tmp_path: Path) -> None:
     """Guards against two files that silently override each other."""
     for name in ('a.toml', 'b.toml'):
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -17,7 +17,9 @@
     render_text,
     write_plot,
 )
+from hornbeamline.load._runner import is_own_answer
 from hornbeamline.local_fleet import find_violations
+from tests.serving import expected_tokens
 
 
 def load_settings(**changes) -> LoadSettings:
@@ -113,3 +115,14 @@
     path = tmp_path / 'load.png'
     write_plot([ending(EndingKind.answered)], path)
     assert path.stat().st_size > 1000
+
+
+def test_text_of_two_versions_is_a_wrong_answer() -> None:
+    """Guards against joined streams that a load run does not notice."""
+    versions = ('1', '2')
+    old, new = (expected_tokens('levy', 8, version) for version in versions)
+    joined = old[: len(old) // 2] + new[len(new) // 2 :]
+    assert is_own_answer({'text': old}, 'levy', versions)
+    assert is_own_answer({'text': new}, 'levy', versions)
+    assert not is_own_answer({'text': joined}, 'levy', versions)
+    assert not is_own_answer({'text': new}, 'levy', ('1',))
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -112,6 +112,22 @@
     assert answer['output']['text'] == expected_tokens('levy', 20)
 
 
+async def test_tokens_depend_on_the_software_version() -> None:
+    """Guards against joined text of two versions that no test can detect."""
+    body = {'prompt': 'levy', 'max_tokens': 20}
+    texts = []
+    for version in ('', '1', '2'):
+        async with serving(
+            ServiceKind.generation,
+            software_version=version,
+        ) as standin:
+            _, answer = await ask(standin, 'POST', 'completions', body)
+        texts.append(answer['output']['text'])
+        assert texts[-1] == expected_tokens('levy', 20, version)
+    words = [text.split() for text in texts]
+    assert all(len(set(column)) == 3 for column in zip(*words, strict=True))
+
+
 @pytest.mark.parametrize('checks', [True, False])
 async def test_fencing_check_is_a_setting(checks: bool) -> None:
     """Guards against an engine that applies orders of a former leader."""
