Resume broken token streams only at targets of the same software version

Callers got one answer with text of two versions when a stream broke while a service had targets of several versions.

Cause: a resumption was a call like any other, and no decision knew versions.

Change: the dispatch whose attempt wrote the first token binds the stage to the version that its target had then; resumptions and their hedges go only to targets of that version, those tried before and ejected ones last. Without one the request ends at once with the outcome of the failure that broke the stream (`not_run` with `target_failed` and the like), also when it was queued. A stage of which the caller received nothing begins again at any target, and its earlier tokens count as wasted. `pipeline.resumption_refused` has request, version, live targets by version and outcome. Calls use the newest entry of their target, by which it was chosen, instead of that of the request's revision, so that address and version belong together.

A target that starts again with another version before its inventory entry says so is not detected yet.

--- a/hornbeamline/decisions/_calls.py
+++ b/hornbeamline/decisions/_calls.py
@@ -65,7 +65,13 @@
     ) -> Dispatch:
         """Record a call as in flight and return its dispatch."""
         self._last_id += 1
-        dispatch = Dispatch(self._last_id, call, record.name, timeout_s)
+        dispatch = Dispatch(
+            self._last_id,
+            call,
+            record.name,
+            timeout_s,
+            software_version=record.software_version,
+        )
         self._active[self._last_id] = _ActiveCall(pool, record, max_tokens, now)
         record.started_by_id[self._last_id] = now
         record.in_flight += 1
--- a/hornbeamline/decisions/_dispatcher.py
+++ b/hornbeamline/decisions/_dispatcher.py
@@ -103,17 +103,23 @@
             self._dispatch(pending, record, now)
 
     def expire(self, pool: Pool, now: float) -> None:
-        """Refuse the queued calls that can no longer meet their deadline."""
+        """Refuse the queued calls that can no longer be served in time."""
         for waiting in pool.queue:
+            call = waiting.call
             if waiting.latest_start_at < now:
                 reason = const.REASON_DEADLINE_UNREACHABLE
                 self._refuse(pool, waiting, reason, now)
+            elif call.software_version is not None and not pool.has_target(
+                call,
+            ):
+                self._refuse(pool, waiting, const.REASON_NO_VERSION, now)
 
     def refuse_unroutable(self, pool: Pool, now: float) -> None:
         """Refuse the queued calls that no target can take any more."""
         for waiting in pool.queue:
-            if not self._state.has_target(pool, waiting.call.excluded):
-                self._refuse(pool, waiting, const.REASON_NO_TARGET, now)
+            if not pool.has_target(waiting.call):
+                reason = _no_target_reason(waiting.call)
+                self._refuse(pool, waiting, reason, now)
 
     def refuse_all(self, pool: Pool, now: float) -> None:
         """Refuse all queued calls of a removed service."""
@@ -139,8 +145,8 @@
             return const.REASON_DEADLINE_EXCEEDED
         if pending.latest_start_at < now:
             return const.REASON_DEADLINE_UNREACHABLE
-        if not self._state.has_target(pending.pool, pending.call.excluded):
-            return const.REASON_NO_TARGET
+        if not pending.pool.has_target(pending.call):
+            return _no_target_reason(pending.call)
         return None
 
     def _choose(
@@ -206,3 +212,9 @@
         # An earlier callback of the same pass may have removed the call.
         if pool.queue.remove(waiting):
             waiting.on_decision(self._admission.refuse(reason, pool, now))
+
+
+def _no_target_reason(call: StageCall) -> str:
+    if call.software_version is None:
+        return const.REASON_NO_TARGET
+    return const.REASON_NO_VERSION
--- a/hornbeamline/decisions/_engine.py
+++ b/hornbeamline/decisions/_engine.py
@@ -157,6 +157,11 @@
             return self._admission.refuse(answer, pool, now)
         return answer
 
+    def live_by_version(self, service: str) -> dict[str, int]:
+        """Return a service's number of live targets by software version."""
+        pool = self._state.pools_by_name.get(service)
+        return {} if pool is None else pool.live_by_version()
+
     def load_reported(self, target: str, report: LoadReport) -> None:
         """Apply a load report of a target."""
         record = self._state.records_by_name.get(target)
--- a/hornbeamline/decisions/_fleet.py
+++ b/hornbeamline/decisions/_fleet.py
@@ -114,15 +114,6 @@
         if now >= pool.next_review_at:
             HealthReview(pool, self._rng).review(now)
 
-    def has_target(self, pool: Pool, excluded: frozenset[str]) -> bool:
-        """Return whether any target outside `excluded` may take calls."""
-        if not excluded:
-            return pool.usable_count > 0
-        return any(
-            record.is_live and name not in excluded
-            for name, record in pool.records_by_name.items()
-        )
-
     def _update_changed_targets(
         self, old: Fleet, new: Fleet, now: float
     ) -> None:
--- a/hornbeamline/decisions/_pool.py
+++ b/hornbeamline/decisions/_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from typing import Final
 
 from hornbeamline.decisions._affinity import PrefixAffinity
@@ -140,6 +141,12 @@
         probe = self._due_probe(call, spare_s, now)
         if probe is not None:
             return probe
+        if call.software_version is not None:
+            excluded = self.excluded_targets(call)
+            call = call._replace(excluded=excluded)
+            last_resort = self._last_resort(call)
+            if last_resort is not None:
+                return last_resort
         if (
             not self.local_candidates.records
             and not self.remote_candidates.records
@@ -159,6 +166,49 @@
         )
         return self._algorithm(view, call)
 
+    def excluded_targets(self, call: StageCall) -> frozenset[str]:
+        """Return the targets that must not get a call.
+
+        For a call that requires a version, these include all targets of other
+        versions. Targets that have been tried may be tried again when no
+        other target of the version accepts work, except by a hedge.
+        """
+        if call.software_version is None:
+            return call.excluded
+        same_version = {
+            name: record
+            for name, record in self.records_by_name.items()
+            if record.software_version == call.software_version
+        }
+        others = self.records_by_name.keys() - same_version.keys()
+        is_any_untried = any(
+            record.accepts_resumption and name not in call.excluded
+            for name, record in same_version.items()
+        )
+        if is_any_untried or call.is_hedge:
+            return call.excluded.union(others)
+        return frozenset(others)
+
+    def has_target(self, call: StageCall) -> bool:
+        """Return whether any target may take a call, now or later."""
+        excluded = self.excluded_targets(call)
+        if not excluded:
+            return self.usable_count > 0
+        is_bound = call.software_version is not None
+        return any(
+            record.accepts_resumption if is_bound else record.is_live
+            for name, record in self.records_by_name.items()
+            if name not in excluded
+        )
+
+    def live_by_version(self) -> dict[str, int]:
+        """Return the number of live targets by software version."""
+        return Counter(
+            record.software_version
+            for record in self.records_by_name.values()
+            if record.is_live
+        )
+
     def has_spare_capacity(self) -> bool:
         """Return whether the load is low enough for hedges."""
         if self.queue or not (
@@ -182,6 +232,23 @@
             if other is not record
         )
 
+    def _last_resort(self, call: StageCall) -> TargetRecord | None:
+        """Return the best ejected target with room if none is usable."""
+        if call.is_hedge:
+            return None
+        live = [
+            record
+            for name, record in self.records_by_name.items()
+            if record.is_live and name not in call.excluded
+        ]
+        if any(record.is_usable for record in live):
+            return None
+        return min(
+            (record for record in live if record.has_room),
+            key=_ejection_order,
+            default=None,
+        )
+
     def _due_probe(
         self,
         call: StageCall,
@@ -215,3 +282,8 @@
             ),
             _DEFAULT_TOKENS,
         )
+
+
+def _ejection_order(record: TargetRecord) -> tuple[bool, float]:
+    """Sort slow targets before failing ones."""
+    return record.breaker.is_open, record.slowness
--- a/hornbeamline/decisions/_targets.py
+++ b/hornbeamline/decisions/_targets.py
@@ -89,6 +89,19 @@
         """Return whether the target may get calls other than probes."""
         return self.is_live and not self.is_avoided and not self.breaker.is_open
 
+    @property
+    def accepts_resumption(self) -> bool:
+        """Return whether a stream may be resumed at the target, now or soon.
+
+        An ejected target gets one call at a time, and none in the queue.
+        """
+        return self.is_live and (self.has_room or not self.breaker.is_open)
+
+    @property
+    def software_version(self) -> str:
+        """Return the version of the target's server software."""
+        return self.entry.software_version
+
     @property
     def slots(self) -> int:
         """Return the limit of this host's calls; 1 for a probe if ejected."""
--- a/hornbeamline/decisions/_types.py
+++ b/hornbeamline/decisions/_types.py
@@ -43,6 +43,8 @@
     stages: tuple[Stage, ...] = ()
     # Maximum tokens of a generation; 0 means the stage's own maximum.
     max_tokens: int = 0
+    # Software version that the target must have; None permits any.
+    software_version: str | None = None
 
 
 class Dispatch(NamedTuple):
@@ -55,6 +57,8 @@
     timeout_s: float
     # Whether the stage is idempotent.
     is_idempotent: bool = False
+    # Software version of the target at the time of the dispatch.
+    software_version: str = ''
 
 
 class Refusal(NamedTuple):
--- a/hornbeamline/pipeline/_costs.py
+++ b/hornbeamline/pipeline/_costs.py
@@ -64,6 +64,21 @@
         )
         self._update_metrics(stage, report, spent_ms, useful=useful)
 
+    def discard(self, stage: Stage) -> None:
+        """Count the cost of a stage so far as wasted.
+
+        Called before a stage begins again without its earlier tokens.
+        Metrics keep the attempts as they were counted.
+        """
+        previous = self._costs_by_stage.get(stage.name)
+        if previous is None:
+            return
+        self._costs_by_stage[stage.name] = previous._replace(
+            target_ms=0,
+            wasted_ms=previous.wasted_ms + previous.target_ms,
+            tokens=0,
+        )
+
     def _update_metrics(
         self,
         stage: Stage,
--- a/hornbeamline/pipeline/_stage.py
+++ b/hornbeamline/pipeline/_stage.py
@@ -13,6 +13,7 @@
     Refusal,
     StageCall,
 )
+from hornbeamline.decisions.const import REASON_NO_VERSION
 from hornbeamline.exceptions import TargetError
 from hornbeamline.helpers.codec import CodecError, decode_json
 from hornbeamline.pipeline import _metrics
@@ -23,6 +24,7 @@
     TargetRefusedError,
     TargetUnreachableError,
 )
+from hornbeamline.telemetry import log_event
 
 REASON_CONFIGURATION_CHANGED: Final = 'configuration_changed'
 REASON_NOT_SENT: Final = 'send_by_passed'
@@ -54,6 +56,11 @@
         self._excluded: frozenset[str] = frozenset()
         self._attempts = 0
         self._next_token = 0
+        # Dispatch of the attempt that wrote the first token. All later tokens
+        # must come from targets with the same software version.
+        self._first_writer: Dispatch | None = None
+        # Refusal that describes the failure of the latest attempt.
+        self._failure: Refusal | None = None
         # The first attempt and its hedged attempt while both are opened.
         self._concurrent_attempts: list[Attempt] = []
         self._token_events: list[bytes] = []
@@ -62,6 +69,8 @@
         """Attempt the stage until it succeeds or may not be retried."""
         while True:
             decided = await self._decide()
+            if _lacks_version(decided):
+                decided = await self._decide_without_version()
             if isinstance(decided, Refusal):
                 return StageResult(None, decided)
             attempt = await self._start_attempt(decided)
@@ -84,6 +93,7 @@
         assert attempt.report is not None
         result = attempt.report.result
         failure = Refusal(f'target_{result.value}', _FAILED_RETRY_AFTER_S)
+        self._failure = failure
         if not (self._plan.may_repeat or proves_not_run(error)):
             return StageResult(None, failure, may_have_run=True)
         delay = self._context.decisions.retry_delay_s(
@@ -114,6 +124,7 @@
             prefix=self._plan.prefix,
             excluded=self._excluded_targets(is_hedge=is_hedge),
             stages=self._plan.remaining_stages,
+            software_version=self._software_version,
         )
         decision: asyncio.Future[Dispatch | Refusal]
         decision = asyncio.get_running_loop().create_future()
@@ -135,6 +146,43 @@
             self._withdraw_call(call, decision)
             raise
 
+    async def _decide_without_version(self) -> Dispatch | Refusal:
+        """Return the decision if no target has the version of the stream.
+
+        A stream of which the caller has received nothing begins again at any
+        target. Any other stream ends with the failure that broke it.
+        """
+        writer = self._first_writer
+        failure = self._failure
+        assert writer is not None
+        assert failure is not None
+        may_restart = self._plan.events is None
+        live = self._context.decisions.live_by_version(self._plan.stage.service)
+        log_event(
+            'pipeline.resumption_refused',
+            request=self._plan.request.info.request_id,
+            stage=self._plan.stage.name,
+            target=writer.target,
+            software_version=writer.software_version,
+            candidates=','.join(
+                f'{version}={count}' for version, count in sorted(live.items())
+            ),
+            next_token=self._next_token,
+            outcome='restarted' if may_restart else failure.reason,
+        )
+        if not may_restart:
+            return failure
+        self._first_writer = None
+        self._next_token = 0
+        self._token_events.clear()
+        self._plan.costs.discard(self._plan.stage)
+        return await self._decide()
+
+    @property
+    def _software_version(self) -> str | None:
+        writer = self._first_writer
+        return None if writer is None else writer.software_version
+
     def _excluded_targets(self, *, is_hedge: bool) -> frozenset[str]:
         # When all targets have been tried, a retry may use any of them again;
         # a hedged attempt may not.
@@ -158,12 +206,14 @@
         return answer
 
     def _find_target(self, dispatch: Dispatch) -> Any:
-        known = self._plan.fleet.targets_by_name.get(dispatch.target)
-        if known is not None:
-            return known
-        return self._context.current_fleet().targets_by_name.get(
+        # The decision engine knows the target by its newest entry, which may
+        # have another address and version than that of the request's revision.
+        newest = self._context.current_fleet().targets_by_name.get(
             dispatch.target,
         )
+        if newest is not None:
+            return newest
+        return self._plan.fleet.targets_by_name.get(dispatch.target)
 
     def _withdraw_call(
         self,
@@ -248,6 +298,8 @@
             return
         try:
             async for part in attempt.token_batches():
+                if self._first_writer is None:
+                    self._first_writer = attempt.dispatch
                 self._next_token = part.first + part.tokens
                 self._token_events.append(part.events)
                 events = self._plan.events
@@ -273,6 +325,10 @@
         return ''.join(token['text'] for token in tokens)
 
 
+def _lacks_version(decided: Dispatch | Refusal) -> bool:
+    return isinstance(decided, Refusal) and decided.reason == REASON_NO_VERSION
+
+
 def proves_not_run(error: TargetError) -> bool:
     """Return whether an error proves that the call did not run."""
     return isinstance(
