Red tests: streams joined while the inventory lags behind a target's version

A caller gets text of two versions in one answer when a target has started again with another version and its inventory entry still names the former one, although the target states its version with each token stream.

--- a/tests/pipeline/test_software_versions.py
+++ b/tests/pipeline/test_software_versions.py
@@ -15,7 +15,7 @@
 from hornbeamline.pipeline import Outcome, OutcomeKind, TokenEvents, _stage
 from hornbeamline.standins import Faults, StandinTarget
 from tests.pipeline.support import CLOCK, Bench, bench_for, request
-from tests.serving import expected_tokens, fleet_with, serving
+from tests.serving import expected_tokens, fleet_with, serving, until
 
 PROMPT = 'levy report'
 TOKENS = 40
@@ -413,3 +413,91 @@
     assert outcome.costs[0].target == 'b'
     assert outcome.costs[0].tokens == TOKENS
     assert outcome.costs[0].wasted_ms > 0
+
+
+async def test_stated_version_prevails_over_the_inventory() -> None:
+    """Guards against joined text while the inventory lags behind a restart.
+
+    `b` runs version 2 already, its entry still says 1.
+    """
+    async with engines(
+        {'a': Engine('1', BREAKS), 'b': Engine('2'), 'c': Engine('1')},
+    ) as (bench, standins):
+        change_target(bench, 'b', software_version='1')
+        outcome, events = await run_stream(bench)
+        assert outcome.kind is OutcomeKind.answered
+        assert delivered(events) == expected_tokens(PROMPT, TOKENS, '1')
+        assert called(bench) == ['a', 'b', 'c']
+        await until(lambda: not standins['b'].work_by_id)
+        # The statement is remembered until the entry of the target changes.
+        bench.decisions.reports.clear()
+        _, events = await run_stream(bench)
+        assert delivered(events) == expected_tokens(PROMPT, TOKENS, '1')
+        assert called(bench) == ['a', 'c']
+
+
+async def test_stated_version_of_the_first_writer_binds() -> None:
+    """Guards against a stream bound to a version that did not write it.
+
+    The entry of `a` says 1, but the target runs version 2.
+    """
+    async with engines(
+        {'a': Engine('2', BREAKS), 'b': Engine('1'), 'c': Engine('2')},
+    ) as (bench, _):
+        change_target(bench, 'a', software_version='1')
+        outcome, events = await run_stream(bench)
+    assert outcome.kind is OutcomeKind.answered
+    assert delivered(events) == expected_tokens(PROMPT, TOKENS, '2')
+    assert called(bench) == ['a', 'c']
+
+
+async def test_only_targets_of_other_versions_end_the_stream() -> None:
+    """Guards against an outcome that hides how the stream broke.
+
+    `a` is drained after its stream broke, and `b` states another version.
+    """
+    async with engines({'a': Engine('1', BREAKS), 'b': Engine('2')}) as (
+        bench,
+        _,
+    ):
+        change_target(bench, 'b', software_version='1')
+        inherited = bench.decisions.retry_delay_s
+
+        def drain_then_retry(dispatch, report):
+            change_target(bench, 'a', state=TargetState.draining)
+            return inherited(dispatch, report)
+
+        bench.decisions.retry_delay_s = drain_then_retry
+        async with asyncio.timeout(1):
+            outcome, events = await run_stream(bench)
+    assert outcome.kind is OutcomeKind.not_run
+    assert outcome.reason == 'target_failed'
+    assert expected_tokens(PROMPT, TOKENS, '1').startswith(delivered(events))
+    assert called(bench) == ['a', 'b']
+
+
+async def test_newer_entry_prevails_over_an_earlier_statement() -> None:
+    """Guards against a stated version that outlives a restart.
+
+    `b` states 2, then starts again with version 3, and its entry says so.
+    """
+    async with engines(
+        {'a': Engine('1', BREAKS), 'b': Engine('2'), 'c': Engine('1')},
+    ) as (bench, standins):
+        change_target(bench, 'b', software_version='1')
+        await run_stream(bench)
+        renewed = msgspec.structs.replace(
+            standins['b'].settings,
+            software_version='3',
+        )
+        standins['b'].settings = renewed
+        change_target(bench, 'b', software_version='3')
+        change_target(bench, 'a', software_version='3')
+        standins['a'].settings = msgspec.structs.replace(
+            standins['a'].settings,
+            software_version='3',
+        )
+        bench.decisions.reports.clear()
+        _, events = await run_stream(bench)
+    assert delivered(events) == expected_tokens(PROMPT, TOKENS, '3')
+    assert called(bench) == ['a', 'b']
--- a/tests/targets/test_client.py
+++ b/tests/targets/test_client.py
@@ -19,6 +19,7 @@
     TargetRefusedError,
     TargetTimeoutError,
     TargetUnreachableError,
+    TokenBatch,
 )
 from hornbeamline.targets._connections import SendProgress, open_session
 from tests.common import free_address
@@ -495,3 +496,24 @@
             sent = whole
             call = await client.call('t', target, stage_call('r-1'))
             assert call['request_id'] == 'r-1'
+
+
+@pytest.mark.parametrize(
+    ('version', 'stated'),
+    [('', None), ('2.0-rc1', '2.0-rc1'), ('a' * 65, None), ('2 3', None)],
+    ids=('absent', 'valid', 'long', 'unreadable'),
+)
+async def test_stream_tells_the_stated_version(
+    client,
+    version: str,
+    stated: str | None,
+) -> None:
+    """Guards against a version that is lost, unbounded or unreadable."""
+    async with serving(
+        ServiceKind.generation,
+        software_version=version,
+    ) as standin:
+        stream = client.stream('t', inventory_target(standin), token_call())
+        parts = [part async for part in stream]
+    batches = [part for part in parts if isinstance(part, TokenBatch)]
+    assert {batch.software_version for batch in batches} == {stated}
