Heed the software version that a target states with a token stream

Callers got text of two versions in one answer when a target had started again with another version and its inventory entry still named the former.

Cause: versions were read from the inventory only, which may lag behind.

Change: the client of targets reads the optional header `X-Software-Version` of token streams (unreadable ones are ignored). The last statement counts until the entry of the target changes, and binds the stream that it begins. A resumed stream that states another version is cancelled before its first token is passed on; that attempt ends as `other_version`, which says nothing about the target's health, and the request keeps the reason that broke its stream. `targets.version_stated` logs each statement that corrects the known version.

Engines that do not state their version are known by the inventory only.

--- a/hornbeamline/decisions/_engine.py
+++ b/hornbeamline/decisions/_engine.py
@@ -168,6 +168,12 @@
         if record is not None:
             record.report_load(report, self._clock.monotonic())
 
+    def version_stated(self, target: str, software_version: str) -> None:
+        """Apply the software version that a target has stated."""
+        record = self._state.records_by_name.get(target)
+        if record is not None:
+            record.version_stated(software_version)
+
     def prefix_cached(self, target: str, prefix: str, *, held: bool) -> None:
         """Apply a cache event of a target; events may be late or lost."""
         record = self._state.records_by_name.get(target)
--- a/hornbeamline/decisions/_targets.py
+++ b/hornbeamline/decisions/_targets.py
@@ -43,6 +43,7 @@
         # Incremented when measurements are reset.
         self.epoch = 0
         self.entry = entry
+        self._stated_version: str | None = None
         self._rules = rules
         self._host_count = host_count
         self.reset_measurements()
@@ -54,12 +55,21 @@
         host_count: int,
     ) -> None:
         """Apply a new revision of the inventory entry and rules."""
+        if (self.entry.address, self.entry.software_version) != (
+            entry.address,
+            entry.software_version,
+        ):
+            self._stated_version = None
         self.entry = entry
         self._rules = rules
         self._host_count = host_count
         self.limit.update_rules(rules.limits, entry.concurrency, host_count)
         self.breaker.rules = rules.routing
 
+    def version_stated(self, software_version: str) -> None:
+        """Record the software version that the target has stated."""
+        self._stated_version = software_version
+
     def reset_measurements(self) -> None:
         """Reset all measurements; calls in flight stay counted."""
         self.epoch += 1
@@ -99,7 +109,12 @@
 
     @property
     def software_version(self) -> str:
-        """Return the version of the target's server software."""
+        """Return the version of the target's server software.
+
+        A statement of the target counts until its entry changes.
+        """
+        if self._stated_version is not None:
+            return self._stated_version
         return self.entry.software_version
 
     @property
--- a/hornbeamline/decisions/_types.py
+++ b/hornbeamline/decisions/_types.py
@@ -82,6 +82,9 @@
     # Connection reset, partial response or error status: it may have run.
     failed = 'failed'
     timed_out = 'timed_out'
+    # The target cannot resume the stream, because its software version is
+    # another one. This says nothing about its health.
+    other_version = 'other_version'
     # Cancelled by this host, for example the slower call of a hedged pair.
     cancelled = 'cancelled'
 
--- a/hornbeamline/inventory/__init__.py
+++ b/hornbeamline/inventory/__init__.py
@@ -46,6 +46,7 @@
     Stage,
     Target,
     TargetState,
+    is_software_version,
 )
 from hornbeamline.inventory._settings import (
     CallerSettings,
@@ -110,6 +111,7 @@
     'document_of',
     'fleet_after',
     'fleet_of',
+    'is_software_version',
     'load_document',
     'load_settings',
     'read_toml',
--- a/hornbeamline/inventory/_schema.py
+++ b/hornbeamline/inventory/_schema.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from enum import Enum
-from typing import Annotated
+from typing import Annotated, Final
 
 from msgspec import Meta, Struct
 
@@ -20,14 +21,17 @@
     str,
     Meta(pattern=r'^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$'),
 ]
+_SOFTWARE_VERSION_PATTERN: Final = '^([A-Za-z0-9][A-Za-z0-9._+-]{0,63})?$'
 # Versions have no order; an empty one is a version of its own.
-SoftwareVersion = Annotated[
-    str,
-    Meta(pattern='^([A-Za-z0-9][A-Za-z0-9._+-]{0,63})?$'),
-]
+SoftwareVersion = Annotated[str, Meta(pattern=_SOFTWARE_VERSION_PATTERN)]
 Sha256 = Annotated[str, Meta(pattern='^[0-9a-f]{64}$')]
 
 
+def is_software_version(text: str) -> bool:
+    """Return whether a text can be the software version of a target."""
+    return re.fullmatch(_SOFTWARE_VERSION_PATTERN, text) is not None
+
+
 class ServiceKind(Enum):
     """Kind of work that a service does."""
 
--- a/hornbeamline/pipeline/_attempt.py
+++ b/hornbeamline/pipeline/_attempt.py
@@ -27,9 +27,11 @@
     TargetRefusedError,
     TargetTimeoutError,
     TargetUnreachableError,
+    TargetVersionError,
     TokenBatch,
     Usage,
 )
+from hornbeamline.telemetry import log_event
 
 
 class ExecutionContext(NamedTuple):
@@ -116,6 +118,9 @@
         self.error: TargetError | None = None
         self.report: CallReport | None = None
         self.tokens = 0
+        # Software version of the target, as it has stated it or else as known
+        # at the dispatch.
+        self.software_version = dispatch.software_version
         self._context = context
         self._plan = plan
         self._target = target
@@ -137,6 +142,9 @@
                 await self._open_stream()
             else:
                 await self._call()
+        except TargetVersionError as error:
+            self.fail(error)
+            self._cancel_in_background()
         except TargetError as error:
             self.fail(error)
         except BaseException:
@@ -172,6 +180,9 @@
         if self.report is not None:
             return
         self._end(CallResult.cancelled)
+        self._cancel_in_background()
+
+    def _cancel_in_background(self) -> None:
         self._context.tasks.spawn(self._cancel_at_target(), 'cancel at target')
 
     async def _cancel_at_target(self) -> None:
@@ -195,6 +206,28 @@
         self._first_part = await anext(self._stream)
         elapsed_s = self._context.clock.monotonic() - self._started_at
         self._context.decisions.record_first_token(self.dispatch, elapsed_s)
+        if isinstance(self._first_part, TokenBatch):
+            self._check_version(self._first_part.software_version)
+
+    def _check_version(self, stated: str | None) -> None:
+        """Apply the version that the target has stated.
+
+        Raises `TargetVersionError` if it can't resume the stream.
+        """
+        target = self.dispatch.target
+        if stated is not None and stated != self.software_version:
+            log_event(
+                'targets.version_stated',
+                request=self._plan.request.info.request_id,
+                target=target,
+                known=self.software_version,
+                stated=stated,
+            )
+            self._context.decisions.version_stated(target, stated)
+            self.software_version = stated
+        required = self.dispatch.call.software_version
+        if required is not None and required != self.software_version:
+            raise TargetVersionError(f'{target}: version {stated}')
 
     async def _call(self) -> None:
         answer = await self._context.client.call(
@@ -247,6 +280,8 @@
         return CallResult.unreachable
     if isinstance(error, TargetRefusedError):
         return CallResult.refused
+    if isinstance(error, TargetVersionError):
+        return CallResult.other_version
     if isinstance(error, TargetNotSentError):
         return CallResult.cancelled
     if isinstance(error, TargetTimeoutError):
--- a/hornbeamline/pipeline/_stage.py
+++ b/hornbeamline/pipeline/_stage.py
@@ -23,6 +23,7 @@
     TargetNotSentError,
     TargetRefusedError,
     TargetUnreachableError,
+    TargetVersionError,
 )
 from hornbeamline.telemetry import log_event
 
@@ -93,6 +94,9 @@
         assert attempt.report is not None
         result = attempt.report.result
         failure = Refusal(f'target_{result.value}', _FAILED_RETRY_AFTER_S)
+        if isinstance(error, TargetVersionError) and self._failure is not None:
+            # The stream ends for the reason that broke it.
+            failure = self._failure
         self._failure = failure
         if not (self._plan.may_repeat or proves_not_run(error)):
             return StageResult(None, failure, may_have_run=True)
@@ -299,7 +303,9 @@
         try:
             async for part in attempt.token_batches():
                 if self._first_writer is None:
-                    self._first_writer = attempt.dispatch
+                    self._first_writer = attempt.dispatch._replace(
+                        software_version=attempt.software_version,
+                    )
                 self._next_token = part.first + part.tokens
                 self._token_events.append(part.events)
                 events = self._plan.events
--- a/hornbeamline/targets/__init__.py
+++ b/hornbeamline/targets/__init__.py
@@ -27,6 +27,7 @@
     TargetRefusedError,
     TargetTimeoutError,
     TargetUnreachableError,
+    TargetVersionError,
 )
 
 __all__ = (
@@ -43,6 +44,7 @@
     'TargetRefusedError',
     'TargetTimeoutError',
     'TargetUnreachableError',
+    'TargetVersionError',
     'TokenBatch',
     'Usage',
     'prefix_digest',
--- a/hornbeamline/targets/_client.py
+++ b/hornbeamline/targets/_client.py
@@ -11,7 +11,7 @@
 
 from hornbeamline.helpers.codec import CodecError, decode_json, encode_json
 from hornbeamline.helpers.pause import parse_retry_after_s
-from hornbeamline.inventory import Target
+from hornbeamline.inventory import Target, is_software_version
 from hornbeamline.targets._connections import (
     CONNECT_TIMEOUT_S,
     SendProgress,
@@ -38,6 +38,7 @@
 HEADER_NOT_RUN: Final = 'X-Not-Run'
 HEADER_LEAVING: Final = 'X-Leaving'
 HEADER_REQUEST_ID: Final = 'X-Request-Id'
+HEADER_SOFTWARE_VERSION: Final = 'X-Software-Version'
 # Reading stops with an error when an answer exceeds this size.
 MAX_ANSWER_BYTES: Final = 8_388_608
 _HTTP_OK: Final = 200
@@ -103,8 +104,9 @@
         `token_timeout_s` of the call, `TargetTimeoutError` is raised.
         """
         url = f'http://{target.address}/v1/completions'
-        parser = StreamParser(name, first)
         async with self._post(name, url, call) as response:
+            version = _stated_version(response)
+            parser = StreamParser(name, first, version)
             received_id = response.headers.get(HEADER_REQUEST_ID, '')
             _check_request_id(name, call, received_id)
             clock = asyncio.get_running_loop().time
@@ -298,6 +300,14 @@
         raise TargetFailedError(f'{name}: answer of another request')
 
 
+def _stated_version(response: aiohttp.ClientResponse) -> str | None:
+    """Return the stated software version; None if absent or unreadable."""
+    stated = response.headers.get(HEADER_SOFTWARE_VERSION)
+    if stated is None or not is_software_version(stated):
+        return None
+    return stated
+
+
 async def _read_body_end(response: aiohttp.ClientResponse) -> None:
     # The answer is already complete. The connection can be reused only if the
     # end of the body is read, but waiting for it must not delay the answer.
--- a/hornbeamline/targets/_messages.py
+++ b/hornbeamline/targets/_messages.py
@@ -80,6 +80,8 @@
     tokens: int
     # Complete `event: token` events, to be relayed unchanged.
     events: bytes
+    # Software version that the target has stated, None if it has not.
+    software_version: str | None = None
 
 
 BeforeSend: TypeAlias = Callable[[], None]
--- a/hornbeamline/targets/_streams.py
+++ b/hornbeamline/targets/_streams.py
@@ -22,12 +22,19 @@
     number of events, they reveal missing and repeated tokens.
     """
 
-    def __init__(self, target: str, next_index: int) -> None:
+    def __init__(
+        self,
+        target: str,
+        next_index: int,
+        software_version: str | None = None,
+    ) -> None:
         """Create a parser that expects `next_index` as the first index.
 
-        `target` is the name of the target in error messages.
+        `target` is the name of the target in error messages, and
+        `software_version` the version that it has stated.
         """
         self._target = target
+        self._software_version = software_version
         self._incomplete_event = b''
         self.next_index = next_index
         self.usage: Usage | None = None
@@ -79,7 +86,7 @@
                 f' expected from {self.next_index}',
             )
         self.next_index = last + 1
-        return TokenBatch(first, count, events)
+        return TokenBatch(first, count, events, self._software_version)
 
     def _drop_known_tokens(self, events: bytes) -> tuple[bytes, int]:
         kept = [
--- a/hornbeamline/targets/errors.py
+++ b/hornbeamline/targets/errors.py
@@ -36,6 +36,10 @@
         self.pause_s = pause_s
 
 
+class TargetVersionError(TargetError):
+    """The target cannot resume a stream of another software version."""
+
+
 class TargetLostError(TargetError):
     """The connection was lost after sending began: the call may have run."""
 
