--- a/hornbeamline/decisions/_engine.py
+++ b/hornbeamline/decisions/_engine.py
@@ -157,12 +157,23 @@
             return self._admission.refuse(answer, pool, now)
         return answer
 
+    def live_by_version(self, service: str) -> dict[str, int]:
+        """Return a service's number of live targets by software version."""
+        pool = self._state.pools_by_name.get(service)
+        return {} if pool is None else pool.live_by_version()
+
     def load_reported(self, target: str, report: LoadReport) -> None:
         """Apply a load report of a target."""
         record = self._state.records_by_name.get(target)
         if record is not None:
             record.report_load(report, self._clock.monotonic())
 
+    def version_stated(self, target: str, software_version: str) -> None:
+        """Apply the software version that a target has stated."""
+        record = self._state.records_by_name.get(target)
+        if record is not None:
+            record.version_stated(software_version)
+
     def prefix_cached(self, target: str, prefix: str, *, held: bool) -> None:
         """Apply a cache event of a target; events may be late or lost."""
         record = self._state.records_by_name.get(target)
