--- /dev/null
+++ b/tests/gateway/test_resumptions.py
@@ -0,0 +1,67 @@
+"""Resumptions of streams in less common situations."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from hornbeamline.gateway import RouteKind
+from hornbeamline.origins import StreamKey
+from tests.gateway.builders import KnownOrigins, make_route, make_table
+from tests.gateway.test_stream_versions import (
+    BROKEN_AFTER,
+    EVENTS,
+    VersionedHost,
+    VersionedTargets,
+)
+
+ATTEMPTS: Final = 20
+
+
+class SplitOrigins(KnownOrigins):
+    """Records of two services with different defaults."""
+
+    async def find(self, stream: StreamKey, _timeout_s: float) -> str | None:
+        """Return the version that began a stream."""
+        default = {'service': 'v1', 'other': 'w1'}[stream.service]
+        return self.version_by_stream.get(stream, default)
+
+
+def make_split_host(http: VersionedTargets) -> VersionedHost:
+    """Return a host whose route is split among two services."""
+    host = VersionedHost(http, SplitOrigins())
+    route = make_route(
+        kind=RouteKind.STREAM,
+        can_resume=True,
+        max_attempts=4,
+        weight_by_service={'service': 1, 'other': 1},
+    )
+    host.app.update_table(make_table(route))
+    return host
+
+
+# Failure: a resumption chose one of the services of its route anew: it was
+# refused although its version served (LOST), or joined to another service.
+async def test_resumed_stream_goes_on_at_its_service() -> None:
+    """Load: a route with two services; one of them has been released."""
+    http = VersionedTargets('v1', 'v1', 'w2', 'w2')
+    http.targets[2:] = [
+        target._replace(service='other') for target in http.targets[2:]
+    ]
+    host = make_split_host(http)
+    http.on_use = lambda: http.broken.update(t.id for t in http.targets)
+    begun: list[tuple[str, str]] = []
+    for number in range(ATTEMPTS):
+        _, written, _ = await host.stream(f'r{number}')
+        begun.append((f'r{number}', written[0]))
+    http.on_use = None
+    http.broken.clear()
+    astray = []
+    for request_id, version in begun:
+        status, written, _ = await host.stream(
+            f'{request_id}-2',
+            resumes=request_id,
+            last_event_id=str(BROKEN_AFTER - 1),
+        )
+        if written != [version] * (EVENTS - BROKEN_AFTER):
+            astray.append((request_id, status, version, written))
+    assert not astray
