--- a/tests/gateway/test_resumptions.py
+++ b/tests/gateway/test_resumptions.py
@@ -4,6 +4,8 @@
 
 from typing import Final
 
+import pytest
+
 from hornbeamline.gateway import RouteKind
 from hornbeamline.origins import StreamKey
 from tests.gateway.builders import KnownOrigins, make_route, make_table
@@ -65,3 +67,26 @@
         if written != [version] * (EVENTS - BROKEN_AFTER):
             astray.append((request_id, status, version, written))
     assert not astray
+
+
+# Failure: an attempt that names a stream but no event brought the first event,
+# and its own origin was not recorded (ORDER).
+@pytest.mark.parametrize('last_event', [{}, {'last_event_id': 'none'}])
+async def test_origin_of_an_attempt_without_an_event_is_recorded(
+    last_event,
+) -> None:
+    """Bad input: `Resumes` without a usable `Last-Event-Id`."""
+    http = VersionedTargets('v1', 'v2')
+    host = VersionedHost(http)
+    host.origins.default = 'v1'
+    first = StreamKey('service', '', 'r1')
+    host.origins.version_by_stream[first] = 'v2'
+    http.on_use = lambda: http.broken.update(t.id for t in http.targets)
+    _, begun, _ = await host.stream('r2', resumes='r1', **last_event)
+    http.on_use = None
+    http.broken.clear()
+    assert len(begun) == BROKEN_AFTER
+    _, written, _ = await host.stream(
+        'r3', resumes='r2', last_event_id=str(BROKEN_AFTER - 1)
+    )
+    assert len({*begun, *written}) == 1
