--- a/tests/gateway/test_resumptions.py
+++ b/tests/gateway/test_resumptions.py
@@ -90,3 +90,22 @@
         'r3', resumes='r2', last_event_id=str(BROKEN_AFTER - 1)
     )
     assert len({*begun, *written}) == 1
+
+
+# Failure: a resumption that names no attempt went on at the only version that
+# was left, right after the one that began the stream had gone (ORDER).
+async def test_unnamed_resumption_after_a_version_has_gone() -> None:
+    """Fault: all targets of a version leave while its streams are broken."""
+    http = VersionedTargets('v1', 'v2')
+    host = VersionedHost(http)
+    host.origins.default = 'v1'
+    host.targets.replace_list(http.targets[1:])
+    http.on_use = lambda: http.broken.update(t.id for t in http.targets)
+    _, begun, _ = await host.stream('r1')
+    http.on_use = None
+    http.broken.clear()
+    host.targets.replace_list(http.targets[:1])
+    _, written, _ = await host.stream(
+        'r2', last_event_id=str(BROKEN_AFTER - 1)
+    )
+    assert len({*begun, *written}) == 1
