--- a/tests/gateway/test_resumptions.py
+++ b/tests/gateway/test_resumptions.py
@@ -6,9 +6,15 @@
 
 import pytest
 
-from hornbeamline.gateway import RouteKind
+from hornbeamline.gateway import RefusedError, RouteKind
+from hornbeamline.gateway.const import REASON_VERSION_GONE
 from hornbeamline.origins import StreamKey
-from tests.gateway.builders import KnownOrigins, make_route, make_table
+from tests.gateway.builders import (
+    KnownOrigins,
+    make_request,
+    make_route,
+    make_table,
+)
 from tests.gateway.test_stream_versions import (
     BROKEN_AFTER,
     EVENTS,
@@ -109,3 +115,23 @@
         'r2', last_event_id=str(BROKEN_AFTER - 1)
     )
     assert len({*begun, *written}) == 1
+
+
+# Failure: a resumption was told that its version is gone, without a time to
+# retry, while all targets of that version only paused (LOST).
+async def test_resumption_at_paused_targets_may_be_retried() -> None:
+    """Load: the targets of one of two versions ask for a pause."""
+    http = VersionedTargets('v1', 'v2')
+    host = VersionedHost(http)
+    host.origins.default = 'v1'
+    host.targets.availability.note_pause('t0', 0.5)
+    request = make_request(resumes='r1', last_event_id=1)
+    route = make_route(kind=RouteKind.STREAM, can_resume=True)
+    with pytest.raises(RefusedError) as refused:
+        await host.app._versions.bind_request(
+            request, route, 'service', None, 10
+        )
+    refusal = refused.value.refusal
+    assert refusal.reason != REASON_VERSION_GONE
+    assert refusal.retry_after_s is not None
+    assert 0 < refusal.retry_after_s <= 0.5
