--- a/tests/gateway/test_resumptions.py
+++ b/tests/gateway/test_resumptions.py
@@ -135,3 +135,21 @@
     assert refusal.reason != REASON_VERSION_GONE
     assert refusal.retry_after_s is not None
     assert 0 < refusal.retry_after_s <= 0.5
+
+
+# Failure: a target that restarted under its id with another version began a
+# stream as the version in the old list, and another target of that went on.
+async def test_writer_has_another_version_in_the_next_list() -> None:
+    """Fault: the list of targets lags behind a restart."""
+    http = VersionedTargets('v2', 'v1')
+    host = VersionedHost(http)
+    host.targets.replace_list([http.targets[0]._replace(version='v1')])
+
+    def break_and_list() -> None:
+        http.broken.add('t0')
+        host.targets.replace_list(http.targets)
+
+    http.on_use = break_and_list
+    _, written, _ = await host.stream('r1')
+    assert written[0] == 'v2'
+    assert len(set(written)) == 1
