--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -77,3 +77,19 @@
     await asyncio.sleep(FIRST_LIST_WAIT_S * 1.2)
     assert bool(source.reads) is not is_told
     await poller.stop()
+
+
+# Failure: a host that had just started, or had no list for a time, sent
+# streams to targets that had been draining for long (DRAIN).
+@pytest.mark.parametrize('has_earlier_list', [False, True])
+def test_target_that_drained_before_the_list_gets_no_stream(
+    has_earlier_list,
+) -> None:
+    """Fault: the host does not know since when a target drains."""
+    clock = ManualClock()
+    targets = TargetDirectory(clock)
+    if has_earlier_list:
+        targets.replace_list([make_target('a', version='v1')])
+        clock.advance(60)
+    targets.replace_list([make_target('a', version='v1', is_leaving=True)])
+    assert not targets.available_targets('service', 'v1')
