--- /dev/null
+++ b/tests/origins/test_cut_off_hosts.py
@@ -0,0 +1,48 @@
+"""Entry hosts without a leader, or with an old list of targets."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from hornbeamline.daemons._gateway_services import open_origins
+from hornbeamline.gateway import TargetDirectory
+from hornbeamline.origins import OriginUnavailableError, StreamKey
+from tests.gateway.builders import make_target
+from tests.origins.group import SERVICE, TIMEOUT_S
+from tests.replog.group import LoopClock
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+
+# Failure: a host without a leader took a default that it had seen go for the
+# present one, so that another host continued the stream at another (ORDER).
+@pytest.mark.parametrize('sees_list', [False, True])
+async def test_host_that_is_cut_off_does_not_guess(
+    new_origins, sees_list
+) -> None:
+    """Fault: a host reaches no control process while v1 goes and returns."""
+    group = await new_origins()
+    host = await group.entry('entry-1')
+    await host.begin('before', 'v1')
+    host.sees_list = sees_list
+    group.network.isolate('entry-1')
+    group.platform.serve('v2')
+    await asyncio.sleep(75)
+    assert await group.default() == 'v2'
+    group.platform.serve('v1', 'v2')
+    host.sees_list = True
+    await asyncio.sleep(2)
+    begun = []
+    for number in range(5):
+        stream = StreamKey(SERVICE, 'acme', f'r-{number}')
+        try:
+            await host.origins.record(stream, 'v1', 2.0)
+        except OriginUnavailableError:
+            continue
+        begun.append(stream)
+    other = await group.entry('entry-2')
+    assert {await other.find(stream) for stream in begun} <= {'v1'}
