--- a/tests/origins/test_cut_off_hosts.py
+++ b/tests/origins/test_cut_off_hosts.py
@@ -46,3 +46,31 @@
         begun.append(stream)
     other = await group.entry('entry-2')
     assert {await other.find(stream) for stream in begun} <= {'v1'}
+
+
+# Failure: lists that a control process had read long ago counted as fresh, so
+# that a host relied on a default that had changed meanwhile (ORDER).
+async def test_old_list_does_not_confirm_a_version(new_origins) -> None:
+    """Fault: a host hears of a list only from a control process cut off."""
+    group = await new_origins()
+    group.longest_stream_s = 20.0
+    clock = LoopClock()
+    directory = TargetDirectory(clock)
+    member: Any = SimpleNamespace(
+        answering_controls=lambda: sorted(group.initial_names)
+    )
+    peering = group.network.endpoint('entry-1')
+    origins = open_origins(peering, clock, member, directory)
+    directory.replace_list([make_target('t', service=SERVICE, version='v1')])
+    read_at = clock.monotonic()
+    await origins.record(StreamKey(SERVICE, 'acme', 'r'), 'v1', TIMEOUT_S)
+    group.platform.serve('v2')
+    for _ in range(75):
+        await asyncio.sleep(1)
+        assert directory.confirm(directory.digest, read_at)
+    assert directory.age_s >= 75
+    assert await group.default() == 'v2'
+    stream = StreamKey(SERVICE, 'acme', 's')
+    await origins.record(stream, 'v1', TIMEOUT_S)
+    other = await group.entry('entry-2')
+    assert await other.find(stream) == 'v1'
