--- a/tests/origins/test_cut_off_hosts.py
+++ b/tests/origins/test_cut_off_hosts.py
@@ -9,9 +9,15 @@
 import pytest
 
 from hornbeamline.daemons._gateway_services import open_origins
-from hornbeamline.gateway import TargetDirectory
+from hornbeamline.gateway import (
+    Account,
+    RefusedError,
+    RouteKind,
+    StreamVersions,
+    TargetDirectory,
+)
 from hornbeamline.origins import OriginUnavailableError, StreamKey
-from tests.gateway.builders import make_target
+from tests.gateway.builders import make_request, make_route, make_target
 from tests.origins.group import SERVICE, TIMEOUT_S
 from tests.replog.group import LoopClock
 
@@ -74,3 +80,31 @@
     await origins.record(stream, 'v1', TIMEOUT_S)
     other = await group.entry('entry-2')
     assert await other.find(stream) == 'v1'
+
+
+# Failure: a minute with one listed version counted as proof without a leader,
+# although streams of the earlier version last longer (ORDER).
+async def test_sole_version_outlasts_the_longest_stream(new_origins) -> None:
+    """Fault: a version leaves, then the leader is lost."""
+    group = await new_origins()
+    group.longest_stream_s = 120.0
+    group.platform.serve('v1', 'v2')
+    first, second = await group.entry('entry-1'), await group.entry('entry-2')
+    await asyncio.sleep(2)
+    stream = await first.begin('r', 'v1')
+    group.platform.serve('v2')
+    await asyncio.sleep(70)
+    for voter in list(group.running):
+        await voter.crash()
+    directory = TargetDirectory(LoopClock())
+    directory.replace_list([make_target('t', service=SERVICE, version='v2')])
+    with pytest.raises(RefusedError):
+        await StreamVersions(second.origins, directory).bind_request(
+            make_request(resumes=stream.request_id, last_event_id=1),
+            make_route(
+                kind=RouteKind.STREAM, can_resume=True, timeout_s=120.0
+            ),
+            SERVICE,
+            Account('acme', None),
+            50.0,
+        )
