--- a/tests/gateway/test_resumptions.py
+++ b/tests/gateway/test_resumptions.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Final
 
 import pytest
 
-from hornbeamline.gateway import RefusedError, RouteKind
+from hornbeamline.gateway import RefusedError, RouteKind, VersionBinding
 from hornbeamline.gateway.const import REASON_VERSION_GONE
 from hornbeamline.origins import StreamKey
 from tests.gateway.builders import (
@@ -14,6 +15,7 @@
     make_request,
     make_route,
     make_table,
+    make_target,
 )
 from tests.gateway.test_stream_versions import (
     BROKEN_AFTER,
@@ -153,3 +155,31 @@
     _, written, _ = await host.stream('r1')
     assert written[0] == 'v2'
     assert len(set(written)) == 1
+
+
+class EndlessOrigins(KnownOrigins):
+    """Records that no leader answers."""
+
+    async def record(
+        self, _stream: StreamKey, _version: str, _timeout_s: float
+    ) -> None:
+        """Wait until the caller gives up."""
+        await asyncio.Event().wait()
+
+
+# Failure: a caller that left while an earlier record was being stopped was
+# not noticed, and its attempt went on.
+async def test_cancellation_while_a_record_is_stopped() -> None:
+    """Fault: the caller disconnects between two attempts."""
+    stream = StreamKey('service', '', 'r1')
+    async with VersionBinding(EndlessOrigins(), stream) as binding:
+        await binding.attempt_started(make_target('t1', version='v1'))
+        await asyncio.sleep(0)
+        attempt = asyncio.ensure_future(
+            binding.attempt_started(make_target('t2', version='v2'))
+        )
+        await asyncio.sleep(0)
+        assert not attempt.done()
+        attempt.cancel()
+        await asyncio.wait({attempt})
+        assert attempt.cancelled()
