--- a/tests/origins/test_cut_off_hosts.py
+++ b/tests/origins/test_cut_off_hosts.py
@@ -69,6 +69,7 @@
     origins = open_origins(peering, clock, member, directory)
     directory.replace_list([make_target('t', service=SERVICE, version='v1')])
     read_at = clock.monotonic()
+    await asyncio.sleep(0.1)
     await origins.record(StreamKey(SERVICE, 'acme', 'r'), 'v1', TIMEOUT_S)
     group.platform.serve('v2')
     for _ in range(75):
