--- a/hornbeamline/replog/_replica.py
+++ b/hornbeamline/replog/_replica.py
@@ -116,13 +116,13 @@
     def addresses_by_name(self) -> dict[str, str]:
         """Return the addresses of the control hosts known to this node.
 
-        They are those in the settings and those of the members, since the
-        hosts in the settings may all be lost.
+        They are those in the settings and the voters, since the hosts in the
+        settings may all be lost.
         """
         addresses_by_name = {
-            member.name: member.address
-            for member in self.members.members_by_name.values()
-            if member.address
+            voter.name: voter.address
+            for voter in self.members.voters
+            if voter.address
         }
         return {**addresses_by_name, **self._node.settings.controls_by_name}
 
