--- a/tests/origins/test_wiring.py
+++ b/tests/origins/test_wiring.py
@@ -7,8 +7,10 @@
 from pathlib import Path
 
 from hornbeamline.documents._machine import compress
+from hornbeamline.helpers.clock import BootClock
 from hornbeamline.origins.service import OriginService
 from hornbeamline.platform._control import control_daemon
+from hornbeamline.platform._entry import entry_daemon
 from tests.common import write_toml
 from tests.platform.test_document import DOCUMENT
 from tests.platform.test_settings import SETTINGS_TABLE
@@ -28,3 +30,11 @@
     machine = origins._longest_stream_s._machine  # type: ignore[attr-defined]
     machine.current = compress(1, json.dumps(document).encode())
     assert origins.retention_s >= 600
+
+
+# Failure: a host that had been suspended took a default from before for the
+# present one, since its clock had stood still (ORDER).
+async def test_beliefs_age_while_the_host_is_suspended(tmp_path: Path) -> None:
+    """Guards against `SystemClock`, which stops while a host is suspended."""
+    daemon = entry_daemon(write_toml(tmp_path / 's.toml', SETTINGS_TABLE))
+    assert isinstance(daemon._origins._clock, BootClock)
