--- a/tests/gateway/test_resumptions.py
+++ b/tests/gateway/test_resumptions.py
@@ -113,9 +113,7 @@
     http.on_use = None
     http.broken.clear()
     host.targets.replace_list(http.targets[:1])
-    _, written, _ = await host.stream(
-        'r2', last_event_id=str(BROKEN_AFTER - 1)
-    )
+    _, written, _ = await host.stream('r2', last_event_id=str(BROKEN_AFTER - 1))
     assert len({*begun, *written}) == 1
 
 
--- a/tests/origins/test_cut_off_hosts.py
+++ b/tests/origins/test_cut_off_hosts.py
@@ -102,9 +102,7 @@
     with pytest.raises(RefusedError):
         await StreamVersions(second.origins, directory).bind_request(
             make_request(resumes=stream.request_id, last_event_id=1),
-            make_route(
-                kind=RouteKind.STREAM, can_resume=True, timeout_s=120.0
-            ),
+            make_route(kind=RouteKind.STREAM, can_resume=True, timeout_s=120.0),
             SERVICE,
             Account('acme', None),
             50.0,
