--- a/tests/pipeline/test_software_versions.py
+++ b/tests/pipeline/test_software_versions.py
@@ -98,7 +98,6 @@
         _stage,
         'log_event',
         lambda event, **fields: collected.append((event, fields)),
-        raising=False,
     )
     return collected
 
