--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -141,7 +141,7 @@
             RetryBudget.of_owner(settings.budget, self._clock),
         )
         self._origins = open_origins(
-            self._peering, self._clock, self._member, self._targets
+            self._peering, BootClock(), self._member, self._targets
         )
         self._batching.ownership.other_reason_to_keep = self._limits.keeps
         forwarder = Forwarder(
--- a/hornbeamline/gateway/_stream_versions.py
+++ b/hornbeamline/gateway/_stream_versions.py
@@ -85,7 +85,7 @@
         if version is not None:
             pause_s = self._targets.version_pause_s(service, version)
         if pause_s != 0:
-            raise self._refuse(request, service, version, pause_s)
+            raise self._refusal(request, service, version, pause_s)
         if request.last_event_id is None:
             # The caller has no event yet, so that it may name this attempt
             # when it resumes the stream.
@@ -129,7 +129,7 @@
             return sole
         return None if found == UNKNOWN_VERSION else found
 
-    def _refuse(
+    def _refusal(
         self,
         request: CallerRequest,
         service: str,
@@ -166,6 +166,7 @@
 
     def _note_begun(self, begun: BegunStream) -> None:
         self._recent.append((self._targets.now(), begun))
+        self._check_recent()
 
     def _check_recent(self) -> None:
         """Forget the versions of streams whose targets were not as listed.
--- a/hornbeamline/gateway/_targets.py
+++ b/hornbeamline/gateway/_targets.py
@@ -142,13 +142,10 @@
         ]
         if version is None:
             return available
-        return [
-            target for target in available if target.version == version
-        ] or [
-            target
-            for target in self._lingering_targets(service)
-            if target.version == version
-        ]
+        accepting = self.accepting_targets(service)
+        if not any(target.version == version for target in accepting):
+            available = self._lingering_targets(service)
+        return [target for target in available if target.version == version]
 
     def version_pause_s(self, service: str, version: str) -> float | None:
         """Return the seconds until a target takes a stream of a version.
--- a/hornbeamline/platform/_control.py
+++ b/hornbeamline/platform/_control.py
@@ -11,7 +11,10 @@
     DocumentControlSettings,
 )
 from hornbeamline.inventory import StorageSettings
-from hornbeamline.platform._document import read_document_number
+from hornbeamline.platform._document import (
+    read_document_number,
+    read_stream_limit_s,
+)
 from hornbeamline.platform._list import ServerList
 from hornbeamline.platform._operator import operator_app
 from hornbeamline.platform._process import (
@@ -25,6 +28,8 @@
 
 # A document can reach about 100 KB, and the disk holds 64 MB.
 _SNAPSHOT_ENTRIES: Final = 48
+# Records of streams are small and frequent while several versions serve.
+_SNAPSHOT_MIN_BYTES: Final = 65_536
 # Control processes read the list on behalf of all hosts; at this interval
 # each host follows a change within the platform's bound.
 _LIST_INTERVAL_S: Final = 0.6
@@ -49,6 +54,7 @@
                 # A host without a disk keeps its files in memory.
                 data_folder=settings.data_folder or tempfile.gettempdir(),
                 snapshot_entries=_SNAPSHOT_ENTRIES,
+                snapshot_min_bytes=_SNAPSHOT_MIN_BYTES,
             ),
             is_durable=bool(settings.data_folder),
             voters=2 * settings.tolerated_losses + 1,
@@ -63,4 +69,5 @@
         operator_app,
         lambda http: ServerList(http, settings.list_address),
         control_address_reader(path),
+        read_stream_limit_s,
     )
--- a/hornbeamline/platform/_document.py
+++ b/hornbeamline/platform/_document.py
@@ -133,6 +133,23 @@
     )
 
 
+def read_stream_limit_s(content: bytes) -> float:
+    """Return the longest time limit of the resumable streams, in seconds.
+
+    Raises `InvalidDocumentError`.
+    """
+    table = read_routing_table(content)
+    return max(
+        (
+            route.timeout_s
+            for routes in table.routes_by_host.values()
+            for route in routes
+            if route.can_resume
+        ),
+        default=0,
+    )
+
+
 def _check_unique_prefixes(routes: Iterable[_Route]) -> None:
     taken: set[tuple[str, str]] = set()
     for route in routes:
