--- a/tests/soak/conftest.py
+++ b/tests/soak/conftest.py
@@ -6,7 +6,7 @@
 
 # Used without options: short runs with fixed seeds, so that CI results are
 # comparable.
-FIXED_SEEDS = (1, 2)
+FIXED_SEEDS = (1, 2, 3)
 FIXED_SECONDS = 15
 # For the start, the recovery after the last fault, final look-ups and checks.
 OVERHEAD_S = 240
