Owners of stage queues: hosts with enough processor capacity

Where hosts differ by more than a factor of two in the capacity that the settings state, the small ones own queues only if there is no other host, and services are spread over the others.

--- a/hornbeamline/batching/_ownership.py
+++ b/hornbeamline/batching/_ownership.py
@@ -2,21 +2,31 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from hornbeamline.batching._types import EntryHost
-from hornbeamline.batching.const import SILENT_OWNER_S
+from hornbeamline.batching.const import (
+    MIN_OWNER_CAPACITY_SHARE,
+    SILENT_OWNER_S,
+)
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.helpers.rendezvous import rendezvous_order
 
 
+class _OwnState(NamedTuple):
+    """State of this host that the order of owners depends on."""
+
+    is_kept: bool
+    is_leaving: bool
+    published_services: frozenset[str]
+
+
 class _CachedOwners(NamedTuple):
     """Owners of a service, with the inputs that they were derived from."""
 
     hosts: Mapping[str, EntryHost]
-    is_kept: bool
-    is_leaving: bool
+    own_state: _OwnState
     owners: list[str]
 
 
@@ -30,6 +40,11 @@
     compute. A network partition can produce two owners; then all hosts use
     the first in the order, and the other one soon becomes idle. Hosts not
     heard from recently come last.
+
+    The queue of a service is one event loop, and each stage of a request
+    waits for it twice. Where hosts differ in processor capacity, the small
+    ones own services only if there is no other host, and hosts that already
+    own a service come after those that do not.
     """
 
     def __init__(
@@ -51,6 +66,11 @@
         # Whether this host keeps a service for a reason other than pieces,
         # such as the rate limits of its targets.
         self.other_reason_to_keep: Callable[[str], bool] = _keeps_nothing
+        # Processor capacity of this host in cores; 0 if unknown.
+        self.processor_cores: float = 0
+        # Services that other hosts were told that this host owns. Using them
+        # for this host as well gives all hosts the same order.
+        self.published_services: frozenset[str] = frozenset()
         self._name = name
         self._keeps = keeps
         self._clock = clock
@@ -66,19 +86,18 @@
         """Return the owner, followed by its successors in order."""
         present = self.hosts()
         is_kept = self._keeps(service) or self.other_reason_to_keep(service)
+        own_state = _OwnState(is_kept, self.is_leaving, self.published_services)
         cached = self._cached_owners_by_service.get(service)
         if (
             cached is not None
             and cached.hosts is present
-            and cached.is_kept == is_kept
-            and cached.is_leaving == self.is_leaving
+            and cached.own_state == own_state
         ):
             return cached.owners
         owners = self._ordered(service, present, is_kept)
         self._cached_owners_by_service[service] = _CachedOwners(
             present,
-            is_kept,
-            self.is_leaving,
+            own_state,
             owners,
         )
         return owners
@@ -102,14 +121,34 @@
         hosts = dict(present)
         if not (self.is_leaving and hosts):
             kept = {service} if is_kept else set()
-            hosts[self._name] = EntryHost('', frozenset(kept))
-
-        def precedence(name: str) -> tuple[bool, bool]:
+            hosts[self._name] = EntryHost(
+                '',
+                self.published_services.union(kept),
+                processor_cores=self.processor_cores,
+            )
+        min_cores = _min_owner_cores(hosts.values())
+
+        def precedence(name: str) -> tuple[bool, bool, bool, bool]:
             host = hosts[name]
-            return (host.is_suspected, service not in host.owned_services)
+            return (
+                host.is_suspected,
+                service not in host.owned_services,
+                host.processor_cores < min_cores,
+                bool(min_cores and host.owned_services - {service}),
+            )
 
         return sorted(rendezvous_order(service, hosts), key=precedence)
 
 
+def _min_owner_cores(hosts: Iterable[EntryHost]) -> float:
+    """Return the capacity in cores below which hosts are small.
+
+    0 if the hosts do not differ enough, or if their capacity is unknown.
+    """
+    cores = [host.processor_cores for host in hosts]
+    threshold = max(cores, default=0) * MIN_OWNER_CAPACITY_SHARE
+    return threshold if min(cores, default=0) < threshold else 0
+
+
 def _keeps_nothing(_service: str) -> bool:
     return False
--- a/hornbeamline/batching/_types.py
+++ b/hornbeamline/batching/_types.py
@@ -16,6 +16,8 @@
     owned_services: frozenset[str] = frozenset()
     # Whether the host is listed, but has not been heard from recently.
     is_suspected: bool = False
+    # Processor capacity in cores; 0 if unknown.
+    processor_cores: float = 0
 
 
 class BatchTarget(Protocol):
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -26,6 +26,10 @@
 # An owner that does not answer is skipped for this time: control processes
 # list a silent process for half of it, and hosts for the other half.
 SILENT_OWNER_S: Final = 3.2
+# Hosts with less than this share of the processor capacity of the largest one
+# own services only if there is no other host: their event loops would delay
+# each stage of all requests.
+MIN_OWNER_CAPACITY_SHARE: Final = 0.5
 # Releases at one target are batched over this time, and over a longer one
 # while no piece waits for the space.
 RELEASE_GATHER_S: Final = 0.03
--- a/hornbeamline/daemons/_hosts.py
+++ b/hornbeamline/daemons/_hosts.py
@@ -36,6 +36,7 @@
                     presence.address,
                     frozenset(presence.owned_services),
                     presence.name in suspected,
+                    presence.processor_cores,
                 )
                 for presence in present
                 if presence.role == ROLE_ENTRY
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -78,6 +78,8 @@
     list_rate_per_s: float
     stop_timeout_s: float
     budget: BudgetSettings
+    # Processor capacity of this host in cores; 0 if unknown.
+    processor_cores: float = 0
 
 
 class GatewayDaemon:
@@ -144,6 +146,7 @@
             self._peering, BootClock(), self._member, self._targets
         )
         self._batching.ownership.other_reason_to_keep = self._limits.keeps
+        self._batching.ownership.processor_cores = settings.processor_cores
         forwarder = Forwarder(
             http,
             wire,
@@ -247,20 +250,20 @@
 
     def _own_presence(self) -> Presence:
         settings = self._settings
+        owned = frozenset(
+            (*self._batching.owned_services(), *self._limits.kept_services()),
+        )
+        self._batching.ownership.published_services = owned
         return Presence(
             settings.name,
             settings.peering.address,
             ROLE_ENTRY,
             settings.data_centre,
             self._drain.is_draining,
-            owned_services=sorted(
-                {
-                    *self._batching.owned_services(),
-                    *self._limits.kept_services(),
-                },
-            ),
+            owned_services=sorted(owned),
             leaving_targets=self._targets.availability.leaving(),
             limited_targets=self._limits.granted_limits(),
+            processor_cores=settings.processor_cores,
         )
 
     def _load(self) -> ProcessLoad:
--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -28,6 +28,8 @@
     # Limits, in requests per second, of the targets that the process grants
     # permits for.
     limited_targets: dict[str, float] = {}
+    # Processor capacity of the host in cores; 0 if unknown.
+    processor_cores: float = 0
 
 
 class Position(NamedTuple):
--- a/hornbeamline/platform/_entry.py
+++ b/hornbeamline/platform/_entry.py
@@ -51,6 +51,7 @@
                 settings.retry_window_s,
                 settings.retry_slack,
             ),
+            processor_cores=settings.processor_cores,
         ),
         PlatformWire(),
         lambda http: ServerList(http, settings.list_address),
--- a/hornbeamline/platform/_settings.py
+++ b/hornbeamline/platform/_settings.py
@@ -5,7 +5,7 @@
 import os
 import tomllib
 from pathlib import Path
-from typing import Any, Final, NamedTuple
+from typing import Annotated, Any, Final, NamedTuple
 
 import msgspec
 
@@ -28,6 +28,11 @@
     machines: int = 1
 
 
+class _Limits(_Table, frozen=True, kw_only=True):
+    cpu_share: Annotated[float, msgspec.Meta(ge=0)] = 0
+    cores: Annotated[float, msgspec.Meta(ge=0)] = 1
+
+
 class _Bounds(_Table, frozen=True, kw_only=True):
     grace_s: float = 8
     retry_ratio: float = 0.2
@@ -50,6 +55,7 @@
     data_dir: str = ''
     listen: _Listen
     fault_tolerance: _FaultTolerance = _FaultTolerance()
+    limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
     cloud_api: _CloudApi
 
@@ -75,6 +81,8 @@
     # Number of control hosts that may fail at the same time.
     tolerated_losses: int
     stop_timeout_s: float
+    # Processor capacity in cores; 0 if the settings do not state it.
+    processor_cores: float
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
@@ -119,6 +127,7 @@
         operator_address=table.listen.control,
         tolerated_losses=table.fault_tolerance.machines,
         stop_timeout_s=table.bounds.grace_s,
+        processor_cores=table.limits.cpu_share * table.limits.cores,
         retry_ratio=table.bounds.retry_ratio,
         retry_window_s=table.bounds.retry_window_s,
         retry_slack=table.bounds.retry_slack,
--- a/tests/batching/test_ownership.py
+++ b/tests/batching/test_ownership.py
@@ -47,3 +47,46 @@
         for name in (ORDER[0], ORDER[2])
     }
     assert firsts == {ORDER[1]}
+
+
+SMALL = EntryHost('x', processor_cores=0.39)
+LARGE = EntryHost('x', processor_cores=1.38)
+
+
+# Load: bursts of stage requests at a fleet whose hosts have 0.39 to 1.38 cores.
+# Guards against a queue of all hosts on a host whose event loop adds 0.3 s to
+# each stage.
+def test_small_hosts_own_services_only_without_larger_ones() -> None:
+    """Hosts of less than half the largest capacity come last."""
+    sizes = {'p0': SMALL, 'p1': SMALL, 'p2': LARGE}
+    found = owners(ORDER[3], **sizes)
+    assert found[0] == ORDER[2]
+    alone = owners(ORDER[3], p0=SMALL, p1=SMALL, p2=SMALL)
+    assert alone[0] == ORDER[0]
+
+
+def test_present_owner_keeps_its_service_whatever_its_size() -> None:
+    """Guards against moving a service while targets hold its results."""
+    owner = CURRENT_OWNER._replace(processor_cores=0.39)
+    assert owners(ORDER[3], p0=LARGE, p1=owner)[0] == ORDER[1]
+
+
+def test_services_are_spread_over_large_hosts() -> None:
+    """Guards against one host that owns the queues of several services."""
+    busy = LARGE._replace(owned_services=frozenset({'other'}))
+    sizes = {'p0': busy, 'p1': SMALL, 'p2': LARGE}
+    assert owners(ORDER[3], **sizes)[:2] == [ORDER[2], ORDER[0]]
+
+
+def test_order_of_similar_hosts_does_not_depend_on_their_size() -> None:
+    """Guards against a change for fleets whose hosts differ little."""
+    sizes = {
+        f'p{place}': EntryHost('x', frozenset({'other'}), processor_cores=cores)
+        for place, cores in enumerate((1.07, 1.07, 1.94))
+    }
+    hosts = {ORDER[int(place[1:])]: host for place, host in sizes.items()}
+    ownership = Ownership(
+        ORDER[3], lambda: hosts, lambda _: False, SystemClock()
+    )
+    ownership.processor_cores = 1.94
+    assert ownership.owners(SERVICE) == ORDER
