Owners of stage queues: spread services that have no owner yet

Cause: after a start, the services of multi-stage requests have no owner when the first pieces come, so that two of three went to one host. In a fleet of uneven hosts, owners are now assigned in the order of the service names, which is the same at all hosts with the same document.

--- a/hornbeamline/batching/_ownership.py
+++ b/hornbeamline/batching/_ownership.py
@@ -43,8 +43,8 @@
 
     The queue of a service is one event loop, and each stage of a request
     waits for it twice. Where hosts differ in processor capacity, the small
-    ones own services only if there is no other host, and hosts that already
-    own a service come after those that do not.
+    ones own services only if there is no other host, and hosts that own or
+    are assigned another service come after those that do not.
     """
 
     def __init__(
@@ -68,6 +68,8 @@
         self.other_reason_to_keep: Callable[[str], bool] = _keeps_nothing
         # Processor capacity of this host in cores; 0 if unknown.
         self.processor_cores: float = 0
+        # Configured services, the same on hosts with the same document.
+        self.services: frozenset[str] = frozenset()
         # Services that other hosts were told that this host owns. Using them
         # for this host as well gives all hosts the same order.
         self.published_services: frozenset[str] = frozenset()
@@ -127,6 +129,7 @@
                 processor_cores=self.processor_cores,
             )
         min_cores = _min_owner_cores(hosts.values())
+        assigned = self._assigned_before(service) if min_cores else set()
 
         def precedence(name: str) -> tuple[bool, bool, bool, bool]:
             host = hosts[name]
@@ -134,11 +137,22 @@
                 host.is_suspected,
                 service not in host.owned_services,
                 host.processor_cores < min_cores,
-                bool(min_cores and host.owned_services - {service}),
+                bool(min_cores and host.owned_services - {service})
+                or name in assigned,
             )
 
         return sorted(rendezvous_order(service, hosts), key=precedence)
 
+    def _assigned_before(self, service: str) -> set[str]:
+        """Return the owners of the services that precede one by name.
+
+        Without owners yet, as after a start, all hosts spread the services
+        in the same way.
+        """
+        return {
+            self.owners(other)[0] for other in self.services if other < service
+        }
+
 
 def _min_owner_cores(hosts: Iterable[EntryHost]) -> float:
     """Return the capacity in cores below which hosts are small.
--- a/hornbeamline/batching/_service.py
+++ b/hornbeamline/batching/_service.py
@@ -93,6 +93,7 @@
     def update(self, profile_by_service: Mapping[str, BatchProfile]) -> None:
         """Apply the services of a newer configuration."""
         self._owned.update(profile_by_service)
+        self.ownership.services = frozenset(profile_by_service)
 
     def owned_services(self) -> list[str]:
         """Return the services of which this host remains the owner."""
--- a/tests/batching/test_ownership.py
+++ b/tests/batching/test_ownership.py
@@ -78,6 +78,19 @@
     assert owners(ORDER[3], **sizes)[:2] == [ORDER[2], ORDER[0]]
 
 
+def test_services_without_owners_are_spread_too() -> None:
+    """Guards against one owner of all services after a start."""
+    hosts = {f'host-{number}': LARGE for number in range(3)}
+    hosts['host-3'] = SMALL
+    ownership = Ownership(
+        'host-4', lambda: hosts, lambda _: False, SystemClock()
+    )
+    ownership.processor_cores = 0.39
+    ownership.services = frozenset(('a', 'b', 'c'))
+    firsts = {ownership.owners(service)[0] for service in 'abc'}
+    assert firsts == {'host-0', 'host-1', 'host-2'}
+
+
 def test_order_of_similar_hosts_does_not_depend_on_their_size() -> None:
     """Guards against a change for fleets whose hosts differ little."""
     sizes = {
