Read the fourth figure of X-Server-Load

Cause: a header with four figures was dropped entirely, so that targets which report how long work takes there looked as if they reported no load. A count beyond the range of a float raised OverflowError in the picker.

Change: the first three figures are taken, the fourth becomes TargetLoad.slowness (1.0 as usual, None if absent or out of range), further ones are ignored. Counts that are negative or above 1,000,000, and headers with an unusable word among the first three, give no load.

Tested: tests/platform/test_wire.py, with 14 headers.

--- a/hornbeamline/gateway/_types.py
+++ b/hornbeamline/gateway/_types.py
@@ -162,6 +162,9 @@
     running: int
     waiting: int
     slots: int
+    # Duration of work now relative to the usual one (1.0); None if the target
+    # does not report it.
+    slowness: float | None = None
 
 
 class AnswerHead(NamedTuple):
--- a/hornbeamline/platform/_wire.py
+++ b/hornbeamline/platform/_wire.py
@@ -78,6 +78,14 @@
 _DROPPED_HEADERS: Final = _HOP_BY_HOP_HEADERS | _INTERNAL_HEADERS
 # Servers accept priorities from 0 (most urgent) to 9 (least urgent).
 _LOWEST_PRIORITY: Final = 9
+# Figures of a load that are always present: running, waiting, slots.
+_LOAD_COUNTS: Final = 3
+# Reported figures beyond these bounds are not believed: a larger count does
+# not fit into a float, and no target is a hundred times as slow as usual.
+_MAX_LOAD_COUNT: Final = 1_000_000
+_MIN_SLOWNESS: Final = 0.01
+_MAX_SLOWNESS: Final = 100.0
+_PERCENT: Final = 100
 
 
 class _Item(
@@ -330,8 +338,30 @@
 
 
 def _parse_load(text: str) -> TargetLoad | None:
-    numbers = _parse_integers(text)
-    return TargetLoad(*numbers) if len(numbers) == 3 else None
+    """Return the load in the first figures; further ones are ignored."""
+    words = text.split(',')
+    counts = [_parse_integer(word) for word in words[:_LOAD_COUNTS]]
+    known = [
+        count
+        for count in counts
+        if count is not None and 0 <= count <= _MAX_LOAD_COUNT
+    ]
+    if len(known) != _LOAD_COUNTS:
+        return None
+    running, waiting, slots = known
+    slowness = _parse_slowness(words[_LOAD_COUNTS:])
+    return TargetLoad(running, waiting, slots, slowness)
+
+
+def _parse_slowness(words: Sequence[str]) -> float | None:
+    """Return the slowness in the first word; None if absent or not usable."""
+    try:
+        percent = float(words[0]) if words else 0
+    except ValueError:
+        return None
+    if _MIN_SLOWNESS <= percent / _PERCENT <= _MAX_SLOWNESS:
+        return percent / _PERCENT
+    return None
 
 
 def _parse_retry_after_s(status: int, text: str | None) -> float | None:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -9,7 +9,7 @@
 import pytest
 
 from hornbeamline.batching import CallLostError, Piece
-from hornbeamline.gateway import Account, Refusal, TargetHeaders
+from hornbeamline.gateway import Account, Refusal, TargetHeaders, TargetLoad
 from hornbeamline.platform._list import _read_entry
 from hornbeamline.platform._wire import PlatformWire
 from tests.gateway.builders import make_target
@@ -126,6 +126,31 @@
     assert 'connection' not in dict(head.headers)
 
 
+@pytest.mark.parametrize(
+    ('text', 'load'),
+    [
+        (b'3,1,8', TargetLoad(3, 1, 8, None)),
+        (b' 3, 1, 8, 250', TargetLoad(3, 1, 8, 2.5)),
+        (b'3,1,8,100,7,next', TargetLoad(3, 1, 8, 1.0)),
+        (b'3,1,8,', TargetLoad(3, 1, 8, None)),
+        (b'3,1,8,fast', TargetLoad(3, 1, 8, None)),
+        (b'3,1,8,0', TargetLoad(3, 1, 8, None)),
+        (b'3,1,8,-100', TargetLoad(3, 1, 8, None)),
+        (b'3,1,8,nan', TargetLoad(3, 1, 8, None)),
+        (b'3,1,8,1e300', TargetLoad(3, 1, 8, None)),
+        (b'3,1', None),
+        (b'3,x,1,8', None),
+        (b'-1,0,8,100', None),
+        (b'1' + b'0' * 400 + b',0,8,100', None),
+        (b'\xff,,', None),
+    ],
+)
+def test_load_report_is_bounded(text: bytes, load: TargetLoad | None) -> None:
+    """Guards against dropped reports with further figures, and absurd ones."""
+    head = WIRE.read_answer(200, [(b'X-Server-Load', text)])
+    assert head.load == load
+
+
 @pytest.mark.parametrize(
     ('status', 'text', 'rest_s'),
     [
