Name no leader after an election timeout without contact

A follower that had lost the quorum named the lost leader to the end: the name was removed only when a higher term was seen, which takes a won pre-vote and so a quorum. control.no_leader was not logged, the readiness page stayed ready, and calls were forwarded to the lost host. The former leader was not affected, as its quorum check steps down.

Ruled out: the watch (it logs as soon as the name is gone), the freshness of the state (is_state_confirmed was False already), a late message of the leader (it has ended).

Now an election timeout that expires without contact clears the name, before the pre-vote. No message is added.

--- a/hornbeamline/replog/_election.py
+++ b/hornbeamline/replog/_election.py
@@ -43,6 +43,9 @@
             elif wait_s > 0:
                 await asyncio.sleep(max(wait_s, MIN_ELECTION_SLEEP_S))
             else:
+                # The leader was silent for an election timeout. Naming it
+                # any longer would hide the lack of a quorum from operators.
+                node.leader = None
                 node.restart_election_timer()
                 await self.campaign()
 
--- a/hornbeamline/replog/_interface.py
+++ b/hornbeamline/replog/_interface.py
@@ -32,7 +32,7 @@
 
     @property
     def leader(self) -> str | None:
-        """Return the name of the last known leader, if any."""
+        """Return the leader heard from in the last election timeout, if any."""
 
     @property
     def term(self) -> int:
--- a/hornbeamline/replog/_replica.py
+++ b/hornbeamline/replog/_replica.py
@@ -85,7 +85,7 @@
 
     @property
     def leader(self) -> str | None:
-        """Return the name of the last known leader, if any."""
+        """Return the leader heard from in the last election timeout, if any."""
         return self._node.leader
 
     @property
