--- a/hornbeamline/batching/_ownership.py
+++ b/hornbeamline/batching/_ownership.py
@@ -20,6 +20,7 @@
     is_kept: bool
     is_leaving: bool
     published_services: frozenset[str]
+    services: frozenset[str]
 
 
 class _CachedOwners(NamedTuple):
@@ -88,7 +89,9 @@
         """Return the owner, followed by its successors in order."""
         present = self.hosts()
         is_kept = self._keeps(service) or self.other_reason_to_keep(service)
-        own_state = _OwnState(is_kept, self.is_leaving, self.published_services)
+        own_state = _OwnState(
+            is_kept, self.is_leaving, self.published_services, self.services
+        )
         cached = self._cached_owners_by_service.get(service)
         if (
             cached is not None
