Choose targets by expected cost where they report a slowness

Cause: the choice by counts of requests ignores that requests cost different amounts of work and that targets of one service have speeds of 0.55 to 1.2.

Change: the component costs (no I/O) learns costs and speeds from responses and keeps the work left by target. TargetPicker uses it for a service once a target has reported a fourth figure, for plain services and engines; other services keep the choice by counts. ProcessLoad carries work_by_target and speeds_by_target, empty where nothing is active; all processes must have this version, since msgspec refuses longer tuples than it knows. The line request.attempt gets four fields where the choice by cost is in use.

Not compared yet with the choice by counts on the same arrivals.

--- /dev/null
+++ b/hornbeamline/costs/_work.py
@@ -0,0 +1,115 @@
+"""Work that targets have left, in seconds at the usual speed."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from hornbeamline.costs._model import CostParts, RequestFeatures
+
+# Share of the work of a running stream that always counts as left: its last
+# event has not been seen.
+_LAST_SHARE: Final = 0.05
+# Sums below this are remainders of rounding.
+_MIN_WORK_S: Final = 1e-6
+
+
+class AttemptWork:
+    """One attempt at a target and what its events have shown."""
+
+    __slots__ = (
+        'features',
+        'first_at',
+        'left_s',
+        'parts',
+        'slowness',
+        'started_at',
+        'target',
+        'wait_s',
+    )
+
+    def __init__(
+        self,
+        target: str,
+        features: RequestFeatures,
+        parts: CostParts,
+        slowness: float,
+        wait_s: float,
+        started_at: float,
+    ) -> None:
+        """Create the record of an attempt that starts now.
+
+        `wait_s` is the time for which earlier work was expected to delay it.
+        """
+        self.target = target
+        self.features = features
+        self.parts = parts
+        self.slowness = slowness
+        self.wait_s = wait_s
+        self.started_at = started_at
+        self.first_at: float | None = None
+        self.left_s = parts.total_s
+
+    def expectation(self) -> dict[str, float]:
+        """Return what was expected of the attempt, for a log line."""
+        return {
+            'cost_s': self.parts.total_s,
+            'slowness': self.slowness,
+            'wait_s': self.wait_s,
+            'uncached_tokens': self.features.uncached_tokens,
+        }
+
+
+class WorkLeft:
+    """Work left by target: of this host's attempts and of other hosts."""
+
+    def __init__(self) -> None:
+        """Create a record without work."""
+        self._own_by_target: dict[str, float] = {}
+        self._others_by_target: Mapping[str, float] = {}
+
+    def started(self, attempt: AttemptWork) -> None:
+        """Add the work of an attempt."""
+        self._add(attempt.target, attempt.left_s)
+
+    def progressed(self, attempt: AttemptWork, now: float) -> None:
+        """Subtract the work that an event shows to be done.
+
+        The first event ends the work on the prompt; the output then proceeds
+        at the expected rate.
+        """
+        if attempt.first_at is None:
+            attempt.first_at = now
+        done_s = (now - attempt.first_at) / attempt.slowness
+        left_s = max(
+            attempt.parts.output_s - done_s,
+            attempt.parts.total_s * _LAST_SHARE,
+        )
+        if left_s < attempt.left_s:
+            self._add(attempt.target, left_s - attempt.left_s)
+            attempt.left_s = left_s
+
+    def ended(self, attempt: AttemptWork) -> None:
+        """Subtract what an attempt has left."""
+        self._add(attempt.target, -attempt.left_s)
+        attempt.left_s = 0
+
+    def update_others(self, work_by_target: Mapping[str, float]) -> None:
+        """Replace the work of all other hosts."""
+        self._others_by_target = work_by_target
+
+    def own_by_target(self) -> dict[str, float]:
+        """Return the work of this host's attempts, in seconds."""
+        return dict(self._own_by_target)
+
+    def left_s(self, target: str) -> float:
+        """Return the work that all hosts have left at a target."""
+        own_s = self._own_by_target.get(target, 0)
+        return own_s + max(self._others_by_target.get(target, 0), 0)
+
+    def _add(self, target: str, work_s: float) -> None:
+        total_s = self._own_by_target.get(target, 0) + work_s
+        if total_s > _MIN_WORK_S:
+            self._own_by_target[target] = total_s
+        else:
+            self._own_by_target.pop(target, None)
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -114,7 +114,7 @@
             settings.controls_by_name,
             self._own_presence,
             self._targets,
-            self._load,
+            self._published_load,
         )
         self._member.on_document = self._apply_document
         self._member.on_present = self._apply_presences
@@ -271,6 +271,13 @@
             self._batching.rate_by_service(),
         )
 
+    def _published_load(self) -> ProcessLoad:
+        beliefs = self._picker.beliefs
+        return self._load()._replace(
+            work_by_target=beliefs.work.own_by_target(),
+            speeds_by_target=beliefs.speeds.evidence_by_target(),
+        )
+
     def _stage_waits(self, rank: int) -> dict[str, float]:
         """Return the wait of a rank in seconds, by stage service."""
         loads = (self._load(), self._member.view.others_load())
@@ -303,8 +310,10 @@
         own_name = self._settings.name
         self._budget.note_hosts(len(entries))
         self._poller.note_hosts(len(entries))
-        self._picker.update_remote_in_flight(
-            self._member.view.others_load().in_flight_by_target
+        others_load = self._member.view.others_load()
+        self._picker.update_remote_in_flight(others_load.in_flight_by_target)
+        self._picker.beliefs.update_others(
+            others_load.work_by_target, others_load.speeds_by_target
         )
         others = [presence for presence in entries if presence.name != own_name]
         for presence in others:
--- a/hornbeamline/directory/_loads.py
+++ b/hornbeamline/directory/_loads.py
@@ -4,9 +4,14 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from typing import NamedTuple, TypeVar
+from typing import Final, NamedTuple, TypeVar
+
+from hornbeamline.costs import SpeedEvidence
 
 _Key = TypeVar('_Key', str, int)
+_Count = TypeVar('_Count', int, float)
+# Work below this, in seconds, is a remainder of rounding.
+_MIN_WORK_S: Final = 0.0001
 
 
 class ProcessLoad(NamedTuple):
@@ -21,6 +26,10 @@
     upcoming_by_service: dict[str, dict[int, int]] = {}
     # Pieces per second that the targets of its stage queues compute.
     rate_by_service: dict[str, float] = {}
+    # Seconds of work left at targets, and observed speeds, by target id; only
+    # of services whose targets are chosen by cost.
+    work_by_target: dict[str, float] = {}
+    speeds_by_target: dict[str, SpeedEvidence] = {}
 
 
 def sum_loads(loads: Iterable[ProcessLoad]) -> ProcessLoad:
@@ -30,9 +39,11 @@
     so the longest wait and the lowest rate are used. With hundreds of
     hosts, the sum saves each host from reading the load of every other one.
     """
-    total = ProcessLoad({}, {}, {}, {})
+    total = ProcessLoad({}, {}, {}, {}, {}, {})
     for load in loads:
         _add_counts(total.in_flight_by_target, load.in_flight_by_target)
+        _add_counts(total.work_by_target, load.work_by_target)
+        _add_speeds(total.speeds_by_target, load.speeds_by_target)
         for queue, wait_by_rank in load.waits_by_service.items():
             longest = total.waits_by_service.setdefault(queue, {})
             _raise_waits(longest, wait_by_rank)
@@ -63,10 +74,18 @@
     return total._replace(
         in_flight_by_target=dict(+in_flight),
         upcoming_by_service=upcoming,
+        work_by_target=_subtract_work(
+            total.work_by_target, part.work_by_target
+        ),
+        speeds_by_target=_subtract_speeds(
+            total.speeds_by_target, part.speeds_by_target
+        ),
     )
 
 
-def _add_counts(total: dict[_Key, int], added: Mapping[_Key, int]) -> None:
+def _add_counts(
+    total: dict[_Key, _Count], added: Mapping[_Key, _Count]
+) -> None:
     for key, count in added.items():
         total[key] = total.get(key, 0) + count
 
@@ -76,3 +95,35 @@
 ) -> None:
     for rank, wait_s in others.items():
         longest[rank] = max(longest.get(rank, 0), wait_s)
+
+
+def _subtract_work(
+    total: Mapping[str, float], part: Mapping[str, float]
+) -> dict[str, float]:
+    left = {
+        target: work_s - part.get(target, 0) for target, work_s in total.items()
+    }
+    return {
+        target: work_s
+        for target, work_s in left.items()
+        if work_s > _MIN_WORK_S
+    }
+
+
+def _add_speeds(
+    total: dict[str, SpeedEvidence], added: Mapping[str, SpeedEvidence]
+) -> None:
+    for target, evidence in added.items():
+        known = total.get(target)
+        total[target] = evidence if known is None else known.plus(evidence)
+
+
+def _subtract_speeds(
+    total: Mapping[str, SpeedEvidence], part: Mapping[str, SpeedEvidence]
+) -> dict[str, SpeedEvidence]:
+    left = dict(total)
+    for target, evidence in part.items():
+        known = left.pop(target, None)
+        if known is not None and known.weight > evidence.weight:
+            left[target] = known.minus(evidence)
+    return left
--- a/hornbeamline/gateway/_attempts.py
+++ b/hornbeamline/gateway/_attempts.py
@@ -4,6 +4,7 @@
 
 from typing import Final, NamedTuple
 
+from hornbeamline.costs import AttemptWork
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._metrics import ATTEMPTS, LOST_ATTEMPTS
 from hornbeamline.gateway._picker import remote_bytes
@@ -75,6 +76,9 @@
         self.first_event_s: float | None = None
         # When the first event arrived, by the clock of the forwarder.
         self.begun_at: float | None = None
+        # Expected work of the last attempt; None if targets of the service are
+        # not chosen by cost.
+        self.work: AttemptWork | None = None
         # Cause of the last failure, which is reported if no target answers.
         self.reason = 'no target available'
 
@@ -146,6 +150,7 @@
         list_age_s=list_age_s,
         prompt=_shared_parts(job.request),
         error='' if error is None else str(error),
+        **({} if attempts.work is None else attempts.work.expectation()),
     )
 
 
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -75,6 +75,7 @@
 _RETRY_AFTER_S: Final = 0.5
 
 _HTTP_OK: Final = 200
+_HTTP_BAD_REQUEST: Final = 400
 _HTTP_ERROR: Final = 500
 _HTTP_BAD_GATEWAY: Final = 502
 _HTTP_UNAVAILABLE: Final = 503
@@ -230,9 +231,7 @@
         return self._start_attempt(first, permit, attempts)
 
     def _pick(self, job: Job, excluded: list[str]) -> Target | None:
-        criteria = PickCriteria(
-            job.request, job.input_bytes_by_data_centre, excluded
-        )
+        criteria = PickCriteria.of_job(job, excluded)
         version = job.binding.version
         targets = self._targets.available_targets(job.service, version)
         if job.route.kind is RouteKind.STREAM:
@@ -293,7 +292,8 @@
             ),
         )
         await job.binding.attempt_started(target)
-        self._picker.attempt_started(target)
+        work = self._picker.attempt_started(target, PickCriteria.of_job(job))
+        attempts.work = work
         fetch_timer = DelayedCall(INPUT_FETCH_S, job.on_inputs_fetched)
         started_at = self._clock.monotonic()
 
@@ -319,7 +319,7 @@
                 )
         finally:
             fetch_timer.cancel()
-            self._picker.attempt_ended(target)
+            self._picker.attempt_ended(target, work)
 
     async def _handle_answer(
         self,
@@ -347,7 +347,10 @@
         if head.status < _HTTP_ERROR:
             job.guard.answer_begun()
             job.guard.answer_completed()
-            self._picker.record_success(target)
+            is_served = head.status < _HTTP_BAD_REQUEST
+            self._picker.record_success(
+                target, attempts.work if is_served else None
+            )
             await self._deliver(job, target, attempts, answer, reply)
             return
         attempts.answer = answer
@@ -406,7 +409,7 @@
             check_framing(target, response)
         if not reply.has_begun:
             await reply.begin(head.status, head.headers)
-        self._picker.record_success(target)
+        self._picker.record_success(target, attempts.work)
         job.guard.answer_completed()
         await reply.end()
         self._log_attempt(job, target, attempts, OUTCOME_ANSWERED, None)
@@ -414,8 +417,10 @@
     def _record_event(
         self, job: Job, target: Target, attempts: Attempts, started_at: float
     ) -> None:
-        """Record that an answer has begun; further events change nothing."""
+        """Record that an answer has begun; later ones show its progress."""
         attempts.is_unproven_continuation = False
+        if attempts.work is not None:
+            self._picker.beliefs.progressed(attempts.work)
         if attempts.first_event_s is not None:
             return
         attempts.begun_at = self._clock.monotonic()
--- a/hornbeamline/gateway/_picker.py
+++ b/hornbeamline/gateway/_picker.py
@@ -8,6 +8,17 @@
 from collections.abc import Collection, Mapping, Sequence
 from typing import Final, NamedTuple
 
+from hornbeamline.costs import (
+    KIND_ENGINE,
+    KIND_PLAIN,
+    AttemptWork,
+    Beliefs,
+    Candidate,
+    RecentEntries,
+    RequestFeatures,
+    sample,
+)
+from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._types import (
     CallerRequest,
     Target,
@@ -53,6 +64,30 @@
     input_bytes_by_data_centre: Mapping[str, int]
     # Ids of targets that must not be selected, such as those already tried.
     excluded: Collection[str]
+    route: str = ''
+    # Name of the client account; empty if there is none.
+    account: str = ''
+
+    @classmethod
+    def of_job(cls, job: Job, excluded: Collection[str] = ()) -> PickCriteria:
+        """Return the criteria for the request of a job."""
+        return cls(
+            job.request,
+            job.input_bytes_by_data_centre,
+            excluded,
+            job.route.name,
+            '' if job.account is None else job.account.name,
+        )
+
+    @property
+    def features(self) -> RequestFeatures:
+        """Return what the cost of the request depends on."""
+        return RequestFeatures(
+            self.route,
+            self.request.prompt_tokens,
+            self.request.max_output_tokens,
+            self.account,
+        )
 
 
 class TargetPicker:
@@ -73,6 +108,11 @@
         self._reported_by_target: dict[str, _LoadReport] = {}
         self._failures_by_target: dict[str, _Failures] = {}
         self._cached_at_by_part: dict[tuple[str, str], float] = {}
+        # Preferred engines of the last choices by cost, by prompt part.
+        self._engine_by_part: RecentEntries[str, str] = RecentEntries(
+            _EVICT_ABOVE_PARTS
+        )
+        self.beliefs = Beliefs(clock, rng)
 
     @property
     def in_flight_by_target(self) -> dict[str, int]:
@@ -89,13 +129,31 @@
         """Replace the in-flight requests of all other entry hosts."""
         self._remote_in_flight_by_target = dict(in_flight_by_target)
 
-    def attempt_started(self, target: Target) -> None:
-        """Count an attempt as in flight."""
+    def attempt_started(
+        self, target: Target, criteria: PickCriteria | None = None
+    ) -> AttemptWork | None:
+        """Count an attempt as in flight.
+
+        Return the record of its work if targets are chosen by cost.
+        """
+        work = None
+        if criteria is not None and self.beliefs.is_active(target.service):
+            candidate = self._cost_candidate(
+                target, criteria, self._known_engines(criteria)
+            )
+            work = self.beliefs.started(
+                target.service, candidate, criteria.features
+            )
         in_flight = self._in_flight_by_target
         in_flight[target.id] = in_flight.get(target.id, 0) + 1
+        return work
 
-    def attempt_ended(self, target: Target) -> None:
+    def attempt_ended(
+        self, target: Target, work: AttemptWork | None = None
+    ) -> None:
         """Stop counting an attempt as in flight."""
+        if work is not None:
+            self.beliefs.ended(work)
         left = self._in_flight_by_target.get(target.id, 1) - 1
         if left > 0:
             self._in_flight_by_target[target.id] = left
@@ -108,6 +166,8 @@
             load,
             self._clock.monotonic(),
         )
+        if load.slowness is not None:
+            self.beliefs.note_report(target.service, target.id, load.slowness)
 
     def record_failure(self, target: Target) -> bool:
         """Record a failed attempt; return whether the target is ejected."""
@@ -126,9 +186,13 @@
             self._clock.monotonic(),
         )
 
-    def record_success(self, target: Target) -> None:
-        """Reset the failure count of a target."""
+    def record_success(
+        self, target: Target, work: AttemptWork | None = None
+    ) -> None:
+        """Reset the failure count of a target, and learn from its response."""
         self._failures_by_target.pop(target.id, None)
+        if work is not None:
+            self.beliefs.completed(work)
 
     def record_prompt(self, target: Target, request: CallerRequest) -> None:
         """Record that a target has cached the shared parts of a prompt."""
@@ -153,6 +217,8 @@
         candidates = self._candidates(targets, criteria.excluded)
         if not candidates:
             return None
+        if self.beliefs.is_active(candidates[0].service):
+            return self._pick_by_cost(candidates, criteria, KIND_PLAIN)
         pair = self._rng.sample(candidates, min(2, len(candidates)))
         return min(pair, key=self.load_per_slot)
 
@@ -165,6 +231,8 @@
         candidates = self._candidates(targets, criteria.excluded)
         if not candidates:
             return None
+        if self.beliefs.is_active(candidates[0].service):
+            return self._pick_by_cost(candidates, criteria, KIND_ENGINE)
         engine_by_part = _preferred_engines(candidates, criteria.request)
         return min(
             candidates,
@@ -177,18 +245,87 @@
         """Return the expected number of requests per slot of a target."""
         return self._expected_load(target) / max(target.slots, 1)
 
+    def _pick_by_cost(
+        self,
+        targets: Sequence[Target],
+        criteria: PickCriteria,
+        kind: str,
+    ) -> Target:
+        """Return the target with the least expected completion time."""
+        engine_by_part: dict[str, str] = {}
+        holders: set[str] = set()
+        parts = criteria.request.shared_parts
+        if kind == KIND_ENGINE and parts:
+            engine_by_part = _preferred_engines(targets, criteria.request)
+            for part_id, engine in engine_by_part.items():
+                self._engine_by_part.store(part_id, engine)
+            holders = {
+                target.id
+                for target in targets
+                if any(
+                    self._is_cached(part.id, target.id, engine_by_part)
+                    for part in parts
+                )
+            }
+        always = [target for target in targets if target.id in holders]
+        sampled = sample(targets, always, self._rng)
+        chosen = self.beliefs.choose(
+            sampled[0].service,
+            kind,
+            [
+                self._cost_candidate(target, criteria, engine_by_part)
+                for target in sampled
+            ],
+            criteria.features,
+        )
+        return next(target for target in sampled if target.id == chosen.target)
+
+    def _known_engines(self, criteria: PickCriteria) -> dict[str, str]:
+        """Return the engines that were preferred by the last choices."""
+        return {
+            part.id: self._engine_by_part.peek(part.id) or ''
+            for part in criteria.request.shared_parts
+        }
+
+    def _cost_candidate(
+        self,
+        target: Target,
+        criteria: PickCriteria,
+        engine_by_part: Mapping[str, str],
+    ) -> Candidate:
+        request = criteria.request
+        cached_tokens = sum(
+            part.tokens
+            for part in request.shared_parts
+            if self._is_cached(part.id, target.id, engine_by_part)
+        )
+        remote = remote_bytes(
+            criteria.input_bytes_by_data_centre, target.data_centre
+        )
+        return Candidate(
+            target.id,
+            target.slots,
+            self._reported_load(target),
+            max(request.prompt_tokens - cached_tokens, 0),
+            remote * _REMOTE_BYTE_COST_S,
+        )
+
     def _expected_load(self, target: Target) -> float:
         own = self._in_flight_by_target.get(target.id, 0)
         known = own + self._remote_in_flight_by_target.get(target.id, 0)
+        return max(known, self._reported_load(target))
+
+    def _reported_load(self, target: Target) -> float:
+        """Return the requests that a target reported, discounted by age."""
         reported = self._reported_by_target.get(target.id)
         if reported is None:
-            return known
+            return 0
         age_s = self._clock.monotonic() - reported.at
         reported_load = reported.load.running + reported.load.waiting
         weight = math.exp(-age_s / LOAD_DECAY_S)
         # Rounding keeps the remainder of an old report from deciding between
         # idle targets.
-        return max(known, round(reported_load * weight, 1))
+        return round(reported_load * weight, 1)
 
     def _engine_cost_s(
         self,
--- a/hornbeamline/gateway/_placement.py
+++ b/hornbeamline/gateway/_placement.py
@@ -92,7 +92,7 @@
             return ''
         engine = self._picker.pick_engine(
             self._targets.available_targets(job.service),
-            PickCriteria(job.request, {}, ()),
+            PickCriteria.of_job(job)._replace(input_bytes_by_data_centre={}),
         )
         return '' if engine is None else engine.data_centre
 
--- a/tests/directory/test_member.py
+++ b/tests/directory/test_member.py
@@ -9,8 +9,10 @@
 import pytest
 
 from hornbeamline.core._tasks import MAX_RESTART_DELAY_S
+from hornbeamline.costs import SpeedEvidence
 from hornbeamline.daemons._target_list import ListPoller
 from hornbeamline.directory import DirectoryMember, Presence, ProcessLoad
+from hornbeamline.directory._loads import subtract_load, sum_loads
 from hornbeamline.directory._messages import (
     DocumentPush,
     Enrol,
@@ -377,6 +379,23 @@
     assert pushed == [19]
 
 
+def test_work_and_speeds_are_summed_without_the_own_ones() -> None:
+    """A host adds its own work and its own observations itself."""
+    loads = [
+        ProcessLoad(
+            work_by_target={'t1': 0.5, f't{host}': 1.5},
+            speeds_by_target={'t1': SpeedEvidence(100, 70)},
+        )
+        for host in range(2, 5)
+    ]
+    left = subtract_load(sum_loads(loads), loads[0])
+    assert left.work_by_target == {'t1': 1.0, 't3': 1.5, 't4': 1.5}
+    assert left.speeds_by_target == {'t1': SpeedEvidence(200, 140)}
+    alone = subtract_load(sum_loads(loads[:1]), loads[0])
+    assert alone.work_by_target == {}
+    assert alone.speeds_by_target == {}
+
+
 async def test_load_of_a_control_process_that_sees_few_is_not_used() -> None:
     """Fault: one control process is partitioned from most hosts."""
     clock = LoopClock()
