Link running voters to the voters that a change adds

A voter that ran while another one was added did not use the address that the log then held: addresses of voters were taken at the start, and by the leader for its replication. When the leader was lost, the voter that was left and the added one could not ask each other for a vote, in a fleet whose settings name lost hosts only.

Ruled out: an address missing in the log (founders and added voters have theirs), the added voter not being a voter yet (both had the configuration), a refused pre-vote (none was delivered: UnknownPeerError).

Between voters only; their links exist in the product, where the directory opens them, so no message is added at rest.

--- a/hornbeamline/replog/_follower.py
+++ b/hornbeamline/replog/_follower.py
@@ -50,6 +50,7 @@
                 if known_term != request.previous_term:
                     return self._refusal(journal.hint_before(previous_index))
             journal.merge(request.previous_index, request.entries)
+            node.link_voters()
             match = request.previous_index + len(request.entries)
             await journal.durable.wait(match)
             node.commit.advance(min(request.commit_index, match))
@@ -98,6 +99,7 @@
                 'received snapshot',
             )
             await self._applier.install(raw, snapshot)
+            self._node.link_voters()
         except LogStoppedError as error:
             self._node.fail(error)
             raise
--- a/hornbeamline/replog/_node.py
+++ b/hornbeamline/replog/_node.py
@@ -11,7 +11,7 @@
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.inventory import ControlSettings
 from hornbeamline.peering import Peering
-from hornbeamline.replog._entries import VoteState
+from hornbeamline.replog._entries import Members, VoteState
 from hornbeamline.replog._freshness import Freshness
 from hornbeamline.replog._journal import BlockingRunner, Journal
 from hornbeamline.replog._metrics import LEADERSHIPS_LOST
@@ -70,6 +70,9 @@
         self.on_stopped: Callable[[LogStoppedError], None] | None = None
         self.leadership_callbacks: list[Callable[[bool], None]] = []
         self._leader_contact_at: float | None = None
+        # Configuration and addresses to which links were opened.
+        self._linked_members: Members | None = None
+        self._linked_addresses_by_name: dict[str, str] = {}
         self.election_due_at: float = 0
 
     @property
@@ -108,6 +111,32 @@
             last=self.journal.last_index,
         )
 
+    def addresses_by_name(self) -> dict[str, str]:
+        """Return the addresses in the settings and of the voters."""
+        addresses_by_name = {
+            voter.name: voter.address
+            for voter in self.journal.members.voters
+            if voter.address
+        }
+        return {**addresses_by_name, **self.settings.controls_by_name}
+
+    def link_voters(self) -> None:
+        """Open links to the voters that the configuration has added.
+
+        The voters must reach each other when the leader, which knows them
+        all, is lost. Links that exist are left alone, since the directory
+        may know a newer address.
+        """
+        members = self.journal.members
+        if members is self._linked_members:
+            return
+        self._linked_members = members
+        linked = self._linked_addresses_by_name
+        for name, address in self.addresses_by_name().items():
+            if name != self.name and linked.get(name) != address:
+                linked[name] = address
+                self.peering.add_peer(name, address)
+
     def spawn_essential(
         self,
         run: Callable[[], Coroutine[Any, Any, None]],
--- a/hornbeamline/replog/_replica.py
+++ b/hornbeamline/replog/_replica.py
@@ -119,12 +119,7 @@
         They are those in the settings and the voters, since the hosts in the
         settings may all be lost.
         """
-        addresses_by_name = {
-            voter.name: voter.address
-            for voter in self.members.voters
-            if voter.address
-        }
-        return {**addresses_by_name, **self._node.settings.controls_by_name}
+        return self._node.addresses_by_name()
 
     def is_state_confirmed(self) -> bool:
         """Return whether the state machines are known to be up to date.
@@ -186,9 +181,7 @@
         """
         node = self._node
         node.load(await node.run_blocking(self._store.open))
-        for name, address in self.addresses_by_name().items():
-            if name != node.name:
-                node.peering.add_peer(name, address)
+        node.link_voters()
         node.spawn_essential(node.journal.run, 'replog writer')
         node.spawn_essential(self._applier.run, 'replog applier')
         node.tasks.keep_running(self._election.run, 'replog election')
