Stage queues: smaller calls after a change of owner, owners off control hosts

Where hosts are uneven, those without a control process own queues first.

Tests changed: the constructor of ResultSpace and reserve() take the lifetime of results and the time; the checks are the same. Not measured yet.

--- a/hornbeamline/batching/_ownership.py
+++ b/hornbeamline/batching/_ownership.py
@@ -44,8 +44,9 @@
 
     The queue of a service is one event loop, and each stage of a request
     waits for it twice. Where hosts differ in processor capacity, the small
-    ones own services only if there is no other host, and hosts that own or
-    are assigned another service come after those that do not.
+    ones own services only if there is no other host. Hosts without a control
+    process come before those with one, and hosts that own or are assigned
+    another service after those that do not.
     """
 
     def __init__(
@@ -69,6 +70,8 @@
         self.other_reason_to_keep: Callable[[str], bool] = _keeps_nothing
         # Processor capacity of this host in cores; 0 if unknown.
         self.processor_cores: float = 0
+        # Whether a control process runs on this host.
+        self.runs_control = False
         # Configured services, the same on hosts with the same document.
         self.services: frozenset[str] = frozenset()
         # Services that other hosts were told that this host owns. Using them
@@ -130,16 +133,18 @@
                 '',
                 self.published_services.union(kept),
                 processor_cores=self.processor_cores,
+                runs_control=self.runs_control,
             )
         min_cores = _min_owner_cores(hosts.values())
         assigned = self._assigned_before(service) if min_cores else set()
 
-        def precedence(name: str) -> tuple[bool, bool, bool, bool]:
+        def precedence(name: str) -> tuple[bool, ...]:
             host = hosts[name]
             return (
                 host.is_suspected,
                 service not in host.owned_services,
                 host.processor_cores < min_cores,
+                bool(min_cores) and host.runs_control,
                 bool(min_cores and host.owned_services - {service})
                 or name in assigned,
             )
--- a/hornbeamline/batching/_result_space.py
+++ b/hornbeamline/batching/_result_space.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from hornbeamline.batching.const import (
+    FOREIGN_RESULTS_S,
+    FULL_TARGET_PAUSE_S,
     SPACE_SHARE_FALL,
     SPACE_SHARE_MAX,
     SPACE_SHARE_MIN,
@@ -51,11 +54,18 @@
     its call until its result is freed or expires.
     """
 
-    def __init__(self) -> None:
-        """Start without any results."""
+    def __init__(self, result_ttl_s: float) -> None:
+        """Start empty; the target evicts results after `result_ttl_s`."""
+        self._result_ttl_s = result_ttl_s
+        # Since when calls of this owner have come without a long break.
+        self._known_since = -math.inf
+        self._reserved_at = -math.inf
         self._held_by_handle: dict[str, _Held] = {}
         self._reserved = 0
         self._full_until: float = 0
+        # Space taken by results of another owner, and when it was seen.
+        self._foreign_bytes: float = 0
+        self._foreign_at: float = 0
 
     def is_full(self, now: float) -> bool:
         """Return whether the target has recently refused a result."""
@@ -65,18 +75,41 @@
         """Treat the target as full until this time or the next release."""
         self._full_until = until
 
-    def used(self, now: float) -> int:
-        """Return the held and reserved bytes."""
+    def note_no_space(self, usable_bytes: float, now: float) -> None:
+        """Record that the target had no space for a result at a call's end.
+
+        `usable_bytes` is the space that calls may fill. Soon after a change
+        of owner, results of the previous owner take the space that this one
+        believes free; the target then gets smaller calls instead of none.
+        """
+        if now - self._known_since >= self._result_ttl_s:
+            self.note_full(now + FULL_TARGET_PAUSE_S)
+            return
+        self._foreign_bytes = 0
+        held_bytes = self.used(now) - self._reserved
+        self._foreign_bytes = max(usable_bytes - held_bytes, 0)
+        self._foreign_at = now
+
+    def used(self, now: float) -> float:
+        """Return the held and reserved bytes, and those of other owners."""
         self._held_by_handle = {
             handle: held
             for handle, held in self._held_by_handle.items()
             if held.expires_at > now
         }
         held_bytes = sum(held.size for held in self._held_by_handle.values())
-        return held_bytes + self._reserved
-
-    def reserve(self, size: int) -> None:
+        foreign_left = 1 - (now - self._foreign_at) / FOREIGN_RESULTS_S
+        return (
+            held_bytes
+            + self._reserved
+            + self._foreign_bytes * max(foreign_left, 0)
+        )
+
+    def reserve(self, size: int, now: float) -> None:
         """Reserve space for the results of a starting call."""
+        if now - self._reserved_at > self._result_ttl_s:
+            self._known_since = now
+        self._reserved_at = now
         self._reserved += size
 
     def unreserve(self, size: int) -> None:
--- a/hornbeamline/batching/_types.py
+++ b/hornbeamline/batching/_types.py
@@ -18,6 +18,8 @@
     is_suspected: bool = False
     # Processor capacity in cores; 0 if unknown.
     processor_cores: float = 0
+    # Whether a control process runs on the same host.
+    runs_control: bool = False
 
 
 class BatchTarget(Protocol):
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -28,7 +28,6 @@
 from hornbeamline.batching.const import (
     BATCH_WINDOW_S,
     CALL_TIMEOUT_FACTOR,
-    FULL_TARGET_PAUSE_S,
     INPUT_FETCH_S,
     MAX_PIECE_ATTEMPTS,
     MAX_USUAL_SLOWNESS,
@@ -252,7 +251,9 @@
 
     def _dispatch(self, target: BatchTarget, now: float) -> None:
         """Start a call at an idle target if it has space for results."""
-        space = self._space_by_target.setdefault(target.id, ResultSpace())
+        space = self._space_by_target.setdefault(
+            target.id, ResultSpace(self._profile.result_ttl_s)
+        )
         if space.is_full(now):
             return
         slowness = self._speeds.slowness(target.id)
@@ -274,7 +275,7 @@
         )
         if not chosen:
             return
-        space.reserve(_size_of(chosen))
+        space.reserve(_size_of(chosen), now)
         call_s = self._expected_s(len(chosen)) * slowness
         self._ends_by_target[target.id] = now + call_s
         record_dispatches(self.service, target.id, chosen, now, call_s)
@@ -430,12 +431,12 @@
                 space.hold(outcome.handle, queued.result_bytes, now, expires_at)
                 if queued.is_abandoned:
                     self.release([outcome.handle])
-            if outcome.failure == FAILURE_NO_SPACE:
-                space.note_full(now + FULL_TARGET_PAUSE_S)
             if outcome.failure in {'', FAILURE_LATE, FAILURE_GONE}:
                 queued.settle(outcome)
             else:
                 to_requeue.append(queued)
+        if FAILURE_NO_SPACE in {result.failure for result in results}:
+            space.note_no_space(self._usable_bytes, now)
         self._requeue(to_requeue, exempt_from_budget=False)
 
     def _requeue(
--- a/hornbeamline/batching/const.py
+++ b/hornbeamline/batching/const.py
@@ -48,6 +48,9 @@
 # A target that refused a piece for lack of space gets no call for this
 # time, unless results are freed earlier.
 FULL_TARGET_PAUSE_S: Final = 0.3
+# Time in which the results that a previous owner has left at a target are
+# released: their requests continue at the new owner, stage by stage.
+FOREIGN_RESULTS_S: Final = 1.0
 # Deadline penalty per rank: less urgent pieces yield to others when the
 # targets are busy, but are not starved.
 RANK_PENALTY_S: Final = 1.0
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -129,10 +129,13 @@
             self._targets.service_of,
         )
         gate = TargetGate(self._targets, self._limits)
+        self._hosts = OtherHosts(
+            self._member, settings.name, settings.peering.address
+        )
         self._batching = BatchingService(
             self._peering,
             self._clock,
-            OtherHosts(self._member, settings.name),
+            self._hosts,
             TargetAccess(
                 self._targets.available_targets,
                 StageCaller(http, wire, gate),
@@ -253,7 +256,9 @@
         owned = frozenset(
             (*self._batching.owned_services(), *self._limits.kept_services()),
         )
-        self._batching.ownership.published_services = owned
+        ownership = self._batching.ownership
+        ownership.published_services = owned
+        ownership.runs_control = self._hosts.runs_control
         return Presence(
             settings.name,
             settings.peering.address,
--- a/tests/batching/test_ownership.py
+++ b/tests/batching/test_ownership.py
@@ -91,6 +91,13 @@
     assert firsts == {'host-0', 'host-1', 'host-2'}
 
 
+def test_hosts_without_a_control_process_come_first() -> None:
+    """Guards against queues that stop with a frozen or lost control host."""
+    beside_control = LARGE._replace(runs_control=True)
+    sizes = {'p0': beside_control, 'p1': SMALL, 'p2': LARGE}
+    assert owners(ORDER[3], **sizes)[:2] == [ORDER[2], ORDER[0]]
+
+
 def test_order_of_similar_hosts_does_not_depend_on_their_size() -> None:
     """Guards against a change for fleets whose hosts differ little."""
     sizes = {
--- a/tests/batching/test_queue.py
+++ b/tests/batching/test_queue.py
@@ -202,8 +202,8 @@
 
 def test_space_counts_calls_results_and_expiry() -> None:
     """Space is used from the start of a call until release or expiry."""
-    space = ResultSpace()
-    space.reserve(10)
+    space = ResultSpace(9)
+    space.reserve(10, 0)
     assert space.used(0) == 10
     space.unreserve(10)
     space.hold('a', 6, 1, expires_at=4)
@@ -216,7 +216,7 @@
 
 def test_full_target_is_used_again_after_a_release() -> None:
     """Guards against repeated calls that fail for lack of space."""
-    space = ResultSpace()
+    space = ResultSpace(9)
     space.hold('a', 6, 0, expires_at=9)
     space.note_full(3)
     assert space.is_full(1)
