Take in control hosts that only a diskless control process knows

A new control host whose settings name lost hosts was never taken in when only a control process without a disk enrolled with it. Two causes: - It did not enrol in return. Control processes without a disk are asked where fewer than two others are known, and lost ones counted. - Its replies could not help. They name the processes that enrol with it, and control processes with a disk do not.

Ruled out: the links (it answers calls), the enrolment of the one that knows the new host (it is in the new host's registry after 0.4 s). Asking in return alone was tried: the test still failed, with an empty registry at all three others. To count only those that answer, as the review proposed, makes every process ask all diskless ones from its start on and for good.

Now a control process also asks a diskless one that enrols with it while fewer than two others can be reached, and stops when two answer. A first (whole) reply also names the control processes that answer its sender; only those heard first-hand, so that lost ones do not go round. A fleet at rest sends the same messages as before; no message has a new field.

The test now wires both sides as the daemon does (one more line), and also checks that no durable process goes on asking the diskless one.

--- a/hornbeamline/daemons/document_control.py
+++ b/hornbeamline/daemons/document_control.py
@@ -125,6 +125,9 @@
         # The settings of this host may name lost control hosts only.
         member.remembered_controls = log.addresses_by_name
         registry.on_control = member.add_present_control
+        registry.answering_controls = lambda: member.view.described(
+            member.answering_controls()
+        )
         self.kernel.register('peering', peering)
         self.kernel.register('replog', log)
         if settings.is_durable:
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -18,18 +18,17 @@
     Presence,
     PresentChanges,
 )
+from hornbeamline.directory._reachability import Reachability
 from hornbeamline.directory._view import PresentView
 from hornbeamline.directory.const import (
     ENROL_INTERVAL_S,
     ENROL_TIMEOUT_S,
-    PRESENT_SOURCES,
     ROLE_CONTROL,
 )
 from hornbeamline.documents import StoredDocument
 from hornbeamline.exceptions import PeeringError
 from hornbeamline.gateway import TargetDirectory
 from hornbeamline.helpers.clock import Clock
-from hornbeamline.helpers.rendezvous import rendezvous_order
 from hornbeamline.peering import Peering
 from hornbeamline.telemetry import log_event
 
@@ -67,10 +66,7 @@
         self.view = PresentView(clock)
         self._tasks = TaskSet()
         self._tasks_by_control: dict[str, asyncio.Task[None]] = {}
-        # Control processes that have answered the last enrolment.
-        self._answering: set[str] = set()
-        # Control processes that do not answer, for which this was logged.
-        self._unreachable: set[str] = set()
+        self._reachability = Reachability(self.view)
         self.document = StoredDocument(0, b'')
         self.document_received_at = clock.monotonic()
         self.on_document: Callable[[StoredDocument], None] | None = None
@@ -95,12 +91,20 @@
     def add_controls(self, controls_by_name: Mapping[str, str]) -> None:
         """Enrol with further control processes."""
         for name, address in controls_by_name.items():
+            self._reachability.remove_substitute(name)
             self._enrol_with(name, address)
 
     def add_present_control(self, presence: Presence) -> None:
-        """Enrol with a control process that is present, if it is needed."""
-        if self._should_enrol_with(presence):
-            self._enrol_with(presence.name, presence.address)
+        """Enrol with a control process that enrols here, if it is needed.
+
+        One without a disk may be the only one that knows this process, so
+        it is asked as long as too few others answer.
+        """
+        self._add_reported(presence)
+        is_asked = presence.name in self._tasks_by_control
+        if presence.role == ROLE_CONTROL and not is_asked:
+            self._reachability.add_substitute(presence.name, presence.address)
+            self._update_substitutes()
 
     def present(self) -> Sequence[Presence]:
         """Return the processes that were heard from recently.
@@ -111,7 +115,7 @@
 
     def answering_controls(self) -> list[str]:
         """Return the control processes that answered the last enrolment."""
-        return sorted(self._answering)
+        return sorted(self._reachability.answering)
 
     def known_controls(self) -> list[str]:
         """Return the control processes with which this process enrols."""
@@ -137,12 +141,13 @@
             began = self._clock.monotonic()
             is_full = self._is_source(control) or list_read.is_set()
             list_read.clear()
+            error = ''
             try:
                 await self._enrol(control, is_full=is_full)
-            except PeeringError as error:
-                self._record_answer(control, str(error))
-            else:
-                self._record_answer(control, '')
+            except PeeringError as failure:
+                error = str(failure)
+            if self._reachability.record(control, error):
+                self._update_substitutes()
             spent_s = self._clock.monotonic() - began
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(max(ENROL_INTERVAL_S - spent_s, 0)):
@@ -185,48 +190,29 @@
             return ProcessLoad()
 
     def _is_source(self, control: str) -> bool:
-        """Return whether to request a full reply from a control process.
-
-        All are asked until enough durable ones answer.
-        """
-        durable = [
-            name for name in self._answering if self.view.may_be_durable(name)
-        ]
-        if len(durable) < PRESENT_SOURCES:
-            return True
-        sources = rendezvous_order(self._describe().name, durable)
-        return control in sources[:PRESENT_SOURCES]
+        return self._reachability.is_source(self._describe().name, control)
 
-    def _should_enrol_with(self, presence: Presence) -> bool:
-        """Return whether to enrol with a newly reported process.
-
-        Control processes without a disk hold nothing that the others lack,
-        so they are used only if there are too few durable ones.
-        """
-        if presence.role != ROLE_CONTROL:
-            return False
-        durable = [
-            name
-            for name in self._tasks_by_control
-            if self.view.may_be_durable(name)
-        ]
-        return presence.is_durable or len(durable) < PRESENT_SOURCES
+    def _add_reported(self, presence: Presence) -> None:
+        if self._reachability.is_needed(presence, self._tasks_by_control):
+            self._reachability.remove_substitute(presence.name)
+            self._enrol_with(presence.name, presence.address)
 
-    def _record_answer(self, control: str, error: str) -> None:
-        if not error:
-            if control not in self._answering:
-                self._answering.add(control)
-                self._unreachable.discard(control)
-                log_event('directory.control_regained', control=control)
-        elif control in self._answering:
-            self._answering.discard(control)
-            self._unreachable.add(control)
-            log_event('directory.control_lost', control=control, error=error)
-        elif control not in self._unreachable:
-            self._unreachable.add(control)
-            log_event(
-                'directory.control_unreachable', control=control, error=error
-            )
+    def _update_substitutes(self) -> None:
+        """Enrol with substitutes while too few others can be reached."""
+        reachability = self._reachability
+        needed = reachability.needed_substitutes(self._tasks_by_control)
+        for name, address in needed.items():
+            self._enrol_with(name, address)
+        for unneeded in reachability.unneeded_substitutes():
+            task = self._tasks_by_control.pop(unneeded, None)
+            if task is None:
+                continue
+            task.cancel()
+            self._list_read_by_control.pop(unneeded)
+            log_event('directory.control_not_needed', control=unneeded)
+            if not reachability.forget(unneeded):
+                # A link to an address without a process dials it for good.
+                self._peering.remove_peer(unneeded)
 
     def _apply_changes(
         self,
@@ -236,7 +222,7 @@
     ) -> None:
         self.view.apply_changes(control, changes, requested_at)
         for presence in changes.changed:
-            self.add_present_control(presence)
+            self._add_reported(presence)
         if self.on_present is not None:
             self.on_present(self.present())
 
--- a/hornbeamline/directory/_view.py
+++ b/hornbeamline/directory/_view.py
@@ -148,6 +148,11 @@
         known = self._descriptions_by_name.get(control)
         return known is None or known.presence.is_durable
 
+    def described(self, names: Iterable[str]) -> list[Presence]:
+        """Return the last presences of those processes that have one."""
+        found = map(self._descriptions_by_name.get, sorted(names))
+        return [known.presence for known in found if known is not None]
+
     def apply_changes(
         self,
         control: str,
--- a/hornbeamline/directory/registry.py
+++ b/hornbeamline/directory/registry.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
 from hornbeamline.directory._loads import ProcessLoad, subtract_load, sum_loads
@@ -78,6 +78,10 @@
         self._withheld_from: set[str] = set()
         # Called when a control process enrols for the first time.
         self.on_control: Callable[[Presence], None] | None = None
+        # Returns the control processes that answer this one. Those with a
+        # disk do not enrol with one that has none, so that it could not name
+        # them to a process that knows no other.
+        self.answering_controls: Callable[[], Iterable[Presence]] = tuple
         machine.on_change = self._schedule_push
         peering.on(Enrol, self._on_enrol)
 
@@ -209,6 +213,11 @@
         presences = [enrolment.presence for enrolment in changed]
         if is_whole:
             presences.append(self._own)
+            presences.extend(
+                control
+                for control in self.answering_controls()
+                if control.name not in self._enrolments_by_name
+            )
         return PresentChanges(
             Position(self._incarnation, self._change_count),
             is_whole,
--- a/tests/directory/test_unknown_to_durable.py
+++ b/tests/directory/test_unknown_to_durable.py
@@ -37,6 +37,9 @@
         endpoint, clock, dict.fromkeys(known, 'x'), lambda: own, targets
     )
     registry.on_control = member.add_present_control
+    registry.answering_controls = lambda: member.view.described(
+        member.answering_controls()
+    )
     return registry, member
 
 
@@ -59,5 +62,8 @@
     await asyncio.sleep(20 * ENROL_INTERVAL_S)
     seen_by = {name for name in DURABLE if NEW in controls[name][0].controls()}
     assert seen_by == set(DURABLE)
+    # Failure: control processes without a disk were asked for good.
+    for name in (*DURABLE, NEW):
+        assert DISKLESS not in controls[name][1].known_controls(), name
     for _, stopping in controls.values():
         await stopping.stop()
