Ask the control process of the own host while no other answers

An entry process whose settings name lost control hosts only answered 503 (no_configuration) to the end, although the control process of its own host had the document. It asks the control hosts in its settings and those that their replies name; nobody enrols with an entry process, so that no other way led to a control process.

Ruled out: a document withheld as unconfirmed (no documents.withheld; the entry process was never enrolled), the control process itself (the operator reads the document there), the settings watch (the file names lost hosts before and after).

The entry process now enrols with the control address of its own host while no control process in its settings answers, and stops as soon as another one does. Not every host has a control process: the link is closed then, so that a fleet at rest neither dials nor sends more.

--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -67,6 +67,8 @@
     fleet: str
     peering: PeeringSettings
     controls_by_name: dict[str, str]
+    # Control processes to ask while none of those in the settings answers.
+    substitutes_by_name: dict[str, str]
     caller_address: str
     readiness_address: str
     metrics_address: str
@@ -116,6 +118,7 @@
             self._targets,
             self._load,
         )
+        self._member.add_substitutes(settings.substitutes_by_name)
         self._member.on_document = self._apply_document
         self._member.on_present = self._apply_presences
         http = TargetHttp()
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -94,6 +94,12 @@
             self._reachability.remove_substitute(name)
             self._enrol_with(name, address)
 
+    def add_substitutes(self, controls_by_name: Mapping[str, str]) -> None:
+        """Enrol with these control processes while no other one answers."""
+        for name, address in controls_by_name.items():
+            if name not in self._controls_by_name:
+                self._reachability.add_substitute(name, address, 1)
+
     def add_present_control(self, presence: Presence) -> None:
         """Enrol with a control process that enrols here, if it is needed.
 
--- a/hornbeamline/platform/_entry.py
+++ b/hornbeamline/platform/_entry.py
@@ -12,6 +12,7 @@
 from hornbeamline.platform._process import (
     ENTRY_PORT_OFFSET,
     FLEET,
+    control_address_of_host,
     control_address_reader,
     control_addresses,
     peering_settings,
@@ -39,6 +40,7 @@
             fleet=FLEET,
             peering=peering_settings(settings, ENTRY_PORT_OFFSET),
             controls_by_name=control_addresses(settings),
+            substitutes_by_name=control_address_of_host(settings),
             caller_address=settings.caller_address,
             readiness_address=settings.readiness_address,
             metrics_address=f'{settings.ip}:{_METRICS_PORT}',
--- a/hornbeamline/platform/_process.py
+++ b/hornbeamline/platform/_process.py
@@ -28,6 +28,15 @@
     return {ip: f'{ip}:{port}' for ip in settings.control_ips}
 
 
+def control_address_of_host(settings: ProcessSettings) -> dict[str, str]:
+    """Return the address by name of a control process on this host.
+
+    Not every host has one.
+    """
+    port = settings.peer_ports[0] + CONTROL_PORT_OFFSET
+    return {settings.ip: f'{settings.ip}:{port}'}
+
+
 def peering_settings(settings: ProcessSettings, offset: int) -> PeeringSettings:
     """Return the peering settings of a process.
 
--- a/tests/directory/test_unknown_controls.py
+++ b/tests/directory/test_unknown_controls.py
@@ -56,3 +56,23 @@
         assert set(control.registry.controls()) == {*OTHERS, NEW}, name
     for stopping in controls.values():
         await stopping.member.stop()
+
+
+# Failure: a host without a control process of its own would dial it for good.
+async def test_substitute_is_asked_while_no_other_answers() -> None:
+    """Fault: the settings name lost control processes, then others."""
+    network = LocalNetwork(random.Random(1))
+    network.needs_addresses = True
+    for name in OTHERS:
+        Control(network, name, [])
+    own = Control(network, NEW, ['control-91']).member
+    own.add_substitutes({'control-92': 'x'})
+    await own.start()
+    assert own.known_controls() == ['control-91']
+    await asyncio.sleep(2 * ENROL_INTERVAL_S)
+    assert own.known_controls() == ['control-91', 'control-92']
+    own.add_controls(dict.fromkeys(OTHERS, 'x'))
+    await asyncio.sleep(2 * ENROL_INTERVAL_S)
+    assert own.known_controls() == [*OTHERS, 'control-91']
+    assert 'control-92' not in network.endpoints_by_name[NEW]._known
+    await own.stop()
