--- /dev/null
+++ b/hornbeamline/evacuations/const.py
@@ -0,0 +1,9 @@
+"""Limits of evacuation orders."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# Callers go to another control process after one second without a response.
+# An order that is proposed later could follow one that they sent afterwards.
+ORDER_TIMEOUT_S: Final = 1.0
--- a/hornbeamline/exceptions.py
+++ b/hornbeamline/exceptions.py
@@ -61,3 +61,7 @@
 
 class OriginError(HornbeamlineError):
     """The software version that began a stream is not known."""
+
+
+class EvacuationError(HornbeamlineError):
+    """An evacuation order was not carried out."""
--- a/hornbeamline/replog/_state_machines.py
+++ b/hornbeamline/replog/_state_machines.py
@@ -54,19 +54,21 @@
             ) from error
 
     def states(self) -> dict[str, bytes]:
-        """Return the states of all state machines.
+        """Return the states of the state machines, except empty ones.
 
         Raises `LogStoppedError` if a state machine fails.
         """
         states: dict[str, bytes] = {}
         for name, machine in self._machines_by_name.items():
             try:
-                states[name] = machine.snapshot()
+                state = machine.snapshot()
             except Exception as error:
                 # Part of replies to operators, so the text stays.
                 raise LogStoppedError(
                     f'machine {name} gave no snapshot: {error!r}',
                 ) from error
+            if state:
+                states[name] = state
         return states
 
     def restore(self, snapshot: Snapshot) -> None:
--- /dev/null
+++ b/tests/evacuations/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of evacuations."""
