Send nothing to targets of evacuated data centres

Cause: an evacuation must reach all entry hosts and cover whatever sends to a target.

Change: enrolments carry the number of the sender's evacuations, replies and the push `directory.evacuations` carry newer ones. A host takes its first document from a reply only, which has the evacuations as well. The target directory leaves evacuated targets out; the gate checks them again right before a send, and now also before a call that frees results. Stages are not placed in an evacuated data centre, and queued pieces fail immediately when all targets of their service are evacuated. The operator sends orders to /evacuations/ZONE/start and /end; names come from [zones] and from the list of targets.

--- a/hornbeamline/batching/_queue.py
+++ b/hornbeamline/batching/_queue.py
@@ -145,6 +145,12 @@
         ]
         return dropped
 
+    def drop_all(self) -> list[QueuedPiece]:
+        """Remove and return all pieces."""
+        dropped = self._queued
+        self._queued = []
+        return dropped
+
     def drop_expired(self, now: float) -> list[QueuedPiece]:
         """Remove and return the expired pieces; drop abandoned ones."""
         expired = [
--- a/hornbeamline/batching/_worker.py
+++ b/hornbeamline/batching/_worker.py
@@ -84,6 +84,10 @@
     return ()
 
 
+def _not_evacuated(_service: str) -> bool:
+    return False
+
+
 class TargetAccess(NamedTuple):
     """Access to the targets of the services."""
 
@@ -97,6 +101,8 @@
     # Rate limit of each target of a service in calls per second, infinite
     # for a target without a limit; empty if nothing is known.
     call_rates: Callable[[str], Sequence[float]] = _no_rates
+    # Whether all targets of a service are in evacuated data centres.
+    is_evacuated: Callable[[str], bool] = _not_evacuated
 
 
 _BYTES_PER_MB: Final = 1_000_000
@@ -120,6 +126,7 @@
         self._call = access.call
         self._pause_left_s = access.pause_left_s
         self._call_rates = access.call_rates
+        self._is_evacuated = access.is_evacuated
         self._releases = ResultReleases(
             access.free,
             lambda: len(self._queue) > 0,
@@ -230,11 +237,14 @@
         now = self._clock.monotonic()
         single_piece_call_s = self._expected_s(1)
         expired = self._queue.drop_expired(now)
-        hopeless = self._queue.drop_hopeless(
-            now + self._pause_left_s(self.service),
-            single_piece_call_s,
-            self.rate(),
-        )
+        if self._is_evacuated(self.service):
+            hopeless = self._queue.drop_all()
+        else:
+            hopeless = self._queue.drop_hopeless(
+                now + self._pause_left_s(self.service),
+                single_piece_call_s,
+                self.rate(),
+            )
         record_given_up(self.service, expired, EXPIRED, now)
         record_given_up(self.service, hopeless, HOPELESS, now)
         for queued in (*expired, *hopeless):
--- a/hornbeamline/daemons/document_control.py
+++ b/hornbeamline/daemons/document_control.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Any, NamedTuple
 
 from hornbeamline.control_link import LeaderServer
 from hornbeamline.core import Kernel
+from hornbeamline.daemons._control_operator import (
+    EvacuationService,
+    evacuation_service,
+    operator_server,
+)
 from hornbeamline.daemons._control_origins import (
     LongestStream,
     StreamLimitReader,
@@ -34,7 +39,6 @@
 )
 from hornbeamline.peering import PynngPeering
 from hornbeamline.quarantine import QuarantineRelay
-from hornbeamline.quarantine.operator import add_quarantine_routes
 from hornbeamline.replog import MemoryDisk, RaftLog
 from hornbeamline.telemetry import log_event, metrics_app
 
@@ -45,6 +49,8 @@
     name: str
     host: str
     data_centre: str
+    # All data centres that are known from the settings.
+    data_centres: Collection[str]
     fleet: str
     peering: PeeringSettings
     # Peering addresses: the initial voters at the first start, afterwards any
@@ -72,7 +78,7 @@
         self,
         settings: DocumentControlSettings,
         validate: Callable[[bytes], int],
-        operator_app: Callable[[DocumentService], Any],
+        operator_app: Callable[[DocumentService, EvacuationService], Any],
         open_list: Callable[[TargetHttp], TargetListSource],
         read_controls: Callable[[], Mapping[str, str]],
         read_stream_limit: StreamLimitReader | None = None,
@@ -102,7 +108,12 @@
         documents = DocumentService(log, server, machine, validate)
         own = _own_presence(settings)
         targets = TargetDirectory(BootClock())
-        registry = DirectoryRegistry(peering, machine, own, targets, clock)
+        self._evacuations = evacuation_service(
+            log, server, settings.data_centres, targets
+        )
+        registry = DirectoryRegistry(
+            peering, machine, own, targets, clock, self._evacuations.machine
+        )
         log.enable_voter_reconciliation(registry.controls, settings.voters)
         http = TargetHttp()
         poller = ListPoller(
@@ -148,7 +159,7 @@
         )
         self.kernel.register('collector', GarbageCollectorService())
         self._register_operator(
-            operator_app(documents),
+            operator_app(documents, self._evacuations),
             QuarantineRelay(peering, BootClock(), registry.entry_names),
             LeaderWatch(log, member, registry, settings.name),
         )
@@ -182,11 +193,12 @@
     ) -> None:
         """Register the quarantine, and the routes and logs for operators."""
         self.kernel.register('leader_watch', watch)
-        add_quarantine_routes(app, relay)
         self.kernel.register('quarantine', relay)
         self.kernel.register(
             'operator_api',
-            HttpServer(app, self._settings.operator_address),
+            operator_server(
+                app, relay, self._evacuations, self._settings.operator_address
+            ),
         )
 
 
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -117,6 +117,7 @@
             self._load,
         )
         self._member.on_document = self._apply_document
+        self._member.evacuations.on_state = self._targets.apply_evacuations
         self._member.on_present = self._apply_presences
         http = TargetHttp()
         self._limits = LimitService(
@@ -137,6 +138,7 @@
                 ResultReleaser(http, wire, self._targets, gate),
                 lambda service: self._targets.pause_left_s(service) or 0,
                 self._targets.call_rates,
+                lambda service: service in self._targets.evacuated_services,
             ),
             RetryBudget.of_owner(settings.budget, self._clock),
         )
--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from hornbeamline.core import TaskSet
+from hornbeamline.directory._evacuation_feed import EvacuationFeed
 from hornbeamline.directory._loads import ProcessLoad
 from hornbeamline.directory._messages import (
     DocumentPush,
@@ -74,12 +75,13 @@
         self.document = StoredDocument(0, b'')
         self.document_received_at = clock.monotonic()
         self.on_document: Callable[[StoredDocument], None] | None = None
+        self.evacuations = EvacuationFeed(peering)
         # Returns control processes known from an earlier run of this process.
         self.remembered_controls: Callable[[], Mapping[str, str]] = dict
         self.on_present: Callable[[Sequence[Presence]], None] | None = None
-        # Set when a control process announces that it has read the list of
-        # targets.
-        self._list_read_by_control: dict[str, asyncio.Event] = {}
+        # Set when a control process has read the list of targets or pushes the
+        # first document: this process then enrols immediately.
+        self._has_news_by_control: dict[str, asyncio.Event] = {}
         peering.on(DocumentPush, self._on_push)
         peering.on(ListRead, self._on_list_read)
 
@@ -125,18 +127,18 @@
         if name in self._tasks_by_control or name == self._describe().name:
             return
         self._peering.add_peer(name, address)
-        self._list_read_by_control[name] = asyncio.Event()
+        self._has_news_by_control[name] = asyncio.Event()
         self._tasks_by_control[name] = self._tasks.keep_running(
             functools.partial(self._enrol_forever, name),
             f'directory {name}',
         )
 
     async def _enrol_forever(self, control: str) -> None:
-        list_read = self._list_read_by_control[control]
+        has_news = self._has_news_by_control[control]
         while True:
             began = self._clock.monotonic()
-            is_full = self._is_source(control) or list_read.is_set()
-            list_read.clear()
+            is_full = self._is_source(control) or has_news.is_set()
+            has_news.clear()
             try:
                 await self._enrol(control, is_full=is_full)
             except PeeringError as error:
@@ -146,7 +148,7 @@
             spent_s = self._clock.monotonic() - began
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(max(ENROL_INTERVAL_S - spent_s, 0)):
-                    await list_read.wait()
+                    await has_news.wait()
 
     async def _enrol(self, control: str, *, is_full: bool) -> None:
         """Enrol once and apply the reply; raises `PeeringError`."""
@@ -162,12 +164,15 @@
                 self._targets.digest,
                 self._load_or_none(),
                 self.view.position_at(control),
+                self.evacuations.state.number,
             ),
             EnrolReply,
             ENROL_TIMEOUT_S,
         )
         if reply.changes is not None:
             self._apply_changes(control, reply.changes, began)
+        # Before the first document, with which this host starts to serve.
+        self.evacuations.apply(reply.evacuations)
         if reply.document is not None:
             self._apply_document(reply.document, 'enrol', control)
         self._apply_listed(reply.listed, list_requested_at)
@@ -255,12 +260,20 @@
             self._targets.replace_list(listed.targets, read_at)
 
     async def _on_list_read(self, sender: str, _read: ListRead) -> None:
-        list_read = self._list_read_by_control.get(sender)
-        if list_read is not None:
-            list_read.set()
+        self._enrol_now(sender)
 
     async def _on_push(self, sender: str, push: DocumentPush) -> None:
-        self._apply_document(push.document, 'push', sender)
+        if self.document.number:
+            self._apply_document(push.document, 'push', sender)
+        else:
+            # The first document is taken from a reply, which has the
+            # evacuations as well.
+            self._enrol_now(sender)
+
+    def _enrol_now(self, control: str) -> None:
+        has_news = self._has_news_by_control.get(control)
+        if has_news is not None:
+            has_news.set()
 
     def _apply_document(
         self, document: StoredDocument, source: str, control: str
--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -6,6 +6,7 @@
 
 from hornbeamline.directory._loads import ProcessLoad
 from hornbeamline.documents import StoredDocument
+from hornbeamline.evacuations import EvacuationState
 from hornbeamline.gateway import Target
 from hornbeamline.peering import message
 
@@ -62,6 +63,8 @@
     load: ProcessLoad = ProcessLoad()
     # None if the sender has no state from this control process.
     position: Position | None = None
+    # Number of the evacuations that the sender holds.
+    evacuation_number: int = 0
 
 
 class PresentChanges(NamedTuple):
@@ -90,6 +93,8 @@
     document: StoredDocument | None
     listed: ListedTargets | None = None
     changes: PresentChanges | None = None
+    # None if the sender holds this state or a newer one.
+    evacuations: EvacuationState | None = None
 
 
 @message('directory.list_read')
@@ -107,3 +112,10 @@
     """Pushes the newest committed document."""
 
     document: StoredDocument
+
+
+@message('directory.evacuations')
+class EvacuationsPush(NamedTuple):
+    """Pushes the newest committed evacuations."""
+
+    evacuations: EvacuationState
--- a/hornbeamline/directory/registry.py
+++ b/hornbeamline/directory/registry.py
@@ -13,6 +13,7 @@
     DocumentPush,
     Enrol,
     EnrolReply,
+    EvacuationsPush,
     ListedTargets,
     ListRead,
     Position,
@@ -27,6 +28,7 @@
     SUM_INTERVAL_S,
 )
 from hornbeamline.documents import DocumentMachine, StoredDocument
+from hornbeamline.evacuations import EvacuationMachine, EvacuationState
 from hornbeamline.gateway import TargetDirectory
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.peering import Peering
@@ -57,10 +59,12 @@
         own: Presence,
         targets: TargetDirectory,
         clock: Clock,
+        evacuations: EvacuationMachine | None = None,
     ) -> None:
         """Register the message handlers and subscribe to new documents.
 
-        `own` is the presence of this control process.
+        `own` is the presence of this control process. Without `evacuations`,
+        no data centre is evacuated.
         """
         self._peering = peering
         self._machine = machine
@@ -79,6 +83,8 @@
         # Called when a control process enrols for the first time.
         self.on_control: Callable[[Presence], None] | None = None
         machine.on_change = self._schedule_push
+        self._evacuations = evacuations or EvacuationMachine()
+        self._evacuations.on_change = self._schedule_evacuations
         peering.on(Enrol, self._on_enrol)
 
     def present(self) -> list[Presence]:
@@ -117,14 +123,29 @@
     async def _on_enrol(self, _sender: str, request: Enrol) -> EnrolReply:
         self._record(request)
         document = self._newer_document(request)
+        evacuations = self._newer_evacuations(request)
         if not request.is_full:
-            return EnrolReply(document)
+            return EnrolReply(document, evacuations=evacuations)
         return EnrolReply(
             document,
             self._listed_targets(request),
             self._changes_since(request),
+            evacuations,
         )
 
+    def _newer_evacuations(self, request: Enrol) -> EvacuationState | None:
+        """Return the evacuations if the sender should replace its own.
+
+        A process without a document gets them together with one, under the
+        same condition.
+        """
+        state = self._evacuations.current
+        if state.number <= request.evacuation_number:
+            return None
+        if request.document_number or self._evacuations.is_confirmed():
+            return state
+        return None
+
     def _newer_document(self, request: Enrol) -> StoredDocument | None:
         """Return the document if the sender should replace its own.
 
@@ -267,6 +288,25 @@
             if presence.role != ROLE_CONTROL:
                 self._peering.send(presence.name, DocumentPush(document))
 
+    def _schedule_evacuations(self) -> None:
+        # An error of a push must not stop the log, which calls this.
+        asyncio.get_running_loop().call_soon(self._push_evacuations)
+
+    def _push_evacuations(self) -> None:
+        state = self._evacuations.current
+        is_confirmed = self._evacuations.is_confirmed()
+        log_event(
+            'evacuations.applied',
+            number=state.number,
+            evacuated=','.join(state.data_centres),
+            confirmed=is_confirmed,
+        )
+        if not is_confirmed:
+            # Processes get this state when they enrol.
+            return
+        for name in self.entry_names():
+            self._peering.send(name, EvacuationsPush(state))
+
 
 class _Summary(NamedTuple):
     """Aggregates over all processes, computed once for many replies."""
--- a/hornbeamline/gateway/_gate.py
+++ b/hornbeamline/gateway/_gate.py
@@ -45,11 +45,14 @@
         """Raise `NotRunError` if a call must no longer be sent.
 
         While the connection is being opened, the target may start to drain
-        or to pause, and the permit may expire.
+        or to pause, its data centre may be evacuated, and the permit may
+        expire.
         """
-        if not self._targets.availability.accepts_work(target.id):
+        if not self._targets.accepts_work(target):
             CALLS_WITHHELD.inc()
-            raise TargetGoneError(f'{target.id}: target is draining or paused')
+            raise TargetGoneError(
+                f'{target.id}: target is draining, paused or evacuated'
+            )
         if not self._targets.limits.allows(target.id, permit):
             CALLS_WITHHELD.inc()
             raise TargetLimitedError(f'{target.id}: permit is no longer valid')
--- a/hornbeamline/gateway/_placement.py
+++ b/hornbeamline/gateway/_placement.py
@@ -75,6 +75,7 @@
                     job.route,
                     input_handles,
                 ).items()
+                if data_centre not in self._targets.evacuations
             },
         )
         if _is_final_stage(job.route, job.request, stage_index):
--- a/hornbeamline/gateway/_release.py
+++ b/hornbeamline/gateway/_release.py
@@ -37,14 +37,12 @@
     async def __call__(self, address: str, handles: Sequence[str]) -> None:
         """Release results; log a failure and raise `ResultsKeptError`.
 
-        Targets that are draining or paused are not called, and rate limited
-        ones only if no caller needs the permit.
+        Targets that are draining, paused or evacuated are not called, and rate
+        limited ones only if no caller needs the permit.
         """
         target = self._targets.target_at(address)
         permit = None
-        if target is not None and self._targets.availability.accepts_work(
-            target.id,
-        ):
+        if target is not None and self._targets.accepts_work(target):
             permit = await self._gate.admit(target, is_spare=True)
         if target is None or permit is None:
             log_event(
@@ -63,6 +61,7 @@
                     path,
                     headers,
                     body,
+                    lambda: self._gate.check_before_send(target, permit),
                 )
         except (GatewayError, TimeoutError) as error:
             # Results that are not released expire at their target.
--- a/hornbeamline/gateway/_targets.py
+++ b/hornbeamline/gateway/_targets.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final
 
+from hornbeamline.evacuations import EvacuationBelief, EvacuationState
 from hornbeamline.gateway._types import Target
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.helpers.codec import encode
@@ -25,7 +26,8 @@
 
     A target gets no new work if it is draining, according to the list or to
     its own responses, or if it is no longer listed. A target that asked for
-    a pause gets none until the pause ends.
+    a pause gets none until the pause ends, and a target of an evacuated data
+    centre none until the evacuation ends.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -37,12 +39,17 @@
         self.on_changed: Callable[[], None] | None = None
         # Called for each list, also if it has not changed.
         self.on_list: Callable[[], None] | None = None
+        # Called with each data centre whose evacuation has ended.
+        self.on_reopened: Callable[[str], None] | None = None
+        self.evacuations = EvacuationBelief()
         # Digest of the list, equal on all hosts with the same list; empty
         # before the first list.
         self.digest = b''
         self.availability = TargetAvailability(clock)
         self.limits = TargetLimits(clock)
         self._targets_by_service: dict[str, list[Target]] = {}
+        # Services whose targets that accept work are all evacuated.
+        self.evacuated_services: frozenset[str] = frozenset()
         self._targets_by_id: dict[str, Target] = {}
         self._targets_by_address: dict[str, Target] = {}
         # Time of the last list in which a draining target was not draining.
@@ -96,19 +103,18 @@
         if is_first:
             log_event('targets.first_list', entries=len(targets_by_id))
         else:
-            self._log_changes(targets_by_id)
+            _log_changes(self._targets_by_id, targets_by_id, self.age_s)
         previous_read_at = self.read_at
         self.read_at = at
         self.digest = _digest(targets_by_id.values())
-        self._note_leaving(targets_by_id, previous_read_at)
-        by_service: dict[str, list[Target]] = {}
-        for listed in targets_by_id.values():
-            if not listed.is_leaving:
-                by_service.setdefault(listed.service, []).append(listed)
-        for group in by_service.values():
-            group.sort()
+        self._leaving_since_by_id = _leaving_since_by_id(
+            self._leaving_since_by_id,
+            self._targets_by_id,
+            targets_by_id,
+            previous_read_at,
+        )
         self._targets_by_id = targets_by_id
-        self._targets_by_service = by_service
+        self._group_by_service()
         self._targets_by_address = {
             target.address: target for target in targets_by_id.values()
         }
@@ -118,8 +124,25 @@
         if is_first and self.on_first_list is not None:
             self.on_first_list()
 
+    def apply_evacuations(self, state: EvacuationState) -> None:
+        """Apply the evacuated data centres unless newer ones are known."""
+        reopened = self.evacuations.apply(state)
+        if reopened is None:
+            return
+        self._group_by_service()
+        if self.on_reopened is not None:
+            for data_centre in reopened:
+                self.on_reopened(data_centre)
+
+    def accepts_work(self, target: Target) -> bool:
+        """Return whether requests may be sent to a target now."""
+        return (
+            target.data_centre not in self.evacuations
+            and self.availability.accepts_work(target.id)
+        )
+
     def accepting_targets(self, service: str) -> list[Target]:
-        """Return the targets of a service that are not draining or paused."""
+        """Return the targets of a service that accept work."""
         accepts_work = self.availability.accepts_work
         return [
             target
@@ -150,7 +173,8 @@
     def version_pause_s(self, service: str, version: str) -> float | None:
         """Return the seconds until a target takes a stream of a version.
 
-        0 if one takes it now, None if all of them are draining or unlisted.
+        0 if one takes it now, None if all of them are draining, unlisted or
+        evacuated.
         """
         if any(
             target.version == version
@@ -198,7 +222,8 @@
     def pause_left_s(self, service: str) -> float | None:
         """Return the seconds until the first pause of a target ends.
 
-        0 if a target accepts work now, None if all are draining or unlisted.
+        0 if a target accepts work now, None if all are draining, unlisted or
+        evacuated.
         """
         left_s = min(
             (
@@ -222,26 +247,21 @@
         """Return the target listed at an address, or None."""
         return self._targets_by_address.get(address)
 
-    def _note_leaving(
-        self,
-        targets_by_id: Mapping[str, Target],
-        previous_read_at: float | None,
-    ) -> None:
-        """Note when draining targets were last listed as not draining.
-
-        That of a target that drains in its first list is not known.
-        """
-        self._leaving_since_by_id = {
-            target.id: self._leaving_since_by_id.get(
-                target.id,
-                -math.inf
-                if previous_read_at is None
-                or target.id not in self._targets_by_id
-                else previous_read_at,
-            )
-            for target in targets_by_id.values()
-            if target.is_leaving
-        }
+    def _group_by_service(self) -> None:
+        """Group the targets that are neither draining nor evacuated."""
+        by_service: dict[str, list[Target]] = {}
+        evacuated: set[str] = set()
+        for listed in self._targets_by_id.values():
+            if listed.is_leaving:
+                continue
+            if listed.data_centre in self.evacuations:
+                evacuated.add(listed.service)
+            else:
+                by_service.setdefault(listed.service, []).append(listed)
+        for group in by_service.values():
+            group.sort()
+        self._targets_by_service = by_service
+        self.evacuated_services = frozenset(evacuated.difference(by_service))
 
     def _lingering_targets(self, service: str) -> list[Target]:
         """Return targets that have begun to drain a short time ago.
@@ -254,7 +274,7 @@
             for target in self._targets_by_id.values()
             if target.service == service
             and self._leaving_since_by_id.get(target.id, -math.inf) >= oldest
-            and self.availability.accepts_work(target.id)
+            and self.accepts_work(target)
         ]
 
     def _record_listed(self, target_ids: Collection[str]) -> None:
@@ -263,21 +283,47 @@
         if self.on_list is not None:
             self.on_list()
 
-    def _log_changes(self, targets_by_id: dict[str, Target]) -> None:
-        before = self._targets_by_id
-        for target_id, target in targets_by_id.items():
-            old = before.get(target_id)
-            if old is None or _has_news(old, target):
-                log_event(
-                    'targets.changed',
-                    target=target_id,
-                    service=target.service,
-                    version=target.version,
-                    leaving=target.is_leaving,
-                    list_age_s=self.age_s,
-                )
-        for gone in before.keys() - targets_by_id.keys():
-            log_event('targets.gone', target=gone, list_age_s=self.age_s)
+
+def _leaving_since_by_id(
+    known: Mapping[str, float],
+    before: Mapping[str, Target],
+    after: Mapping[str, Target],
+    previous_read_at: float | None,
+) -> dict[str, float]:
+    """Return when draining targets were last listed as not draining.
+
+    That of a target that drains in its first list is not known.
+    """
+    return {
+        target.id: known.get(
+            target.id,
+            -math.inf
+            if previous_read_at is None or target.id not in before
+            else previous_read_at,
+        )
+        for target in after.values()
+        if target.is_leaving
+    }
+
+
+def _log_changes(
+    before: Mapping[str, Target],
+    after: Mapping[str, Target],
+    list_age_s: float,
+) -> None:
+    for target_id, target in after.items():
+        old = before.get(target_id)
+        if old is None or _has_news(old, target):
+            log_event(
+                'targets.changed',
+                target=target_id,
+                service=target.service,
+                version=target.version,
+                leaving=target.is_leaving,
+                list_age_s=list_age_s,
+            )
+    for gone in before.keys() - after.keys():
+        log_event('targets.gone', target=gone, list_age_s=list_age_s)
 
 
 def _has_news(old: Target, new: Target) -> bool:
--- a/hornbeamline/platform/_control.py
+++ b/hornbeamline/platform/_control.py
@@ -46,6 +46,7 @@
             name=settings.ip,
             host=settings.host,
             data_centre=settings.data_centre,
+            data_centres=frozenset(settings.region_by_data_centre),
             fleet=FLEET,
             peering=peering_settings(settings, CONTROL_PORT_OFFSET),
             controls_by_name=control_addresses(settings),
--- a/hornbeamline/platform/_operator.py
+++ b/hornbeamline/platform/_operator.py
@@ -1,19 +1,32 @@
-"""HTTP routes on which the operator stores and reads documents."""
+"""HTTP routes of the operator: documents and evacuations."""
 
 from __future__ import annotations
 
+import re
 from typing import Any, Final
 
-from falcon import HTTP_400, HTTP_503, MEDIA_JSON, asgi
+from falcon import (
+    HTTP_400,
+    HTTP_503,
+    MEDIA_JSON,
+    HTTPMethodNotAllowed,
+    asgi,
+)
 
 from hornbeamline.documents import (
     DocumentUnavailableError,
     InvalidDocumentError,
 )
 from hornbeamline.documents.service import DocumentService
+from hornbeamline.evacuations.operator import Execute, answer_order
+from hornbeamline.evacuations.service import EvacuationService
 from hornbeamline.telemetry import log_event
 
 _RETRY_AFTER_S: Final = '0.3'
+# The path is decoded once, so that a name may contain slashes and line ends.
+_ORDER_PATH: Final = re.compile(
+    r'/evacuations/(?P<data_centre>.+)/(?P<order>start|end)\Z', re.DOTALL
+)
 
 
 class _Put:
@@ -65,9 +78,35 @@
         response.data = document.content
 
 
-def operator_app(documents: DocumentService) -> Any:
+class _Orders:
+    """Handler that starts and ends the evacuation of a data centre."""
+
+    def __init__(self, evacuations: EvacuationService) -> None:
+        self._execute_by_order: dict[str, Execute] = {
+            'start': evacuations.start,
+            'end': evacuations.end,
+        }
+
+    async def __call__(
+        self,
+        req: asgi.Request,
+        resp: asgi.Response | None,
+        **names: Any,
+    ) -> None:
+        """Execute an order; answer 404 if the data centre is unknown."""
+        assert resp is not None
+        if req.method != 'POST':
+            raise HTTPMethodNotAllowed(['POST'])
+        execute = self._execute_by_order[names['order']]
+        await answer_order(req, resp, execute, names['data_centre'])
+
+
+def operator_app(
+    documents: DocumentService, evacuations: EvacuationService
+) -> Any:
     """Return the ASGI application with the operator's routes."""
     app = asgi.App()
+    app.add_sink(_Orders(evacuations).__call__, _ORDER_PATH)
     app.add_route('/config/put', _Put(documents))
     app.add_route('/config/get', _Get(documents))
     return app
--- a/hornbeamline/platform/_settings.py
+++ b/hornbeamline/platform/_settings.py
@@ -52,6 +52,7 @@
     fault_tolerance: _FaultTolerance = _FaultTolerance()
     bounds: _Bounds = _Bounds()
     cloud_api: _CloudApi
+    zones: dict[str, str] = {}
 
 
 class ProcessSettings(NamedTuple):
@@ -60,6 +61,8 @@
     host: str
     ip: str
     data_centre: str
+    # All data centres of the deployment that the platform has named.
+    region_by_data_centre: dict[str, str]
     # First and last port of the range for messages between hornbeamline
     # processes.
     peer_ports: tuple[int, int]
@@ -110,6 +113,7 @@
         host=table.node,
         ip=table.ip,
         data_centre=table.zone,
+        region_by_data_centre=table.zones,
         peer_ports=table.internal_ports,
         control_ips=[seed.rpartition(':')[0] for seed in table.seeds],
         is_first_start=table.bootstrap,
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -34,11 +34,20 @@
     assert settings.tolerated_losses == 2
     assert settings.operator_address == ''
     assert settings.is_first_start
+    assert not settings.region_by_data_centre
+
+
+def test_data_centres_are_read(tmp_path: Path) -> None:
+    """Guards against orders for data centres that are taken for unknown."""
+    regions = {'a/b': 'west', '100%': 'east'}
+    path = write_toml(tmp_path / 's.toml', {**SETTINGS_TABLE, 'zones': regions})
+    assert read_settings(path).region_by_data_centre == regions
 
 
 @pytest.mark.parametrize(
     ('changes', 'key'),
     [
+        ({'zones': {'a': 1}}, 'zones'),
         ({'ip': 7}, 'ip'),
         ({'internal-ports': 'x'}, 'internal-ports'),
         ({'cloud-api': {}}, 'address'),
