--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -122,6 +122,7 @@
         )
         self._member.add_substitutes(settings.substitutes_by_name)
         self._member.on_document = self._apply_document
+        self._member.evacuations.on_state = self._targets.apply_evacuations
         self._member.on_present = self._apply_presences
         http = TargetHttp()
         self._limits = LimitService(
@@ -145,6 +146,7 @@
                 ResultReleaser(http, wire, self._targets, gate),
                 lambda service: self._targets.pause_left_s(service) or 0,
                 self._targets.call_rates,
+                lambda service: service in self._targets.evacuated_services,
             ),
             RetryBudget.of_owner(settings.budget, self._clock),
         )
--- a/hornbeamline/platform/_settings.py
+++ b/hornbeamline/platform/_settings.py
@@ -58,6 +58,7 @@
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
     cloud_api: _CloudApi
+    zones: dict[str, str] = {}
 
 
 class ProcessSettings(NamedTuple):
@@ -66,6 +67,8 @@
     host: str
     ip: str
     data_centre: str
+    # All data centres of the deployment that the platform has named.
+    region_by_data_centre: dict[str, str]
     # First and last port of the range for messages between hornbeamline
     # processes.
     peer_ports: tuple[int, int]
@@ -118,6 +121,7 @@
         host=table.node,
         ip=table.ip,
         data_centre=table.zone,
+        region_by_data_centre=table.zones,
         peer_ports=table.internal_ports,
         control_ips=[seed.rpartition(':')[0] for seed in table.seeds],
         is_first_start=table.bootstrap,
