--- a/hornbeamline/directory/_member.py
+++ b/hornbeamline/directory/_member.py
@@ -79,7 +79,7 @@
         # first document: this process then enrols immediately.
         self._has_news_by_control: dict[str, asyncio.Event] = {}
         peering.on(DocumentPush, self._on_push)
-        peering.on(ListRead, self._on_list_read)
+        peering.on(ListRead, self._enrol_now)
 
     async def start(self) -> None:
         """Start to enrol with the known control processes."""
@@ -219,7 +219,7 @@
             if task is None:
                 continue
             task.cancel()
-            self._list_read_by_control.pop(unneeded)
+            self._has_news_by_control.pop(unneeded)
             log_event('directory.control_not_needed', control=unneeded)
             if not reachability.forget(unneeded):
                 # A link to an address without a process dials it for good.
@@ -251,18 +251,17 @@
         if listed.targets is not None:
             self._targets.replace_list(listed.targets, read_at)
 
-    async def _on_list_read(self, sender: str, _read: ListRead) -> None:
-        self._enrol_now(sender)
-
     async def _on_push(self, sender: str, push: DocumentPush) -> None:
         if self.document.number:
             self._apply_document(push.document, 'push', sender)
         else:
             # The first document is taken from a reply, which has the
             # evacuations as well.
-            self._enrol_now(sender)
+            await self._enrol_now(sender, push)
 
-    def _enrol_now(self, control: str) -> None:
+    async def _enrol_now(
+        self, control: str, _news: ListRead | DocumentPush
+    ) -> None:
         has_news = self._has_news_by_control.get(control)
         if has_news is not None:
             has_news.set()
