Choice by cost: count the delay that a prefill causes to running streams

A prefill now costs its time once for each request that runs at the engine, and the random factor applies to the work left. Not measured yet.

--- a/hornbeamline/costs/_beliefs.py
+++ b/hornbeamline/costs/_beliefs.py
@@ -19,9 +19,6 @@
 KIND_ENGINE: Final = 'engine'
 # Share of its cost that a request that a target reports has left on average.
 _REPORTED_SHARE: Final = 0.5
-# The prefill of a token blocks all requests of an engine, so that it costs
-# twice the time that it takes.
-_PROMPT_COST_FACTOR: Final = 2.0
 # A response is not taken to have waited for more than this share of its time.
 _MAX_WAIT_SHARE: Final = 0.7
 # Gain of the mean cost of the requests of a service.
@@ -35,6 +32,8 @@
     slots: int
     # Requests that it has reported, discounted by age.
     reported: float
+    # Requests that run there as far as is known.
+    running: float
     uncached_tokens: int
     # Time for inputs from another data centre.
     transfer_s: float
@@ -94,11 +93,13 @@
         target = candidate.target
         slowness = self.speeds.slowness_of(target)
         prompt_s = candidate.uncached_tokens * parts.prompt_token_s
-        run_s = parts.call_s + parts.output_s + prompt_s * _PROMPT_COST_FACTOR
+        run_s = parts.call_s + parts.output_s + prompt_s
+        # The prefill of a prompt stops the streams that run at the engine.
+        delay_s = prompt_s * min(candidate.running, candidate.slots)
         return Option(
             target,
             self._wait_s(service, candidate) * slowness,
-            run_s * slowness,
+            (run_s + delay_s) * slowness,
             candidate.transfer_s,
         )
 
--- a/hornbeamline/costs/_choice.py
+++ b/hornbeamline/costs/_choice.py
@@ -12,9 +12,11 @@
 # Random candidates of a choice. With all targets as candidates, hosts with the
 # same view choose the same target; each one more takes CPU time.
 SAMPLE_SIZE: Final = 6
-# Expected times that differ by less than this share are equal, since the
-# estimates are not more exact; the choice among them is random.
-_JITTER: Final = 0.15
+# Shares by which the expected times are varied at random. Hosts with the same
+# old view of the work left must not all choose the same target; the times of
+# the request itself, with the tokens that are cached, are better known.
+_WAIT_JITTER: Final = 0.3
+_RUN_JITTER: Final = 0.02
 
 
 class Option(NamedTuple):
@@ -76,7 +78,11 @@
     best = options[0]
     lowest = float('inf')
     for option in options:
-        score = completion_s(option) * (1 + _JITTER * rng.random())
+        score = (
+            option.wait_s * (1 + _WAIT_JITTER * rng.random())
+            + option.run_s * (1 + _RUN_JITTER * rng.random())
+            + option.extra_s
+        )
         if score < lowest:
             best = option
             lowest = score
--- a/hornbeamline/gateway/_picker.py
+++ b/hornbeamline/gateway/_picker.py
@@ -306,6 +306,7 @@
             target.id,
             target.slots,
             self._reported_load(target),
+            self._expected_load(target),
             max(request.prompt_tokens - cached_tokens, 0),
             remote * _REMOTE_BYTE_COST_S,
         )
