Beliefs about cold targets, and permits at the warm-up rate

Cause: a cold target takes a few requests per second from all hosts together; stated limits allow larger bursts and two granters at a time. Change: WarmupBeliefs (no I/O) says which targets are cold; the buckets of stated limits also hold the warm-up rate and the lower one applies. Hosts report refused connections and responses to the granter, which tells all hosts. The stand-ins for granters in tests get is_confirmed.

--- a/hornbeamline/daemons/_granters.py
+++ b/hornbeamline/daemons/_granters.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from hornbeamline.batching import Ownership
 from hornbeamline.directory import DirectoryMember
+from hornbeamline.helpers.clock import BootClock, Clock
+from hornbeamline.limits.const import GRANTER_CONFIRMATION_TTL_S
 
 
 class ServiceGranters:
@@ -20,8 +23,14 @@
         self,
         member: DirectoryMember,
         ownership: Callable[[], Ownership],
+        clock: Clock | None = None,
     ) -> None:
-        """Initialize with the directory and the ranking of owners."""
+        """Initialize with the directory and the ranking of owners.
+
+        `clock` must also advance while the host is suspended.
+        """
+        self._clock = clock or BootClock()
+        self._confirmed_at = -math.inf
         self._member = member
         self._ownership = ownership
         self._granter_by_service: dict[str, str] = {}
@@ -37,3 +46,12 @@
         """Return the address of another host; None if it is absent."""
         found = self._ownership().hosts().get(host)
         return None if found is None else found.address
+
+    def note_confirmed(self) -> None:
+        """Record that a control process has reported the present hosts."""
+        self._confirmed_at = self._clock.monotonic()
+
+    def is_confirmed(self) -> bool:
+        """Return whether a control process has answered recently."""
+        confirmed_ago_s = self._clock.monotonic() - self._confirmed_at
+        return confirmed_ago_s < GRANTER_CONFIRMATION_TTL_S
--- a/hornbeamline/limits/__init__.py
+++ b/hornbeamline/limits/__init__.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+from hornbeamline.limits._granters import Granters
 from hornbeamline.limits._known_limits import TargetLimits
 from hornbeamline.limits._permit import UNLIMITED, LimitedTarget, Permit
-from hornbeamline.limits._service import Granters, LimitService
+from hornbeamline.limits._service import LimitService
+from hornbeamline.limits._warmup import WarmupBeliefs, WarmupLimits
 
 __all__ = (
     'UNLIMITED',
@@ -18,4 +20,6 @@
     'LimitedTarget',
     'Permit',
     'TargetLimits',
+    'WarmupBeliefs',
+    'WarmupLimits',
 )
--- a/hornbeamline/limits/_buckets.py
+++ b/hornbeamline/limits/_buckets.py
@@ -13,8 +13,10 @@
     BURST_S,
     ENDED_LIMIT_RETENTION_S,
     MAX_RESERVATION_S,
+    MAX_WARMUP_RESERVATION_S,
     MIN_RATE_PER_S,
     TAKEOVER_WAIT_S,
+    WARMUP_BURST_S,
 )
 from hornbeamline.telemetry import log_event
 
@@ -27,17 +29,39 @@
     Follows the generic cell rate algorithm.
     """
 
-    def __init__(self, service: str, limit_per_s: float, now: float) -> None:
+    def __init__(self, service: str, now: float) -> None:
         self.service = service
-        self.limit_per_s = limit_per_s
+        self.stated_per_s = math.inf
+        # Infinite unless the target is cold.
+        self.warmup_per_s = math.inf
         # When an answer of the target last stated the limit.
-        self.named_at = now
+        self.named_at = -math.inf
         self.last_used_at = now
         # Theoretical arrival time: when the next permit is due if permits
         # are spaced evenly.
-        self.next_permit_at = now + TAKEOVER_WAIT_S
+        self.next_permit_at = now
         self.granted_at_by_permit: dict[int, float] = {}
 
+    @property
+    def limit_per_s(self) -> float:
+        """Return the lower of the stated limit and that of the warm-up."""
+        return min(self.stated_per_s, self.warmup_per_s)
+
+    @property
+    def is_cold(self) -> bool:
+        """Return whether the limit of the warm-up applies."""
+        return self.warmup_per_s < math.inf
+
+    @property
+    def burst_s(self) -> float:
+        """Return how far permits may be ahead of their even spacing."""
+        return WARMUP_BURST_S if self.is_cold else BURST_S
+
+    @property
+    def max_reservation_s(self) -> float:
+        """Return how far ahead of its use a permit may be issued."""
+        return MAX_WARMUP_RESERVATION_S if self.is_cold else MAX_RESERVATION_S
+
     @property
     def interval_s(self) -> float:
         """Return the interval between two permits in seconds."""
@@ -45,7 +69,13 @@
 
     def wait_s(self, now: float) -> float:
         """Return the seconds until the next permit may be used."""
-        return max(self.next_permit_at - BURST_S - now, 0)
+        return max(self.next_permit_at - self.burst_s - now, 0)
+
+    def wait_until(self, permits_from: float) -> None:
+        """Issue no permit that may be used before a time."""
+        self.next_permit_at = max(
+            self.next_permit_at, permits_from + self.burst_s
+        )
 
     def has_spare(self, now: float) -> bool:
         """Return whether the next permit has been left unused.
@@ -64,7 +94,8 @@
     """Issue permits for all targets of which this host is the granter.
 
     A target with a limit of L requests per second gets at most
-    1 + L x (T + `BURST_S`) permits in any T seconds.
+    1 + L x (T + B) permits in any T seconds; B is `BURST_S`, or
+    `WARMUP_BURST_S` for a cold target.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -81,16 +112,17 @@
         self._last_permit = secrets.randbits(_PERMIT_BITS)
 
     def limit_of(self, target: str) -> float:
-        """Return the limit in requests per second, or infinity if none."""
+        """Return the stated limit per second, or infinity if none."""
         bucket = self._buckets_by_target.get(target)
-        return math.inf if bucket is None else bucket.limit_per_s
+        return math.inf if bucket is None else bucket.stated_per_s
 
     def limit_by_target(self) -> dict[str, float]:
-        """Return the limits of the targets in use, in requests per second."""
+        """Return the stated limits of the targets in use, per second."""
         self._evict_idle()
         return {
-            target: bucket.limit_per_s
+            target: bucket.stated_per_s
             for target, bucket in self._buckets_by_target.items()
+            if bucket.stated_per_s < math.inf
         }
 
     def services(self) -> frozenset[str]:
@@ -115,10 +147,13 @@
         named_at = now - named_ago_s
         if named_at <= self._ended_at_by_target.get(target, -math.inf):
             return
-        bucket = self._buckets_by_target.get(target)
-        if bucket is None:
-            bucket = _Bucket(service, limit_per_s, now)
-            self._buckets_by_target[target] = bucket
+        bucket = self._bucket_of(target, service)
+        if bucket.stated_per_s == math.inf:
+            bucket.next_permit_at = max(
+                bucket.next_permit_at, now + TAKEOVER_WAIT_S
+            )
+            bucket.named_at = now
+            bucket.stated_per_s = limit_per_s
             log_event(
                 'limits.grants',
                 target=target,
@@ -127,10 +162,31 @@
                 named_ago_s=named_ago_s,
             )
         if named_at >= bucket.named_at:
-            bucket.limit_per_s = limit_per_s
+            bucket.stated_per_s = limit_per_s
             bucket.named_at = named_at
         bucket.last_used_at = now
 
+    def record_warmup(
+        self,
+        target: str,
+        service: str,
+        warmup_per_s: float,
+        permits_from: float,
+    ) -> None:
+        """Record the rate of a cold target; infinite if it is warm.
+
+        Permits for a cold target are not used before `permits_from`.
+        """
+        if warmup_per_s == math.inf:
+            warm = self._buckets_by_target.get(target)
+            if warm is not None:
+                warm.warmup_per_s = math.inf
+                self._drop_unlimited(target, warm)
+            return
+        bucket = self._bucket_of(target, service)
+        bucket.warmup_per_s = warmup_per_s
+        bucket.wait_until(permits_from)
+
     def end_limit(self, target: str, permit: int) -> bool:
         """Process an answer without a limit; return whether it has ended.
 
@@ -138,7 +194,7 @@
         whose permit was issued after the limit was last stated ends it.
         """
         bucket = self._buckets_by_target.get(target)
-        if bucket is None:
+        if bucket is None or bucket.stated_per_s == math.inf:
             return True
         granted_at = bucket.granted_at_by_permit.get(permit, -math.inf)
         if granted_at < bucket.named_at:
@@ -147,10 +203,11 @@
         log_event(
             'limits.end_noted',
             target=target,
-            limit_per_s=bucket.limit_per_s,
+            limit_per_s=bucket.stated_per_s,
             permitted_ago_s=now - granted_at,
         )
-        self._buckets_by_target.pop(target)
+        bucket.stated_per_s = math.inf
+        self._drop_unlimited(target, bucket)
         self._ended_at_by_target[target] = granted_at
         return True
 
@@ -164,7 +221,7 @@
         now = self._clock.monotonic()
         bucket.last_used_at = now
         wait_s = bucket.wait_s(now)
-        max_wait_s = min(permit_request.max_wait_s, MAX_RESERVATION_S)
+        max_wait_s = min(permit_request.max_wait_s, bucket.max_reservation_s)
         is_granted = wait_s <= max_wait_s and (
             not permit_request.is_spare or bucket.has_spare(now)
         )
@@ -184,7 +241,7 @@
 
     def _adopt_limit_of_requester(self, permit_request: AskPermit) -> None:
         """Adopt a limit known to the requester, but not to a new granter."""
-        if permit_request.target not in self._buckets_by_target:
+        if self.limit_of(permit_request.target) == math.inf:
             self.record_limit(
                 permit_request.target,
                 permit_request.service,
@@ -192,6 +249,17 @@
                 permit_request.named_ago_s,
             )
 
+    def _bucket_of(self, target: str, service: str) -> _Bucket:
+        bucket = self._buckets_by_target.get(target)
+        if bucket is None:
+            bucket = _Bucket(service, self._clock.monotonic())
+            self._buckets_by_target[target] = bucket
+        return bucket
+
+    def _drop_unlimited(self, target: str, bucket: _Bucket) -> None:
+        if bucket.limit_per_s == math.inf:
+            self._buckets_by_target.pop(target)
+
     def _evict_idle(self) -> None:
         now = self._clock.monotonic()
         for target, bucket in tuple(self._buckets_by_target.items()):
--- a/hornbeamline/limits/_known_limits.py
+++ b/hornbeamline/limits/_known_limits.py
@@ -9,6 +9,7 @@
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.limits._metrics import LIMITED
 from hornbeamline.limits._permit import UNLIMITED, Permit
+from hornbeamline.limits._warmup import WarmupBeliefs
 from hornbeamline.limits.const import LIMIT_TTL_S
 from hornbeamline.telemetry import log_event
 
@@ -19,8 +20,6 @@
     named_at: float = -math.inf
     # When the granter last stated the limit.
     reported_at: float = -math.inf
-    # No permit is available before this time.
-    closed_until: float = -math.inf
 
     @property
     def last_seen_at(self) -> float:
@@ -33,9 +32,11 @@
 class TargetLimits:
     """Track limits by target id and when this host may request permits.
 
-    A limit is valid until the granter, which receives reports of all
-    answers, declares its end, or until neither the target nor the granter
-    has repeated it for `LIMIT_TTL_S`.
+    A target has the lower of the limit that it stated and the limit of its
+    warm-up; neither ends the other. A stated limit is valid until the
+    granter, which receives reports of all answers, declares its end, or
+    until neither the target nor the granter has repeated it for
+    `LIMIT_TTL_S`.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -44,10 +45,17 @@
         `clock` must also advance while the host is suspended.
         """
         self._clock = clock
+        self.warmup = WarmupBeliefs(clock)
         self._limits_by_target: dict[str, _KnownLimit] = {}
+        # No permit is available before these times.
+        self._closed_until_by_target: dict[str, float] = {}
 
     def limit_of(self, target: str) -> float:
         """Return the limit in requests per second, or infinity if none."""
+        return min(self.stated_limit_of(target), self.warmup.rate_of(target))
+
+    def stated_limit_of(self, target: str) -> float:
+        """Return the limit that a target stated, or infinity if none."""
         limit = self._limits_by_target.get(target)
         if limit is None or not limit.is_valid(self._clock.monotonic()):
             return math.inf
@@ -57,19 +65,23 @@
         """Return whether requests to a target need a permit."""
         return self.limit_of(target) < math.inf
 
+    def is_cold(self, target: str) -> bool:
+        """Return whether requests to a target need a permit to a cold one."""
+        return self.warmup.rate_of(target) < math.inf
+
     def limited(self) -> list[str]:
-        """Return the ids of the targets with a limit."""
+        """Return the ids of the targets with a stated limit."""
         return [
             target
             for target in self._limits_by_target
-            if self.is_limited(target)
+            if self.stated_limit_of(target) < math.inf
         ]
 
     def permit_pause_s(self, target: str) -> float:
         """Return the seconds until a permit may be requested, at least 0."""
-        if not self.is_limited(target):
+        closed_until = self._closed_until_by_target.get(target)
+        if closed_until is None or not self.is_limited(target):
             return 0
-        closed_until = self._limits_by_target[target].closed_until
         return max(closed_until - self._clock.monotonic(), 0)
 
     def named_ago_s(self, target: str) -> float:
@@ -121,17 +133,15 @@
     def note_ended(self, target: str) -> None:
         """Remove a limit that the granter has declared ended."""
         if self._limits_by_target.pop(target, None) is not None:
+            self._closed_until_by_target.pop(target, None)
             log_event('limits.ended', target=target)
             LIMITED.set(len(self.limited()))
 
     def note_closed(self, target: str, closed_s: float) -> None:
         """Request no further permits for `closed_s` seconds."""
-        limit = self._limits_by_target.get(target)
-        if limit is not None:
+        if self.is_limited(target):
             closed_until = self._clock.monotonic() + closed_s
-            self._limits_by_target[target] = limit._replace(
-                closed_until=closed_until,
-            )
+            self._closed_until_by_target[target] = closed_until
 
     def evict_unlisted(self, targets: Collection[str]) -> None:
         """Remove expired limits and those of targets no longer listed."""
@@ -139,12 +149,15 @@
         for target, limit in tuple(self._limits_by_target.items()):
             if target not in targets or not limit.is_valid(now):
                 self.note_ended(target)
+        for closed, closed_until in tuple(self._closed_until_by_target.items()):
+            if closed_until <= now:
+                self._closed_until_by_target.pop(closed)
 
     def _known_limit_of(self, target: str) -> _KnownLimit:
         return self._limits_by_target.get(target, _KnownLimit(math.inf))
 
     def _set(self, target: str, limit: _KnownLimit, source: str) -> None:
-        before_per_s = self.limit_of(target)
+        before_per_s = self.stated_limit_of(target)
         self._limits_by_target[target] = limit
         if limit.limit_per_s != before_per_s:
             log_event(
--- a/hornbeamline/limits/_messages.py
+++ b/hornbeamline/limits/_messages.py
@@ -39,6 +39,27 @@
     next_s: float
 
 
+@message('limits.ask_cold')
+class AskColdPermit(NamedTuple):
+    """Request for a permit for a cold target; answered as `AskPermit`."""
+
+    permit_request: AskPermit
+    # Rate of the warm-up as known to the sender, in requests per second.
+    warmup_per_s: float
+    # How long calls of the sender show that the target stays cold; 0 if it
+    # is known to be cold from elsewhere only.
+    observed_left_s: float
+
+
+@message('limits.report_cold')
+class ReportCold(NamedTuple):
+    """Tells the granter that a call has shown a target to be cold."""
+
+    target: str
+    service: str
+    observed_left_s: float
+
+
 @message('limits.report')
 class ReportLimit(NamedTuple):
     """Limit that a target stated in an answer, sent to the granter."""
--- a/hornbeamline/limits/_metrics.py
+++ b/hornbeamline/limits/_metrics.py
@@ -23,3 +23,14 @@
     ('outcome',),
     registry=registry,
 )
+COLD = Gauge(
+    'hornbeamline_targets_cold',
+    'Targets that this host believes cold.',
+    registry=registry,
+)
+COLD_CHANGES = Counter(
+    'hornbeamline_targets_cold_changes',
+    'Changes of the belief that a target is cold, by new state and source.',
+    ('state', 'source'),
+    registry=registry,
+)
--- a/hornbeamline/limits/_service.py
+++ b/hornbeamline/limits/_service.py
@@ -5,14 +5,15 @@
 import asyncio
 import math
 from collections.abc import Callable
-from typing import Protocol
 
 from hornbeamline.core import TaskSet
 from hornbeamline.exceptions import PeeringError
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.limits._buckets import TargetBuckets
+from hornbeamline.limits._granters import Granters
 from hornbeamline.limits._known_limits import TargetLimits
 from hornbeamline.limits._messages import (
+    AskColdPermit,
     AskPermit,
     LimitState,
     PermitReply,
@@ -20,26 +21,18 @@
 )
 from hornbeamline.limits._metrics import GRANTS, PERMITS
 from hornbeamline.limits._permit import UNLIMITED, LimitedTarget, Permit
+from hornbeamline.limits._warmup_exchange import WarmupExchange
 from hornbeamline.limits.const import (
     ASK_TIMEOUT_S,
     LINK_INTERVAL_S,
     PERMIT_TTL_S,
     UNREACHABLE_GRANTER_PAUSE_S,
+    WARMUP_PERMIT_TTL_S,
 )
 from hornbeamline.peering import Peering
 from hornbeamline.telemetry import log_event
 
 
-class Granters(Protocol):
-    """Lookup of the host that issues the permits of a service's targets."""
-
-    def granter_of(self, service: str) -> str | None:
-        """Return the name of the granter, or None if none is known."""
-
-    def address_of(self, host: str) -> str | None:
-        """Return the address of another host, or None if it is absent."""
-
-
 class LimitService:
     """Keep the total request rate of all hosts within target limits."""
 
@@ -62,8 +55,10 @@
         self._granters = granters
         self._service_of = service_of
         self._buckets = TargetBuckets(clock)
+        self.warmup = WarmupExchange(peering, clock, limits.warmup, granters)
         self._tasks = TaskSet()
         peering.on(AskPermit, self._on_ask)
+        peering.on(AskColdPermit, self._on_ask_cold)
         peering.on(ReportLimit, self._on_report)
 
     async def start(self) -> None:
@@ -121,13 +116,14 @@
             return UNLIMITED
         began = self._clock.monotonic()
         limit_per_s = self._limits.limit_of(target.id)
+        is_cold = self._limits.is_cold(target.id)
         granter = self._granters.granter_of(target.service)
         reply = await self._ask(
             granter,
             AskPermit(
                 target.id,
                 target.service,
-                limit_per_s,
+                self._limits.stated_limit_of(target.id),
                 self._limits.named_ago_s(target.id),
                 max_wait_s,
                 is_spare,
@@ -142,6 +138,7 @@
             target=target.id,
             granter=granter,
             limit_per_s=limit_per_s,
+            cold=is_cold,
             outcome=outcome,
             delay_s=None if reply is None else reply.delay_s,
             next_s=None if reply is None else reply.next_s,
@@ -157,7 +154,12 @@
         if not reply.number:
             return None
         await asyncio.sleep(reply.delay_s)
-        return Permit(reply.number, now + reply.delay_s + PERMIT_TTL_S)
+        if is_cold:
+            # The time of the request counts, since it precedes the issue.
+            expires_at = began + reply.delay_s + WARMUP_PERMIT_TTL_S
+        else:
+            expires_at = now + reply.delay_s + PERMIT_TTL_S
+        return Permit(reply.number, expires_at)
 
     def note_answer(
         self,
@@ -168,7 +170,10 @@
         """Record and report the limit of an answer, infinite if none."""
         if limit_per_s < math.inf:
             self._limits.record_stated_limit(target.id, limit_per_s)
-        elif not permit.number or not self._limits.is_limited(target.id):
+        elif (
+            not permit.number
+            or self._limits.stated_limit_of(target.id) == math.inf
+        ):
             # The request may have been sent before the limit was stated.
             return
         report = ReportLimit(
@@ -186,13 +191,20 @@
     ) -> PermitReply | None:
         if granter is None:
             return None
+        warmup = self._limits.warmup
+        warmup_per_s = warmup.rate_of(permit_request.target)
+        cold_request = AskColdPermit(
+            permit_request,
+            warmup_per_s,
+            warmup.observed_left_s(permit_request.target),
+        )
         if granter == self._peering.name:
-            return self._grant(permit_request)
+            return self._grant(cold_request)
         self._link(granter)
         try:
             return await self._peering.call(
                 granter,
-                permit_request,
+                permit_request if warmup_per_s == math.inf else cold_request,
                 PermitReply,
                 ASK_TIMEOUT_S,
             )
@@ -241,15 +253,27 @@
     def _is_granter_of(self, target: str) -> bool:
         return self._granter_of_target(target) == self._peering.name
 
-    def _grant(self, permit_request: AskPermit) -> PermitReply:
+    def _grant(self, cold_request: AskColdPermit) -> PermitReply:
         """Answer a permit request as the granter."""
-        if (
-            self._granters.granter_of(permit_request.service)
-            != self._peering.name
-        ):
+        permit_request = cold_request.permit_request
+        target, service = permit_request.target, permit_request.service
+        if not self.warmup.is_granter(service):
             GRANTS.labels('not_granter').inc()
             return PermitReply(False, permit_request.limit_per_s, 0, 0, 0)
-        self._adopt_known_limit(permit_request.target, permit_request.service)
+        warmup = self._limits.warmup
+        warmup.note_reported(target, cold_request.observed_left_s)
+        warmup_per_s = min(cold_request.warmup_per_s, warmup.rate_of(target))
+        if warmup_per_s < math.inf and not self._granters.is_confirmed():
+            # Another host may be the granter by now.
+            GRANTS.labels('unconfirmed').inc()
+            return PermitReply(False, permit_request.limit_per_s, 0, 0, 0)
+        self._adopt_known_limit(target, service)
+        self._buckets.record_warmup(
+            target,
+            service,
+            warmup_per_s,
+            self.warmup.permits_from(service),
+        )
         reply = self._buckets.take(permit_request)
         GRANTS.labels(_outcome_of(reply)).inc()
         return reply
@@ -257,11 +281,12 @@
     def _adopt_known_limit(self, target: str, service: str) -> None:
         """Enforce a limit that this host knows as a client of the target."""
         is_new = self._buckets.limit_of(target) == math.inf
-        if is_new and self._limits.is_limited(target):
+        stated_per_s = self._limits.stated_limit_of(target)
+        if is_new and stated_per_s < math.inf:
             self._buckets.record_limit(
                 target,
                 service,
-                self._limits.limit_of(target),
+                stated_per_s,
                 self._limits.known_ago_s(target),
             )
 
@@ -292,6 +317,7 @@
             services = {
                 self._service_of(target) for target in self._limits.limited()
             }
+            services.update(self._limits.warmup.cold_services())
             for service in services:
                 granter = service and self._granters.granter_of(service)
                 if granter and granter != self._peering.name:
@@ -301,7 +327,12 @@
     async def _on_ask(
         self, _sender: str, permit_request: AskPermit
     ) -> PermitReply:
-        return self._grant(permit_request)
+        return self._grant(AskColdPermit(permit_request, math.inf, 0))
+
+    async def _on_ask_cold(
+        self, _sender: str, cold_request: AskColdPermit
+    ) -> PermitReply:
+        return self._grant(cold_request)
 
     async def _on_report(self, _sender: str, report: ReportLimit) -> LimitState:
         return self._take_report(report)
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -150,6 +150,10 @@
         """Return None, since there is no other host."""
         return None
 
+    def is_confirmed(self) -> bool:
+        """Return that the only host is in touch with control."""
+        return True
+
 
 def make_gate(targets: TargetDirectory) -> TargetGate:
     """Return the gate of the only host of a fleet."""
--- a/tests/limits/test_service.py
+++ b/tests/limits/test_service.py
@@ -69,6 +69,10 @@
         """Return a placeholder address."""
         return 'x'
 
+    def is_confirmed(self) -> bool:
+        """Return that the host is in touch with control."""
+        return True
+
     async def generate_load(self, rate_per_s: float) -> None:
         """Send requests as a Poisson process."""
         rng = random.Random(self.name)
