Cold targets get requests with permits only

Cause: targets that start, or return after an evacuation, crash under the load of warm ones. Change: the document's warm-up of a service, the flag of the list and the time in responses are decoded; refused connections, also of stage calls, are recorded; the gate, retries, stage calls and releases need permits at cold targets. A request takes a warm target while one has a free slot. Releases check the permit before they are sent, as other calls do. The digest of a list without cold targets is unchanged.

--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -113,6 +113,7 @@
                 before_send,
             )
         except NotRunError as error:
+            self._gate.note_failed_call(target, error)
             raise CallRefusedError(
                 str(error), exempt_from_budget=True
             ) from error
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -119,11 +119,14 @@
         self._member.on_document = self._apply_document
         self._member.on_present = self._apply_presences
         http = TargetHttp()
+        self._granters = ServiceGranters(
+            self._member, lambda: self._batching.ownership
+        )
         self._limits = LimitService(
             self._peering,
             BootClock(),
             self._targets.limits,
-            ServiceGranters(self._member, lambda: self._batching.ownership),
+            self._granters,
             self._targets.service_of,
         )
         gate = TargetGate(self._targets, self._limits)
@@ -261,6 +264,7 @@
             ),
             leaving_targets=self._targets.availability.leaving(),
             limited_targets=self._limits.granted_limits(),
+            cold_targets=self._limits.warmup.granted(),
         )
 
     def _load(self) -> ProcessLoad:
@@ -297,6 +301,7 @@
 
     def _apply_presences(self, present: Sequence[Presence]) -> None:
         """Apply what the directory reports about the other entry hosts."""
+        self._granters.note_confirmed()
         entries = [
             presence for presence in present if presence.role == ROLE_ENTRY
         ]
@@ -317,6 +322,11 @@
                     presence.name,
                     presence.limited_targets,
                 )
+            if presence.cold_targets:
+                self._limits.warmup.record_granted(
+                    presence.name,
+                    presence.cold_targets,
+                )
 
     def _apply_document(self, document: StoredDocument) -> None:
         try:
@@ -335,5 +345,12 @@
             for service in table.services_by_name.values()
             if service.batch is not None
         }
+        self._targets.update_warmups(
+            {
+                service.name: service.warmup
+                for service in table.services_by_name.values()
+                if service.warmup is not None
+            },
+        )
         self._batching.update(self._limits_by_service)
         self._app.update_table(table)
--- a/hornbeamline/gateway/__init__.py
+++ b/hornbeamline/gateway/__init__.py
@@ -38,6 +38,7 @@
     RefusedError,
 )
 from hornbeamline.helpers.budget import BudgetSettings, RetryBudget
+from hornbeamline.limits import WarmupLimits
 
 __all__ = (
     'Account',
@@ -75,6 +76,7 @@
     'TargetLoad',
     'TargetPicker',
     'VersionBinding',
+    'WarmupLimits',
     'Wire',
     'rate_of',
     'wait_by_service',
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -28,7 +28,7 @@
 from hornbeamline.gateway._gate import TargetGate
 from hornbeamline.gateway._http import TargetHttp, TargetResponse
 from hornbeamline.gateway._job import Job
-from hornbeamline.gateway._picker import PickCriteria, TargetPicker
+from hornbeamline.gateway._picker import TargetPicker
 from hornbeamline.gateway._reply import Reply
 from hornbeamline.gateway._targets import TargetDirectory
 from hornbeamline.gateway._types import (
@@ -37,6 +37,7 @@
     RouteKind,
     Target,
 )
+from hornbeamline.gateway._warm_first import pick_target
 from hornbeamline.gateway._wire import TargetHeaders, Wire
 from hornbeamline.gateway.const import (
     REASON_TARGET_LOST,
@@ -142,6 +143,7 @@
                 attempts.inputs_lost = True
             if isinstance(error, TargetGoneError):
                 self._picker.eject(target)
+            self._gate.note_failed_call(target, error)
         except MayHaveRunError as error:
             attempts.may_have_run_count += 1
             attempts.reason = str(error)
@@ -171,6 +173,7 @@
         if await self._http.is_listening(target.address):
             return
         self._picker.eject(target)
+        self._gate.note_ended(target)
         received_s = self._clock.monotonic() - job.request.received_at
         waited_s = received_s - (attempts.sent_s or 0)
         crash = EngineCrash(target.id, target.service, phase, waited_s)
@@ -186,7 +189,8 @@
             return None
         denied: list[str] = []
         while len(denied) < MAX_DENIED_PERMITS:
-            target = self._pick(job, [*attempts.tried, *denied])
+            excluded = [*attempts.tried, *denied]
+            target = pick_target(job, self._targets, self._picker, excluded)
             if target is None:
                 break
             if not self._may_retry(job, attempts):
@@ -229,16 +233,6 @@
             return None
         return self._start_attempt(first, permit, attempts)
 
-    def _pick(self, job: Job, excluded: list[str]) -> Target | None:
-        criteria = PickCriteria(
-            job.request, job.input_bytes_by_data_centre, excluded
-        )
-        version = job.binding.version
-        targets = self._targets.available_targets(job.service, version)
-        if job.route.kind is RouteKind.STREAM:
-            return self._picker.pick_engine(targets, criteria)
-        return self._picker.pick(targets, criteria)
-
     def _may_retry(self, job: Job, attempts: Attempts) -> bool:
         """Charge a retry to the retry budget; return whether it allows it."""
         if not attempts.tried or attempts.is_budgeted:
--- a/hornbeamline/gateway/_gate.py
+++ b/hornbeamline/gateway/_gate.py
@@ -5,7 +5,11 @@
 from hornbeamline.gateway._metrics import CALLS_WITHHELD
 from hornbeamline.gateway._targets import TargetDirectory
 from hornbeamline.gateway._types import AnswerHead, Target
-from hornbeamline.gateway.errors import TargetGoneError, TargetLimitedError
+from hornbeamline.gateway.errors import (
+    ConnectionDeniedError,
+    TargetGoneError,
+    TargetLimitedError,
+)
 from hornbeamline.limits import LimitService, Permit
 
 
@@ -54,6 +58,15 @@
             CALLS_WITHHELD.inc()
             raise TargetLimitedError(f'{target.id}: permit is no longer valid')
 
+    def note_failed_call(self, target: Target, error: Exception) -> None:
+        """Process the failure of a call; one that was refused may be cold."""
+        if isinstance(error, ConnectionDeniedError):
+            self.note_ended(target)
+
+    def note_ended(self, target: Target) -> None:
+        """Record that a target does not accept connections."""
+        self._limits.warmup.note_unreachable(target)
+
     def process_response_signals(
         self,
         target: Target,
@@ -72,3 +85,5 @@
             availability.note_pause(target.id, head.pause_s)
         if head.limit_per_s is not None:
             self._limits.note_answer(target, head.limit_per_s, permit)
+        if head.warmup_left_s is not None:
+            self._limits.warmup.note_answer(target, head.warmup_left_s, permit)
--- a/hornbeamline/gateway/_http.py
+++ b/hornbeamline/gateway/_http.py
@@ -12,7 +12,11 @@
 import yarl
 from aiohttp.client_proto import ResponseHandler
 
-from hornbeamline.gateway.errors import MayHaveRunError, TargetGoneError
+from hornbeamline.gateway.errors import (
+    ConnectionDeniedError,
+    MayHaveRunError,
+    TargetGoneError,
+)
 from hornbeamline.helpers.http_client import forbid_resend
 from hornbeamline.targets import (
     GuardedConnector,
@@ -261,4 +265,6 @@
 def _to_gateway_error(error: Exception, progress: SendProgress) -> Exception:
     if progress.may_be_sent:
         return MayHaveRunError(repr(error))
+    if isinstance(getattr(error, 'os_error', error), ConnectionRefusedError):
+        return ConnectionDeniedError(repr(error))
     return TargetGoneError(repr(error))
--- a/hornbeamline/gateway/_release.py
+++ b/hornbeamline/gateway/_release.py
@@ -63,6 +63,7 @@
                     path,
                     headers,
                     body,
+                    lambda: self._gate.check_before_send(target, permit),
                 )
         except (GatewayError, TimeoutError) as error:
             # Results that are not released expire at their target.
--- a/hornbeamline/gateway/_targets.py
+++ b/hornbeamline/gateway/_targets.py
@@ -10,7 +10,7 @@
 from hornbeamline.gateway._types import Target
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.helpers.codec import encode
-from hornbeamline.limits import TargetLimits
+from hornbeamline.limits import TargetLimits, WarmupLimits
 from hornbeamline.limits.const import MIN_RATE_PER_S
 from hornbeamline.membership import TargetAvailability
 from hornbeamline.telemetry import log_event
@@ -76,6 +76,7 @@
         if digest != self.digest or self.read_at is None:
             return False
         self.read_at = max(self.read_at, read_at)
+        self.limits.warmup.note_confirmed(self.read_at)
         self._record_listed(self._targets_by_id.keys())
         return True
 
@@ -112,12 +113,23 @@
         self._targets_by_address = {
             target.address: target for target in targets_by_id.values()
         }
+        self.limits.warmup.note_listed(targets_by_id.values(), at)
         self._record_listed(targets_by_id.keys())
         if self.on_changed is not None:
             self.on_changed()
         if is_first and self.on_first_list is not None:
             self.on_first_list()
 
+    def update_warmups(
+        self, warmups_by_service: Mapping[str, WarmupLimits]
+    ) -> None:
+        """Replace the services that warm up, from a newer document."""
+        self.limits.warmup.update_services(warmups_by_service)
+        if self.read_at is not None:
+            self.limits.warmup.note_listed(
+                self._targets_by_id.values(), self.read_at
+            )
+
     def accepting_targets(self, service: str) -> list[Target]:
         """Return the targets of a service that are not draining or paused."""
         accepts_work = self.availability.accepts_work
@@ -285,4 +297,9 @@
 
 
 def _digest(targets: Iterable[Target]) -> bytes:
-    return hashlib.blake2b(encode(sorted(targets)), digest_size=8).digest()
+    # Without the flag for targets that are not cold, the digest is the one
+    # that hosts without the flag compute.
+    entries = [
+        target if target.is_cold else target[:-1] for target in sorted(targets)
+    ]
+    return hashlib.blake2b(encode(entries), digest_size=8).digest()
--- a/hornbeamline/gateway/_types.py
+++ b/hornbeamline/gateway/_types.py
@@ -6,6 +6,8 @@
 import math
 from typing import NamedTuple
 
+from hornbeamline.limits import WarmupLimits
+
 
 class RouteKind(enum.Enum):
     """Retry semantics of the requests of a route."""
@@ -85,6 +87,8 @@
     max_connections: int
     batch: BatchLimits | None
     engine: EngineLimits | None
+    # None if targets are never cold.
+    warmup: WarmupLimits | None = None
 
 
 class Account(NamedTuple):
@@ -106,6 +110,9 @@
     is_leaving: bool
     # Version of the software; empty if the list does not tell it.
     version: str = ''
+    # The list says that the target is cold. A flag, not the time, so that
+    # the digest of the list changes with it only.
+    is_cold: bool = False
 
 
 class PromptPart(NamedTuple):
@@ -188,6 +195,9 @@
     # Rate limit of the target for all hosts together, in requests per second:
     # infinite if it sends none, None if the limit cannot be parsed.
     limit_per_s: float | None = math.inf
+    # How long the target stays cold; None if it does not tell or the time
+    # cannot be parsed.
+    warmup_left_s: float | None = None
 
 
 class Refusal(NamedTuple):
--- /dev/null
+++ b/hornbeamline/gateway/_warm_first.py
@@ -0,0 +1,43 @@
+"""Selection of a target for a request, warm ones first."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import Final
+
+from hornbeamline.gateway._job import Job
+from hornbeamline.gateway._picker import PickCriteria, TargetPicker
+from hornbeamline.gateway._targets import TargetDirectory
+from hornbeamline.gateway._types import RouteKind, Target
+
+# Load per slot of the best warm target from which requests also go to cold
+# ones: below, no request waits for the granter's reply.
+_FULL_LOAD: Final = 1.0
+
+
+def pick_target(
+    job: Job,
+    targets: TargetDirectory,
+    picker: TargetPicker,
+    excluded: Collection[str],
+) -> Target | None:
+    """Return the target for the next attempt of a request, or None.
+
+    A cold target is selected only if no warm one has a free slot.
+    """
+    criteria = PickCriteria(
+        job.request, job.input_bytes_by_data_centre, excluded
+    )
+    available = targets.available_targets(job.service, job.binding.version)
+    pick = (
+        picker.pick_engine
+        if job.route.kind is RouteKind.STREAM
+        else picker.pick
+    )
+    is_cold = targets.limits.is_cold
+    warm = [target for target in available if not is_cold(target.id)]
+    if len(warm) < len(available):
+        chosen = pick(warm, criteria)
+        if chosen and picker.load_per_slot(chosen) < _FULL_LOAD:
+            return chosen
+    return pick(available, criteria)
--- a/hornbeamline/gateway/errors.py
+++ b/hornbeamline/gateway/errors.py
@@ -26,6 +26,10 @@
     """
 
 
+class ConnectionDeniedError(TargetGoneError):
+    """The target's host has refused the connection."""
+
+
 class TargetLimitedError(NotRunError):
     """The rate limit of the target allows no further request now."""
 
--- a/hornbeamline/platform/_document.py
+++ b/hornbeamline/platform/_document.py
@@ -17,12 +17,17 @@
     RoutingTable,
     Service,
     Stage,
+    WarmupLimits,
     group_by_host,
 )
+from hornbeamline.helpers.rates import MAX_RATE_PER_S
 
 _MS_PER_S: Final = 1000
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
 _Weight = Annotated[float, msgspec.Meta(ge=0)]
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+# Bound of the time for which a target may be believed cold without news.
+_MAX_WARMUP_S: Final = 60.0
 
 _kinds_by_route_type: Final = {
     'idempotent': RouteKind.IDEMPOTENT,
@@ -84,6 +89,8 @@
     max_connections: int = 1
     pieces: _Pieces | None = None
     engine: _Engine | None = None
+    warmup_s: _NotNegative | None = None
+    warmup_per_s: _NotNegative | None = None
 
 
 class _Tenant(_Table, frozen=True, kw_only=True):
@@ -230,9 +237,18 @@
         engine=None
         if engine is None
         else EngineLimits(engine.slots, engine.kv_capacity),
+        warmup=_read_warmup(service),
     )
 
 
+def _read_warmup(service: _Service) -> WarmupLimits | None:
+    """Return how targets warm up; None without a time or a rate."""
+    per_s = service.warmup_per_s
+    if not service.warmup_s or per_s is None or per_s > MAX_RATE_PER_S:
+        return None
+    return WarmupLimits(min(service.warmup_s, _MAX_WARMUP_S), per_s)
+
+
 def _read_accounts(
     tenants: list[_Tenant] | None,
 ) -> dict[str, Account] | None:
--- a/hornbeamline/platform/_list.py
+++ b/hornbeamline/platform/_list.py
@@ -38,6 +38,8 @@
     state: str
     slots: Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)] = 1
     version: Annotated[str, msgspec.Meta(max_length=_MAX_VERSION)] = ''
+    # Decoded apart, since a time that cannot be read must not hide a target.
+    warmup_left_ms: msgspec.Raw = msgspec.Raw(b'0')
 
 
 class _PageBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -143,9 +145,19 @@
         slots=entry.slots,
         is_leaving=_is_leaving_by_state[entry.state],
         version=entry.version,
+        is_cold=_is_positive(entry.warmup_left_ms),
     )
 
 
+def _is_positive(raw: msgspec.Raw) -> bool:
+    """Return whether a JSON value is a number above 0, however large."""
+    text = bytes(raw).decode('utf-8', 'replace')
+    try:
+        return float(text) > 0
+    except ValueError:
+        return False
+
+
 def _is_address(text: str) -> bool:
     """Return whether a text is an IPv4 address with a port."""
     host, _, port = text.partition(':')
--- a/hornbeamline/platform/_wire.py
+++ b/hornbeamline/platform/_wire.py
@@ -38,6 +38,7 @@
 _RESUMES: Final = 'resumes'
 _LEAVING: Final = 'server-leaving'
 _RATE_LIMIT: Final = 'server-limit'
+_WARMUP: Final = 'x-warmup-ms'
 _RETRY_AFTER: Final = 'retry-after'
 
 # Headers that apply to one connection only and are never forwarded.
@@ -212,6 +213,7 @@
                 status, first_by_name.get(_RETRY_AFTER)
             ),
             limit_per_s=parse_rate_per_s(first_by_name.get(_RATE_LIMIT)),
+            warmup_left_s=_parse_warmup_s(first_by_name.get(_WARMUP)),
         )
 
     def refusal_answer(
@@ -334,6 +336,18 @@
     return TargetLoad(*numbers) if len(numbers) == 3 else None
 
 
+def _parse_warmup_s(text: str | None) -> float | None:
+    """Return the remaining warm-up; None without one that can be read.
+
+    Negative times and times that are not numbers count as not stated.
+    """
+    try:
+        left_ms = float(text or 'nan')
+    except ValueError:
+        return None
+    return left_ms / _MS_PER_S if left_ms >= 0 else None
+
+
 def _parse_retry_after_s(status: int, text: str | None) -> float | None:
     """Return the pause that a 503 answer asks for; None if not usable."""
     return parse_retry_after_s(text) if status == _HTTP_UNAVAILABLE else None
--- a/tests/platform/test_document.py
+++ b/tests/platform/test_document.py
@@ -110,6 +110,37 @@
     document['version'] = 'seven'
 
 
+@pytest.mark.parametrize(
+    ('fields', 'expected'),
+    [
+        ({}, None),
+        ({'warmup-s': 3.0}, None),
+        ({'warmup-per-s': 9.3}, None),
+        ({'warmup-s': 0, 'warmup-per-s': 9.3}, None),
+        ({'warmup-s': None, 'warmup-per-s': None}, None),
+        ({'warmup-s': 3, 'warmup-per-s': 1e15}, None),
+        ({'warmup-s': 3.0, 'warmup-per-s': 9.3}, (3.0, 9.3)),
+        ({'warmup-s': 3.0, 'warmup-per-s': 0}, (3.0, 0)),
+        ({'warmup-s': 1e300, 'warmup-per-s': 11}, (60.0, 11)),
+    ],
+)
+def test_warm_up_of_a_service_is_bounded(fields, expected) -> None:
+    """Guards against targets that are cold for ever."""
+    document = copy.deepcopy(DOCUMENT)
+    document['services'][0].update(fields)
+    assert read(document).services_by_name['llm'].warmup == expected
+
+
+@pytest.mark.parametrize('name', ['warmup-s', 'warmup-per-s'])
+@pytest.mark.parametrize('figure', [-1, 'x', True, [3], {}])
+def test_warm_up_that_is_no_figure_is_refused(name, figure) -> None:
+    """The operator is told of a mistake at once."""
+    document = copy.deepcopy(DOCUMENT)
+    document['services'][0][name] = figure
+    with pytest.raises(InvalidDocumentError):
+        read(document)
+
+
 @pytest.mark.parametrize(
     'spoil',
     [
--- a/tests/platform/test_document_ranges.py
+++ b/tests/platform/test_document_ranges.py
@@ -79,6 +79,7 @@
     stages['traffic-split'][1]['weight'] = 10
     for service in document['services']:
         service['max-connections'] = 50
+        service.update({'warmup-s': 3.0, 'warmup-per-s': 9.3})
     document['services'][2]['pieces'].update(
         {'slots': 1, 'queue': 2, 'headroom-mb': 4.8, 'handle-s': 4.0}
     )
--- a/tests/platform/test_list.py
+++ b/tests/platform/test_list.py
@@ -132,6 +132,33 @@
     assert [target.version for target in targets] == ['v1', 'v1.2-rc \xe9', '']
 
 
+# Failure that this guards against: a time that cannot be read hides a target.
+@pytest.mark.parametrize(
+    ('text', 'is_cold'),
+    [
+        (b'2400', True),
+        (b'0.5', True),
+        (b'1e400', True),
+        (b'9' * 400, True),
+        (b'0', False),
+        (b'-3000', False),
+        (b'"3000"', False),
+        (b'"\xc3"', False),
+        (b'null', False),
+        (b'true', False),
+        (b'{}', False),
+        (b'[3000]', False),
+    ],
+)
+async def test_time_of_the_warm_up_becomes_a_flag(text, is_cold) -> None:
+    """Fault: times that are negative, huge or not numbers."""
+    entry = SOUND.replace(b'-ms":0', b'-ms":' + text) % (1, 1)
+    absent = SOUND.replace(b'"warmup-left-ms":0,', b'') % (2, 2)
+    targets = await read(page(entry, absent, SOUND % (3, 3)))
+    assert ids(targets) == ['i-1', 'i-2', 'i-3']
+    assert [target.is_cold for target in targets] == [is_cold, False, False]
+
+
 async def test_empty_list_has_no_targets() -> None:
     """Guards against entries that are not there."""
     assert not await read(page())
