--- a/hornbeamline/costs/_speeds.py
+++ b/hornbeamline/costs/_speeds.py
@@ -134,6 +134,12 @@
             lasting += speed.present_log(now)
         return math.exp(_bounded(lasting))
 
+    def lasting_slowness_of(self, target: str) -> float:
+        """Return the expected slowness without what a target says of now."""
+        now = self._clock.monotonic()
+        speed = self._speed_by_target.peek(target)
+        return math.exp(_bounded(self._lasting_log(target, speed, now)))
+
     def report_age_s(self, target: str) -> float | None:
         """Return the age of the last report, or None."""
         speed = self._speed_by_target.peek(target)
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -47,6 +47,7 @@
     TargetPicker,
     Wire,
     rate_of,
+    service_lookup,
     wait_by_service,
 )
 from hornbeamline.helpers.clock import BootClock, SystemClock
@@ -123,14 +124,18 @@
         self._member.add_substitutes(settings.substitutes_by_name)
         self._member.on_document = self._apply_document
         self._member.evacuations.on_state = self._targets.apply_evacuations
+        self._targets.on_reopened = self._targets.limits.warmup.note_reopened
         self._member.on_present = self._apply_presences
         http = TargetHttp()
+        self._granters = ServiceGranters(
+            self._member, lambda: self._batching.ownership
+        )
         self._limits = LimitService(
             self._peering,
             BootClock(),
             self._targets.limits,
-            ServiceGranters(self._member, lambda: self._batching.ownership),
-            self._targets.service_of,
+            self._granters,
+            service_lookup(self._targets),
         )
         gate = TargetGate(self._targets, self._limits)
         self._hosts = OtherHosts(
@@ -274,6 +279,7 @@
             leaving_targets=self._targets.availability.leaving(),
             limited_targets=self._limits.granted_limits(),
             processor_cores=settings.processor_cores,
+            cold_targets=self._limits.warmup.granted(),
         )
 
     def _load(self) -> ProcessLoad:
@@ -317,6 +323,7 @@
 
     def _apply_presences(self, present: Sequence[Presence]) -> None:
         """Apply what the directory reports about the other entry hosts."""
+        self._granters.note_confirmed()
         entries = [
             presence for presence in present if presence.role == ROLE_ENTRY
         ]
@@ -339,6 +346,11 @@
                     presence.name,
                     presence.limited_targets,
                 )
+            if presence.cold_targets:
+                self._limits.warmup.record_granted(
+                    presence.name,
+                    presence.cold_targets,
+                )
 
     def _apply_document(self, document: StoredDocument) -> None:
         try:
@@ -357,5 +369,12 @@
             for service in table.services_by_name.values()
             if service.batch is not None
         }
+        self._targets.update_warmups(
+            {
+                service.name: service.warmup
+                for service in table.services_by_name.values()
+                if service.warmup is not None
+            },
+        )
         self._batching.update(self._limits_by_service)
         self._app.update_table(table)
--- a/hornbeamline/gateway/__init__.py
+++ b/hornbeamline/gateway/__init__.py
@@ -13,7 +13,7 @@
 from hornbeamline.gateway._stages import StageRunner
 from hornbeamline.gateway._stream_versions import StreamVersions
 from hornbeamline.gateway._table import RoutingTable, group_by_host
-from hornbeamline.gateway._targets import TargetDirectory
+from hornbeamline.gateway._targets import TargetDirectory, service_lookup
 from hornbeamline.gateway._types import (
     Account,
     AnswerHead,
@@ -38,6 +38,7 @@
     RefusedError,
 )
 from hornbeamline.helpers.budget import BudgetSettings, RetryBudget
+from hornbeamline.limits import WarmupLimits
 
 __all__ = (
     'Account',
@@ -75,8 +76,10 @@
     'TargetLoad',
     'TargetPicker',
     'VersionBinding',
+    'WarmupLimits',
     'Wire',
     'rate_of',
+    'service_lookup',
     'wait_by_service',
     'group_by_host',
 )
--- a/hornbeamline/gateway/_picker.py
+++ b/hornbeamline/gateway/_picker.py
@@ -5,6 +5,7 @@
 import hashlib
 import math
 import random
+import statistics
 from collections.abc import Collection, Mapping, Sequence
 from typing import Final, NamedTuple
 
@@ -16,6 +17,7 @@
     Candidate,
     RecentEntries,
     RequestFeatures,
+    TargetSpeeds,
     sample,
 )
 from hornbeamline.gateway._job import Job
@@ -40,6 +42,9 @@
 _RUNNING_COST_S: Final = 0.005
 _TOKEN_COST_S: Final = 1 / 20_000
 _REMOTE_BYTE_COST_S: Final = 30e-9
+# Engines that are slower than the median by this factor are not preferred for
+# prompt parts.
+_SLOW_FACTOR: Final = 1.4
 # Number of records of cached prompt parts above which expired records are
 # evicted, and the lifetime of a record.
 _EVICT_ABOVE_PARTS: Final = 4096
@@ -256,7 +261,9 @@
         holders: set[str] = set()
         parts = criteria.request.shared_parts
         if kind == KIND_ENGINE and parts:
-            engine_by_part = _preferred_engines(targets, criteria.request)
+            engine_by_part = _preferred_engines(
+                _usually_fast(targets, self.beliefs.speeds), criteria.request
+            )
             for part_id, engine in engine_by_part.items():
                 self._engine_by_part.store(part_id, engine)
             holders = {
@@ -378,6 +385,25 @@
         return self._clock.monotonic() - failures.at < EJECT_S
 
 
+def _usually_fast(
+    targets: Sequence[Target], speeds: TargetSpeeds
+) -> list[Target]:
+    """Return the targets that are not slow for good.
+
+    The requests of a prompt part that prefers a slow engine would go to
+    several others, and each of these would read the part again.
+    """
+    slowness_by_id = {
+        target.id: speeds.lasting_slowness_of(target.id) for target in targets
+    }
+    median = statistics.median_low(slowness_by_id.values())
+    return [
+        target
+        for target in targets
+        if slowness_by_id[target.id] <= median * _SLOW_FACTOR
+    ]
+
+
 def remote_bytes(
     bytes_by_data_centre: Mapping[str, int],
     data_centre: str,
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -21,6 +21,7 @@
     TargetDirectory,
     TargetGate,
     TargetPicker,
+    service_lookup,
 )
 from hornbeamline.helpers.clock import Clock, SystemClock
 from hornbeamline.limits import LimitService
@@ -150,6 +151,10 @@
         """Return None, since there is no other host."""
         return None
 
+    def is_confirmed(self) -> bool:
+        """Return that the only host is in touch with control."""
+        return True
+
 
 def make_gate(targets: TargetDirectory) -> TargetGate:
     """Return the gate of the only host of a fleet."""
@@ -159,7 +164,7 @@
         SystemClock(),
         targets.limits,
         OneGranter(),
-        targets.service_of,
+        service_lookup(targets),
     )
     return TargetGate(targets, limits)
 
