--- a/hornbeamline/evacuations/service.py
+++ b/hornbeamline/evacuations/service.py
@@ -19,7 +19,7 @@
     ReadReply,
 )
 from hornbeamline.evacuations._metrics import ORDERS
-from hornbeamline.evacuations.const import ORDER_TIMEOUT_S
+from hornbeamline.evacuations.const import MAX_LOGGED_NAME, ORDER_TIMEOUT_S
 from hornbeamline.evacuations.errors import (
     EvacuationUnavailableError,
     UnknownDataCentreError,
@@ -133,7 +133,7 @@
         if data_centre in self.machine.current.data_centres:
             return
         if not self._is_listed(data_centre):
-            raise UnknownDataCentreError(f'unknown data centre {data_centre!r}')
+            raise UnknownDataCentreError('no data centre has this name')
 
     def _record(
         self,
@@ -145,7 +145,7 @@
         ORDERS.labels(outcome).inc()
         log_event(
             'evacuations.order',
-            data_centre=order.data_centre,
+            data_centre=order.data_centre[:MAX_LOGGED_NAME],
             order='start' if order.is_start else 'end',
             outcome=outcome,
             error=error,
--- a/tests/evacuations/test_orders.py
+++ b/tests/evacuations/test_orders.py
@@ -21,10 +21,12 @@
     EvacuationUnavailableError,
     UnknownDataCentreError,
 )
+from hornbeamline.evacuations._machine import EvacuationOrder
 from hornbeamline.evacuations.service import EvacuationService
 from hornbeamline.exceptions import ReplicatedLogError
 from hornbeamline.helpers.clock import ManualClock
 from hornbeamline.helpers.codec import encode
+from hornbeamline.replog._state_machines import StateMachines
 
 HOSTS: Final = 3
 ZONES: Final = ('north', 'a/b%2F')
@@ -364,3 +366,15 @@
         await asyncio.sleep(0)
         await world.deliver(-1)
     assert not (await ending).data_centres
+
+
+# Guards against control processes of an older version that cannot use the
+# snapshots of a deployment which has never evacuated anything.
+def test_snapshot_without_orders_has_no_evacuations() -> None:
+    """Load: control processes are updated one after the other."""
+    machines = StateMachines()
+    machine = EvacuationMachine()
+    machines.register('evacuations', machine)
+    assert not machines.states()
+    machine.apply(1, encode(EvacuationOrder(NORTH, True, 0)))
+    assert machines.states().keys() == {'evacuations'}
