Add the routing algorithm least_work

Cause: no algorithm of the decisions component used expected completion times.

Change: least_work draws two targets by speed and takes the less expected completion time, with costs.sample and costs.choose.

Tested: tests/decisions/test_routing.py.

--- a/hornbeamline/decisions/_routing.py
+++ b/hornbeamline/decisions/_routing.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple, TypeAlias
 
+from hornbeamline.costs import Option, choose, sample
 from hornbeamline.decisions._affinity import PrefixAffinity
 from hornbeamline.decisions._candidates import Candidates
 from hornbeamline.decisions._targets import TargetRecord
@@ -105,6 +106,27 @@
     )
 
 
+@algorithm('least_work')
+def least_work(view: RoutingView, call: StageCall) -> TargetRecord | None:
+    """Choose the less expected completion time of two targets.
+
+    The calls of a service count as equal; slow targets are drawn less often.
+    """
+    allowed = _allowed(view, call)
+    if not allowed:
+        return None
+    sampled = sample(allowed, (), _slowness, view.rng)
+    options = [
+        Option(
+            record.name,
+            wait_s=relative_load(record, view.now),
+            run_s=record.slowness,
+        )
+        for record in sampled
+    ]
+    return view.records_by_name[choose(options, view.rng).target]
+
+
 def relative_load(record: TargetRecord, now: float) -> float:
     """Return the load relative to the limit, scaled by slowness."""
     return record.load_at(now) * record.slowness / record.slots
@@ -169,3 +191,7 @@
 
 def _name(record: TargetRecord) -> str:
     return record.name
+
+
+def _slowness(record: TargetRecord) -> float:
+    return record.slowness
--- a/tests/decisions/test_routing.py
+++ b/tests/decisions/test_routing.py
@@ -44,7 +44,8 @@
 
 
 @pytest.mark.parametrize(
-    'name', ['two_choices', 'round_robin', 'random', 'least_in_flight']
+    'name',
+    ['two_choices', 'round_robin', 'random', 'least_in_flight', 'least_work'],
 )
 def test_all_algorithms_spread_load(name: str) -> None:
     """Guards against an algorithm that is missing or favours one target."""
