--- a/hornbeamline/costs/_beliefs.py
+++ b/hornbeamline/costs/_beliefs.py
@@ -188,7 +188,7 @@
     def completed(self, attempt: AttemptWork) -> None:
         """Learn from a complete response."""
         took_s = self._clock.monotonic() - attempt.started_at
-        if took_s < MIN_COST_S:
+        if took_s < MIN_COST_S or not attempt.is_whole:
             return
         expected_s = attempt.parts.total_s * attempt.slowness
         waited_s = min(
--- a/hornbeamline/costs/_speeds.py
+++ b/hornbeamline/costs/_speeds.py
@@ -31,6 +31,7 @@
 _MAX_SENT: Final = 256
 # Step of the rounded logarithm of a lasting slowness, about 22 %.
 _LOG_STEP: Final = 0.2
+_LASTING_TTL_S: Final = 1.0
 # Evidence is sent in whole hundredths, which take 1 to 3 bytes.
 _SCALE: Final = 100
 
@@ -103,6 +104,8 @@
             MAX_TARGETS
         )
         self._others_by_target: Mapping[str, SpeedEvidence] = {}
+        self._lasting_by_target: dict[str, float] = {}
+        self._lasting_until = -math.inf
 
     def observe(self, target: str, ratio: float, weight: float = 1) -> None:
         """Learn that a response took `ratio` times the expected duration.
@@ -139,11 +142,20 @@
     def lasting_slowness_of(self, target: str) -> float:
         """Return the slowness without reports of the present moment.
 
-        Rounded, so that hosts with almost the same evidence agree.
+        Rounded, so that hosts with almost the same evidence agree, and
+        computed once a second, since a choice needs it of all targets.
         """
-        speed = self._speed_by_target.peek(target)
-        lasting = self._lasting_log(target, speed, self._clock.monotonic())
-        return math.exp(round(_bounded(lasting) / _LOG_STEP) * _LOG_STEP)
+        now = self._clock.monotonic()
+        if now >= self._lasting_until:
+            self._lasting_until = now + _LASTING_TTL_S
+            self._lasting_by_target.clear()
+        known = self._lasting_by_target.get(target)
+        if known is None:
+            speed = self._speed_by_target.peek(target)
+            lasting = _bounded(self._lasting_log(target, speed, now))
+            known = math.exp(round(lasting / _LOG_STEP) * _LOG_STEP)
+            self._lasting_by_target[target] = known
+        return known
 
     def report_age_s(self, target: str) -> float | None:
         """Return the age of the last report, or None."""
--- a/hornbeamline/costs/_work.py
+++ b/hornbeamline/costs/_work.py
@@ -25,6 +25,7 @@
     __slots__ = (
         'features',
         'first_at',
+        'is_whole',
         'left_s',
         'parts',
         'slowness',
@@ -52,6 +53,8 @@
         self.slowness = slowness
         self.wait_s = wait_s
         self.started_at = started_at
+        # False for a resumed stream, whose duration says little of its cost.
+        self.is_whole = True
         self.first_at: float | None = None
         self.left_s = parts.total_s
 
--- a/hornbeamline/gateway/_attempts.py
+++ b/hornbeamline/gateway/_attempts.py
@@ -90,6 +90,7 @@
         self.head_s = None
         self.first_event_s = None
         self.begun_at = None
+        self.work = None
 
     def phase_at(self, now: float) -> Phase | None:
         """Return how far an answer got that was lost at the time `now`.
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -294,6 +294,8 @@
         await job.binding.attempt_started(target)
         work = self._picker.attempt_started(target, PickCriteria.of_job(job))
         attempts.work = work
+        if work is not None:
+            work.is_whole = attempts.last_event_id is None
         fetch_timer = DelayedCall(INPUT_FETCH_S, job.on_inputs_fetched)
         started_at = self._clock.monotonic()
 
