--- a/hornbeamline/costs/_beliefs.py
+++ b/hornbeamline/costs/_beliefs.py
@@ -32,11 +32,20 @@
     slots: int
     # Requests that it has reported, discounted by age.
     reported: float
-    # Requests that run there as far as is known.
-    running: float
     uncached_tokens: int
     # Time for inputs from another data centre.
     transfer_s: float
+    # Requests that run there as far as is known.
+    running: float = 0
+
+
+class OthersView(NamedTuple):
+    """How the reported work of other hosts is taken."""
+
+    # Weight of what was reported for a single target, from 0 to 1.
+    weight: float
+    # Mean time that the targets need for it.
+    mean_s: float
 
 
 class Beliefs:
@@ -77,7 +86,7 @@
         evidence_by_target: Mapping[str, SpeedEvidence],
     ) -> None:
         """Replace the work and the observations of all other hosts."""
-        self.work.update_others(work_by_target)
+        self.work.update_others(work_by_target, self._clock.monotonic())
         self.speeds.update_others(evidence_by_target)
 
     def option(
@@ -85,6 +94,7 @@
         service: str,
         candidate: Candidate,
         parts: CostParts,
+        view: OthersView,
     ) -> Option:
         """Return the expected times of a request at a candidate.
 
@@ -98,9 +108,27 @@
         delay_s = prompt_s * min(candidate.running, candidate.slots)
         return Option(
             target,
-            self._wait_s(service, candidate) * slowness,
-            (run_s + delay_s) * slowness,
-            candidate.transfer_s,
+            self._wait_s(service, candidate, view) * slowness,
+            run_s * slowness,
+            candidate.transfer_s + delay_s * slowness,
+        )
+
+    def view(self, service: str, candidates: Sequence[Candidate]) -> OthersView:
+        """Return how the work of other hosts is taken at the candidates.
+
+        A view that is older than a request takes says little of a single
+        target; what remains is the mean, which slow targets take longer for.
+        """
+        mean_s = self._mean_cost_s_by_service.get(service, 0)
+        times_s = [
+            self.work.others_s(candidate.target)
+            * self.speeds.slowness_of(candidate.target)
+            / max(candidate.slots, 1)
+            for candidate in candidates
+        ]
+        return OthersView(
+            self.work.view_weight(self._clock.monotonic(), mean_s),
+            sum(times_s) / len(times_s),
         )
 
     def choose(
@@ -116,8 +144,10 @@
         cached depend on the candidate.
         """
         parts = self.model.parts(features._replace(uncached_tokens=0))
+        view = self.view(service, candidates)
         options = [
-            self.option(service, candidate, parts) for candidate in candidates
+            self.option(service, candidate, parts, view)
+            for candidate in candidates
         ]
         CHOICES.labels(kind).inc()
         return choose(options, self._rng)
@@ -134,8 +164,9 @@
         self._mean_cost_s_by_service[service] = (
             mean_s + (cost_s - mean_s) * _MEAN_GAIN if mean_s else cost_s
         )
+        view = self.view(service, [candidate])
         # Work that fits into the free slots causes no wait.
-        wait_s = max(self._wait_s(service, candidate) - cost_s / 2, 0)
+        wait_s = max(self._wait_s(service, candidate, view) - cost_s / 2, 0)
         attempt = AttemptWork(
             candidate.target,
             features._replace(uncached_tokens=candidate.uncached_tokens),
@@ -158,7 +189,7 @@
     def completed(self, attempt: AttemptWork) -> None:
         """Learn from a complete response."""
         took_s = self._clock.monotonic() - attempt.started_at
-        if took_s < MIN_COST_S:
+        if took_s < MIN_COST_S or not attempt.is_whole:
             return
         expected_s = attempt.parts.total_s * attempt.slowness
         waited_s = min(
@@ -176,11 +207,15 @@
             first_s = max(until_first_s, 0) / attempt.slowness
         self.model.observe(attempt.features, ran_s / attempt.slowness, first_s)
 
-    def _wait_s(self, service: str, candidate: Candidate) -> float:
+    def _wait_s(
+        self, service: str, candidate: Candidate, view: OthersView
+    ) -> float:
         """Return the wait for earlier work, at the usual speed."""
+        target = candidate.target
+        slots = max(candidate.slots, 1)
+        typical_s = view.mean_s * slots / self.speeds.slowness_of(target)
+        others_s = self.work.others_s(target)
+        others_s = typical_s + (others_s - typical_s) * view.weight
         mean_s = self._mean_cost_s_by_service.get(service, 0)
-        left_s = max(
-            self.work.left_s(candidate.target),
-            candidate.reported * mean_s * _REPORTED_SHARE,
-        )
-        return left_s / max(candidate.slots, 1)
+        reported_s = candidate.reported * mean_s * _REPORTED_SHARE
+        return max(self.work.own_s(target) + others_s, reported_s) / slots
--- a/hornbeamline/gateway/_picker.py
+++ b/hornbeamline/gateway/_picker.py
@@ -5,7 +5,6 @@
 import hashlib
 import math
 import random
-import statistics
 from collections.abc import Collection, Mapping, Sequence
 from typing import Final, NamedTuple
 
@@ -17,7 +16,6 @@
     Candidate,
     RecentEntries,
     RequestFeatures,
-    TargetSpeeds,
     sample,
 )
 from hornbeamline.gateway._job import Job
@@ -42,13 +40,11 @@
 _RUNNING_COST_S: Final = 0.005
 _TOKEN_COST_S: Final = 1 / 20_000
 _REMOTE_BYTE_COST_S: Final = 30e-9
-# Engines that are slower than the median by this factor are not preferred for
-# prompt parts.
-_SLOW_FACTOR: Final = 1.4
 # Number of records of cached prompt parts above which expired records are
 # evicted, and the lifetime of a record.
 _EVICT_ABOVE_PARTS: Final = 4096
 _CACHE_TTL_S: Final = 30.0
+_HASH_RANGE: Final = 2**64
 
 
 class _LoadReport(NamedTuple):
@@ -261,9 +257,14 @@
         holders: set[str] = set()
         parts = criteria.request.shared_parts
         if kind == KIND_ENGINE and parts:
-            engine_by_part = _preferred_engines(
-                _usually_fast(targets, self.beliefs.speeds), criteria.request
-            )
+            lasting = self.beliefs.speeds.lasting_slowness_of
+            slowness_by_target = {
+                target.id: lasting(target.id) for target in targets
+            }
+            engine_by_part = {
+                part.id: _preferred_by_speed(slowness_by_target, part.id)
+                for part in parts
+            }
             for part_id, engine in engine_by_part.items():
                 self._engine_by_part.store(part_id, engine)
             holders = {
@@ -275,7 +276,10 @@
                 )
             }
         always = [target for target in targets if target.id in holders]
-        sampled = sample(targets, always, self._rng)
+        slowness_of = self.beliefs.speeds.slowness_of
+        sampled = sample(
+            targets, always, lambda target: slowness_of(target.id), self._rng
+        )
         chosen = self.beliefs.choose(
             sampled[0].service,
             kind,
@@ -313,9 +317,9 @@
             target.id,
             target.slots,
             self._reported_load(target),
-            self._expected_load(target),
             max(request.prompt_tokens - cached_tokens, 0),
             remote * _REMOTE_BYTE_COST_S,
+            self._expected_load(target),
         )
 
     def _expected_load(self, target: Target) -> float:
@@ -385,25 +389,6 @@
         return self._clock.monotonic() - failures.at < EJECT_S
 
 
-def _usually_fast(
-    targets: Sequence[Target], speeds: TargetSpeeds
-) -> list[Target]:
-    """Return the targets that are not slow for good.
-
-    The requests of a prompt part that prefers a slow engine would go to
-    several others, and each of these would read the part again.
-    """
-    slowness_by_id = {
-        target.id: speeds.lasting_slowness_of(target.id) for target in targets
-    }
-    median = statistics.median_low(slowness_by_id.values())
-    return [
-        target
-        for target in targets
-        if slowness_by_id[target.id] <= median * _SLOW_FACTOR
-    ]
-
-
 def remote_bytes(
     bytes_by_data_centre: Mapping[str, int],
     data_centre: str,
@@ -435,6 +420,29 @@
     return best.id
 
 
+def _preferred_by_speed(
+    slowness_by_target: Mapping[str, float], part_id: str
+) -> str:
+    """Return the preferred engine; slow ones are preferred less often.
+
+    Weighted rendezvous hashing: a hash becomes an exponential variable, of
+    which the smallest one after scaling wins in proportion to the speed.
+    """
+    return min(
+        slowness_by_target,
+        key=lambda target_id: (
+            -math.log(_unit_hash(part_id, target_id))
+            * slowness_by_target[target_id]
+        ),
+    )
+
+
+def _unit_hash(part_id: str, target_id: str) -> float:
+    """Return a hash that is above 0 and at most 1."""
+    digest = int.from_bytes(_rendezvous_hash(part_id, target_id))
+    return (digest + 1) / _HASH_RANGE
+
+
 def _rendezvous_hash(part_id: str, target_id: str) -> bytes:
     return hashlib.blake2b(
         f'{part_id}/{target_id}'.encode(),
