A newer list ends what other hosts have observed

Cause: in a run of real processes whose servers of one service all crashed and came back, hosts repeated refused connections to one another after the list had shown the end of the warm-up; the servers that came back got 14 and 16 requests in the next 3 s, a new one 76. Change: reports and presences tell how long a target stays cold, so that a host knows when a call was refused and ignores what is older than its list; the belief from a presence needs no lifetime of its own.

--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -28,9 +28,9 @@
     # Limits, in requests per second, of the targets that the process grants
     # permits for.
     limited_targets: dict[str, float] = {}
-    # Targets that calls have shown to be cold, of the services for which the
-    # process grants permits.
-    cold_targets: list[str] = []
+    # How long targets stay cold, in seconds, as calls have shown; of the
+    # services for which the process grants permits.
+    cold_targets: dict[str, float] = {}
 
 
 class Position(NamedTuple):
--- a/hornbeamline/limits/_warmup.py
+++ b/hornbeamline/limits/_warmup.py
@@ -13,7 +13,6 @@
     LIST_LAG_S,
     NEWER_LIST_S,
     REOPENING_SPREAD_S,
-    SHARED_BELIEF_TTL_S,
 )
 from hornbeamline.telemetry import log_event
 
@@ -83,6 +82,8 @@
         self.warmups_by_service: Mapping[str, WarmupLimits] = {}
         self._entries_by_id: dict[str, _Entry] = {}
         self._beliefs_by_id: dict[str, _Belief] = {}
+        # When the newest list was read.
+        self._read_at = -math.inf
 
     def update_services(
         self, warmups_by_service: Mapping[str, WarmupLimits]
@@ -112,17 +113,21 @@
             return 0
         return max(belief.observed_until - self._clock.monotonic(), 0)
 
-    def observed(self) -> dict[str, str]:
-        """Return the services of targets that calls have shown to be cold.
+    def observed(self) -> dict[str, float]:
+        """Return how long targets stay cold as calls have shown, in seconds.
 
         Drops the beliefs whose time is over, also without a list.
         """
         if self._beliefs_by_id:
             self._end_beliefs(-math.inf)
-        return {
-            target: self.service_of(target)
+        left_by_target = {
+            target: self.observed_left_s(target)
             for target in self._beliefs_by_id
-            if self.observed_left_s(target)
+        }
+        return {
+            target: left_s
+            for target, left_s in left_by_target.items()
+            if left_s
         }
 
     def service_of(self, target: str) -> str:
@@ -136,6 +141,7 @@
         """Apply a list that was read at `read_at`."""
         if not self.warmups_by_service and not self._entries_by_id:
             return
+        self._read_at = max(self._read_at, read_at)
         before = self._entries_by_id
         self._entries_by_id = {
             target.id: _Entry(
@@ -158,8 +164,7 @@
 
     def note_confirmed(self, read_at: float) -> None:
         """Apply that the list was unchanged when it was read at `read_at`."""
-        if not self._beliefs_by_id:
-            return
+        self._read_at = max(self._read_at, read_at)
         for target in tuple(self._beliefs_by_id):
             entry = self._entries_by_id.get(target)
             if entry is not None and entry.is_cold:
@@ -183,7 +188,12 @@
             return False
         if left_s:
             bounded_s = min(left_s, warmup.duration_s) + ANSWER_MARGIN_S
-            return self._observe(target, 'answer', bounded_s)
+            return self._observe(
+                target,
+                'answer',
+                bounded_s,
+                self._clock.monotonic() + LIST_LAG_S,
+            )
         if was_permitted:
             self._end(target, 'answer')
         return False
@@ -192,7 +202,12 @@
         """Record a refused connection; return whether the belief is new."""
         if self._warmup_of(target) is None:
             return False
-        return self._observe(target, 'refused', self._longest_s(target))
+        return self._observe(
+            target,
+            'refused',
+            self._longest_s(target),
+            self._clock.monotonic() + LIST_LAG_S,
+        )
 
     def note_reopened(self, data_centre: str) -> None:
         """Record the end of the evacuation of a data centre.
@@ -215,19 +230,24 @@
     def note_reported(self, target: str, left_s: float) -> None:
         """Record what a call of another host shows, as the granter."""
         if self._warmup_of(target) is not None and left_s > 0:
-            bounded_s = min(left_s, self._longest_s(target))
-            self._observe(target, 'report', bounded_s)
-
-    def note_shared(self, targets: Iterable[str]) -> None:
-        """Record the targets that a granter believes cold.
+            longest_s = self._longest_s(target)
+            self._observe(
+                target,
+                'report',
+                min(left_s, longest_s),
+                _list_valid_from(self._clock, left_s, longest_s),
+            )
 
-        The belief expires unless the granter repeats it.
-        """
-        list_valid_from = self._clock.monotonic() + LIST_LAG_S
-        for target in targets:
-            if self._warmup_of(target) is not None:
+    def note_shared(self, left_by_target: Mapping[str, float]) -> None:
+        """Record how long targets stay cold as their granter knows."""
+        for target, left_s in left_by_target.items():
+            if self._warmup_of(target) is not None and left_s > 0:
+                longest_s = self._longest_s(target)
                 self._believe(
-                    target, 'granter', SHARED_BELIEF_TTL_S, list_valid_from
+                    target,
+                    'granter',
+                    min(left_s, longest_s),
+                    _list_valid_from(self._clock, left_s, longest_s),
                 )
 
     def _warmup_of(self, target: str) -> WarmupLimits | None:
@@ -246,10 +266,18 @@
             read_at + NEWER_LIST_S,
         )
 
-    def _observe(self, target: str, source: str, left_s: float) -> bool:
+    def _observe(
+        self,
+        target: str,
+        source: str,
+        left_s: float,
+        list_valid_from: float,
+    ) -> bool:
         now = self._clock.monotonic()
-        is_new = self._believe(target, source, left_s, now + LIST_LAG_S)
-        belief = self._beliefs_by_id[target]
+        is_new = self._believe(target, source, left_s, list_valid_from)
+        belief = self._beliefs_by_id.get(target)
+        if belief is None:
+            return False
         is_unobserved = belief.observed_until <= now
         self._beliefs_by_id[target] = belief._replace(
             observed_until=max(belief.observed_until, now + left_s),
@@ -265,8 +293,12 @@
     ) -> bool:
         """Extend or begin a belief; return whether it has begun."""
         was_warm = self.rate_of(target) == math.inf
-        if was_warm and left_s <= 0:
-            # A list that was read long ago.
+        is_contradicted = (
+            not self._entries_by_id[target].is_cold
+            and self._read_at >= list_valid_from
+        )
+        if was_warm and (left_s <= 0 or is_contradicted):
+            # A list that was read long ago, or evidence older than the list.
             return False
         until = self._clock.monotonic() + left_s
         known = self._beliefs_by_id.get(target)
@@ -313,3 +345,13 @@
         )
         COLD_CHANGES.labels(state, source).inc()
         COLD.set(len(self._beliefs_by_id))
+
+
+def _list_valid_from(clock: Clock, left_s: float, longest_s: float) -> float:
+    """Return from when a list shows what another host has observed.
+
+    Without this, hosts that have not read the newest list repeat a belief to
+    those in which the list has ended it.
+    """
+    observed_ago_s = max(longest_s - left_s, 0)
+    return clock.monotonic() - observed_ago_s + LIST_LAG_S
--- a/hornbeamline/limits/_warmup_exchange.py
+++ b/hornbeamline/limits/_warmup_exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 from hornbeamline.helpers.clock import Clock
 from hornbeamline.limits._granters import Granters
@@ -34,23 +34,26 @@
         self._tenures = GranterTenures(clock)
         peering.on(ReportCold, self._on_report)
 
-    def granted(self) -> list[str]:
-        """Return the targets that this host, as granter, knows to be cold."""
+    def granted(self) -> dict[str, float]:
+        """Return how long targets stay cold as this host, as granter, knows."""
         for service in self._beliefs.warmups_by_service:
             self.is_granter(service)
-        return [
-            target
-            for target, served in self._beliefs.observed().items()
-            if self._granters.granter_of(served) == self._peering.name
-        ]
-
-    def record_granted(self, host: str, targets: Iterable[str]) -> None:
+        return {
+            target: round(left_s, 1)
+            for target, left_s in self._beliefs.observed().items()
+            if self._granter_of(target) == self._peering.name
+        }
+
+    def record_granted(
+        self, host: str, left_by_target: Mapping[str, float]
+    ) -> None:
         """Record cold targets from another host that is their granter."""
         self._beliefs.note_shared(
-            target
-            for target in targets
-            if self._granters.granter_of(self._beliefs.service_of(target))
-            == host
+            {
+                target: left_s
+                for target, left_s in left_by_target.items()
+                if self._granter_of(target) == host
+            },
         )
 
     def note_answer(
@@ -82,6 +85,9 @@
         """Return when this host may issue permits for cold targets."""
         return self._tenures.permits_from(service)
 
+    def _granter_of(self, target: str) -> str | None:
+        return self._granters.granter_of(self._beliefs.service_of(target))
+
     def _report(self, target: LimitedTarget) -> None:
         """Tell the granter what a call has shown.
 
--- a/hornbeamline/limits/const.py
+++ b/hornbeamline/limits/const.py
@@ -67,5 +67,3 @@
 REOPENING_SPREAD_S: Final = 1.0
 # A response states the remaining time; this covers its way to this host.
 ANSWER_MARGIN_S: Final = 0.2
-# Granters repeat the targets that calls have shown to be cold every 0.4 s.
-SHARED_BELIEF_TTL_S: Final = 1.2
