--- a/tests/soak/platform/fleet.py
+++ b/tests/soak/platform/fleet.py
@@ -18,7 +18,11 @@
 from tests.soak.platform.standins.desk import DeskServer
 from tests.soak.platform.standins.engine import EngineServer
 from tests.soak.platform.standins.listing import StandinServerList
-from tests.soak.platform.standins.server import StandinServer
+from tests.soak.platform.standins.server import (
+    WARMUP_PER_S,
+    WARMUP_S,
+    StandinServer,
+)
 from tests.soak.platform.standins.stages import StageServer
 from tests.soak.platform.world import World
 
@@ -72,6 +76,7 @@
         'headroom-mb': 2,
         'handle-s': 4,
     }
+    warmup = {'warmup-s': WARMUP_S, 'warmup-per-s': WARMUP_PER_S}
     return {
         'version': version,
         'routes': [
@@ -98,7 +103,7 @@
             },
         ],
         'services': [
-            {'name': 'desk'},
+            {'name': 'desk', **warmup},
             {'name': 'llm', 'engine': {'slots': 64, 'kv-capacity': 100000}},
             {'name': 'ledger', 'pieces': pieces},
             {'name': 'registry', 'pieces': pieces},
@@ -145,6 +150,7 @@
     async def add_server(self, service: str) -> StandinServer:
         """Start a server under a new id."""
         server = SERVER_TYPES_BY_SERVICE[service](self.world, service, self.rng)
+        server.become_cold()
         await server.start()
         self.servers.append(server)
         return server
--- a/tests/soak/platform/standins/server.py
+++ b/tests/soak/platform/standins/server.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
+import math
 import random
 import time
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 from aiohttp import web
@@ -14,6 +16,13 @@
 from tests.relay import Relay
 from tests.soak.platform.world import SentRequest, World, expected_body
 
+# How long servers of the services that warm up are cold, and the requests per
+# second that they take meanwhile; a second may have 1.5 times as many plus 5.
+WARMUP_S: Final = 3.0
+WARMUP_PER_S: Final = 3.0
+WARMING_SERVICES: Final = ('desk',)
+MAX_COLD_ARRIVALS: Final = WARMUP_PER_S * 1.5 + 5
+
 
 class ServerFaults(msgspec.Struct):
     """Share of the requests that each fault affects."""
@@ -52,6 +61,8 @@
         self.limit_per_s: float | None = None
         # Arrival times of the requests.
         self.arrivals: list[float] = []
+        # The server is cold until this time.
+        self.cold_until = 0.0
         self.relay = Relay(free_address(), free_address())
         self._runner: web.AppRunner | None = None
 
@@ -67,6 +78,17 @@
         await web.TCPSite(self._runner, host, int(port)).start()
         await self.relay.__aenter__()
 
+    def become_cold(self) -> None:
+        """Become cold, if the service warms up."""
+        if self.service in WARMING_SERVICES:
+            self.cold_until = time.monotonic() + WARMUP_S
+
+    @property
+    def warmup_left_ms(self) -> int:
+        """Return how long the server stays cold."""
+        left_s = max(self.cold_until - time.monotonic(), 0)
+        return math.ceil(left_s * 1000)
+
     async def crash(self) -> None:
         """Reset all connections and stop listening."""
         await self.relay.__aexit__()
@@ -84,7 +106,7 @@
             'version': self.version,
             'slots': 8,
             'state': 'draining' if self.is_draining else 'ready',
-            'warmup-left-ms': 0,
+            'warmup-left-ms': self.warmup_left_ms,
         }
 
     def is_affected(self, share: float) -> bool:
@@ -96,12 +118,25 @@
         if expected is not None and expected != self.id:
             return self.not_run(request, 421)
         self.arrivals.append(time.monotonic())
+        self._check_cold()
         if self.pause_s or self.is_affected(self.faults.refuse):
             answer: web.StreamResponse = self.not_run(request, 503)
         else:
             answer = await self.work(request)
         return answer
 
+    def _check_cold(self) -> None:
+        """Check that a cold server gets few requests in any second."""
+        now = self.arrivals[-1]
+        cold_from = self.cold_until - WARMUP_S
+        since = max(cold_from, now - 1)
+        count = len(self.arrivals) - bisect.bisect(self.arrivals, since)
+        if now < self.cold_until and count > MAX_COLD_ARRIVALS:
+            self.world.record_violation(
+                f'COLD {self.id}: {count} in a second, '
+                f'{now - cold_from:.2f} s after the start'
+            )
+
     async def _add_server_headers(
         self,
         _request: web.Request,
