--- a/hornbeamline/costs/_speeds.py
+++ b/hornbeamline/costs/_speeds.py
@@ -25,6 +25,9 @@
 # A target that claims to be fast for the moment is believed less than one that
 # claims to be slow: it would attract requests.
 _MIN_REPORTED_LOG: Final = -0.7
+# A target gets requests only if no other is left while its report says that
+# work takes this much longer than usual.
+_SPELL_LOG: Final = math.log(1.5)
 # Evidence below this weight, in hundredths, is not sent.
 _MIN_SENT_WEIGHT: Final = 25
 # Targets with the most evidence that a host sends figures of.
@@ -139,6 +142,13 @@
             lasting += speed.present_log(now)
         return math.exp(_bounded(lasting))
 
+    def is_in_slow_spell(self, target: str) -> bool:
+        """Return whether a target is slower now than it usually is."""
+        speed = self._speed_by_target.peek(target)
+        if speed is None:
+            return False
+        return speed.present_log(self._clock.monotonic()) > _SPELL_LOG
+
     def lasting_slowness_of(self, target: str) -> float:
         """Return the slowness without reports of the present moment.
 
--- a/hornbeamline/directory/_messages.py
+++ b/hornbeamline/directory/_messages.py
@@ -31,9 +31,9 @@
     limited_targets: dict[str, float] = {}
     # Processor capacity of the host in cores; 0 if unknown.
     processor_cores: float = 0
-    # Targets that calls have shown to be cold, of the services for which the
-    # process grants permits.
-    cold_targets: list[str] = []
+    # How long targets stay cold, in seconds, as calls have shown; of the
+    # services for which the process grants permits.
+    cold_targets: dict[str, float] = {}
 
 
 class Position(NamedTuple):
