--- a/tests/soak/platform/faults.py
+++ b/tests/soak/platform/faults.py
@@ -8,16 +8,28 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+import aiohttp
 import msgspec
 
 from tests.common import failed_exits
-from tests.soak.platform.fleet import SERVER_TYPES_BY_SERVICE, PlatformFleet
+from tests.soak.platform.fleet import (
+    SERVER_TYPES_BY_SERVICE,
+    SERVER_ZONES,
+    PlatformFleet,
+)
 from tests.soak.platform.standins.server import ServerFaults, StandinServer
 
 # A restarted control host counts as failed until its process has run for
 # this time.
 CATCH_UP_S: Final = 4.0
 _DRAIN_PERIOD_S: Final = 10.0
+# The platform's bound from the acknowledgement of an evacuation until the
+# servers get no requests.
+EVACUATE_S: Final = 5.0
+# Time in which control processes restart and an order is acknowledged.
+ORDER_S: Final = 30.0
+# Hosts that are frozen when an order is pushed enrol within this time.
+PUSH_S: Final = 1.0
 
 Injector = Callable[['Faults', float], Awaitable[None]]
 _injectors: dict[str, Injector] = {}
@@ -66,6 +78,41 @@
                 server.limit_per_s = None
             await asyncio.sleep(rng.uniform(0.2, 2))
 
+    async def vary_evacuations(self, rng: random.Random) -> None:
+        """Evacuate the last data centre, check it, and reopen it.
+
+        Runs beside the faults, as `vary_rate_limits` does.
+        """
+        zone = SERVER_ZONES[-1]
+        async with aiohttp.ClientSession() as session:
+            while True:
+                # Hosts must be connected to control to learn of the order.
+                async with self.control_lock:
+                    began = await self.fleet.evacuate(
+                        session, zone, 'start', ORDER_S
+                    )
+                    await asyncio.sleep(PUSH_S)
+                try:
+                    await asyncio.sleep(EVACUATE_S + rng.uniform(0, 3))
+                finally:
+                    self.check_evacuated(zone, began)
+                await self.fleet.evacuate(session, zone, 'end', ORDER_S)
+                await asyncio.sleep(rng.uniform(0.2, 2))
+
+    def check_evacuated(self, zone: str, acknowledged_at: float) -> None:
+        """Check that no server of a zone got a request after the bound."""
+        for server in self.fleet.servers:
+            late = [
+                at
+                for at in server.arrivals
+                if server.zone == zone and at > acknowledged_at + EVACUATE_S
+            ]
+            if late:
+                self.fleet.world.record_violation(
+                    f'EVACUATE {server.id}: {server.service} got a request '
+                    f'{late[-1] - acknowledged_at:.2f} s after the order'
+                )
+
     def reserve(self, names: list[str]) -> str | None:
         """Reserve a random free process; None if faults hold all of them."""
         free = [name for name in names if name not in self._reserved]
@@ -211,7 +258,7 @@
     await asyncio.sleep(hold_s / 2)
     if server in faults.fleet.servers:
         faults.fleet.servers.remove(server)
-    await faults.fleet.add_server(server.service)
+    await faults.fleet.add_server(server.service, server.zone)
 
 
 @fault
@@ -220,7 +267,7 @@
     server = faults.server()
     if server.is_draining:
         return
-    await faults.fleet.add_server(server.service)
+    await faults.fleet.add_server(server.service, server.zone)
     server.is_draining = True
     await asyncio.sleep(_DRAIN_PERIOD_S / 2)
     if server in faults.fleet.servers:
--- a/tests/soak/platform/fleet.py
+++ b/tests/soak/platform/fleet.py
@@ -10,8 +10,10 @@
 from collections.abc import AsyncIterator, Sequence
 from pathlib import Path
 from typing import Any, Final
+from urllib.parse import quote
 
 import aiohttp
+from yarl import URL
 
 from hornbeamline.local_fleet import ProcessGroup, loopback_net
 from tests.common import write_toml
@@ -36,12 +38,14 @@
     'ledger': StageServer,
     'registry': StageServer,
 }
-SERVERS_PER_SERVICE: Final = 3
+# Data centre of each server of a service. A name may have a slash.
+SERVER_ZONES: Final = ('z1', 'z1', 'z/2')
 # The platform's bound from the start until the first configuration.
 START_S: Final = 30
 _CONTROL_STARTS: Final = 'event=control.starting '
 _START_POLL_S: Final = 0.02
 _CALL_TIMEOUT: Final = aiohttp.ClientTimeout(total=2)
+_ORDER_TIMEOUT: Final = aiohttp.ClientTimeout(total=1)
 
 
 def document(version: int) -> dict[str, Any]:
@@ -138,13 +142,16 @@
     async def start_servers(self) -> None:
         """Start all servers and the server list."""
         for service in SERVER_TYPES_BY_SERVICE:
-            for _ in range(SERVERS_PER_SERVICE):
-                await self.add_server(service)
+            for zone in SERVER_ZONES:
+                await self.add_server(service, zone)
         await self.listing.start()
 
-    async def add_server(self, service: str) -> StandinServer:
+    async def add_server(
+        self, service: str, zone: str = SERVER_ZONES[0]
+    ) -> StandinServer:
         """Start a server under a new id."""
         server = SERVER_TYPES_BY_SERVICE[service](self.world, service, self.rng)
+        server.zone = zone
         await server.start()
         self.servers.append(server)
         return server
@@ -218,6 +225,32 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return 0
 
+    async def evacuate(
+        self,
+        session: aiohttp.ClientSession,
+        zone: str,
+        order: str,
+        timeout_s: float,
+    ) -> float:
+        """Send an order to any control process until it is acknowledged.
+
+        Return the time of the acknowledgement.
+        """
+        path = f'/evacuations/{quote(zone, safe="")}/{order}'
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            ip = self.ip(self.rng.choice(self.controls))
+            url = URL(f'http://{ip}:{CONTROL_PORT}{path}', encoded=True)
+            with contextlib.suppress(
+                aiohttp.ClientError, TimeoutError, OSError
+            ):
+                async with session.post(url, timeout=_ORDER_TIMEOUT) as reply:
+                    if reply.status == 200:
+                        return time.monotonic()
+            await asyncio.sleep(0.1)
+        self.world.record_violation(f'EVACUATE {order} is not acknowledged')
+        return time.monotonic()
+
     async def get(
         self,
         session: aiohttp.ClientSession,
@@ -247,7 +280,8 @@
         return {
             'node': name,
             'ip': ip,
-            'zone': 'z1',
+            'zone': SERVER_ZONES[0],
+            'zones': dict.fromkeys(SERVER_ZONES, 'region'),
             'internal-ports': [7740, 7755],
             'seeds': seeds,
             'bootstrap': is_first,
--- a/tests/soak/platform/standins/server.py
+++ b/tests/soak/platform/standins/server.py
@@ -38,6 +38,7 @@
     def __init__(self, world: World, service: str, rng: random.Random) -> None:
         self.world = world
         self.service = service
+        self.zone = 'z1'
         self.rng = rng
         self.id = f'i-{rng.getrandbits(40):010x}'
         # Version of the software, as the list tells it.
@@ -80,7 +81,7 @@
             'id': self.id,
             'service': self.service,
             'address': self.relay.address,
-            'zone': 'z1',
+            'zone': self.zone,
             'version': self.version,
             'slots': 8,
             'state': 'draining' if self.is_draining else 'ready',
--- a/tests/soak/platform/test_platform_soak.py
+++ b/tests/soak/platform/test_platform_soak.py
@@ -11,9 +11,10 @@
 
 from tests.common import failed_exits
 from tests.soak.platform.clients import ROUTES, Clients
-from tests.soak.platform.faults import Faults
+from tests.soak.platform.faults import ORDER_S, Faults
 from tests.soak.platform.fleet import (
     SERVER_TYPES_BY_SERVICE,
+    SERVER_ZONES,
     START_S,
     PlatformFleet,
     platform_fleet,
@@ -50,9 +51,14 @@
             limits = asyncio.create_task(
                 faults.vary_rate_limits(random.Random(soak_seed + 3)),
             )
+            evacuations = asyncio.create_task(
+                faults.vary_evacuations(random.Random(soak_seed + 4)),
+            )
             try:
                 await faults.run(soak_seconds)
                 limits.cancel()
+                evacuations.cancel()
+                await fleet.evacuate(session, SERVER_ZONES[-1], 'end', ORDER_S)
                 await until_served(fleet, clients, RECOVERY_S)
                 await check_leaving_and_pauses(
                     fleet, random.Random(soak_seed + 2)
@@ -61,6 +67,7 @@
                 await check_end(fleet, session)
             finally:
                 limits.cancel()
+                evacuations.cancel()
                 # pytest shows this when the test fails.
                 print(f'seed {soak_seed}', *faults.log, sep='\n')
         codes = await asyncio.to_thread(
