Let the test of a lost caller fail instead of hang

Cause: without the check that the caller of an order is still connected, two tests waited for a reply that nobody sends.

Change: the tests require that the order has ended before they await it.

--- a/tests/evacuations/test_orders.py
+++ b/tests/evacuations/test_orders.py
@@ -326,6 +326,7 @@
     await world.deliver(-1)
     for _ in range(_SETTLE):
         await asyncio.sleep(0)
+    assert task.done()
     assert not world.commands
     with pytest.raises(EvacuationUnavailableError) as caught:
         await task
