--- a/hornbeamline/costs/_choice.py
+++ b/hornbeamline/costs/_choice.py
@@ -11,7 +11,7 @@
 LEAST_COMPLETION: Final = 'least_completion'
 # Random candidates of a choice: with more, hosts with the same outdated view
 # choose the same targets. Trials with six instead of two answered 52 % instead
-# of 87 % of the requests of a plain service within the objective.
+# of 86 % of the requests of a plain service within the objective.
 SAMPLE_SIZE: Final = 2
 # Targets that the sample is drawn from, by their speeds.
 _DRAWN: Final = 4
--- a/hornbeamline/costs/_speeds.py
+++ b/hornbeamline/costs/_speeds.py
@@ -157,13 +157,6 @@
             self._lasting_by_target[target] = known
         return known
 
-    def report_age_s(self, target: str) -> float | None:
-        """Return the age of the last report, or None."""
-        speed = self._speed_by_target.peek(target)
-        if speed is None or speed.reported_at == -math.inf:
-            return None
-        return self._clock.monotonic() - speed.reported_at
-
     def evidence_by_target(self) -> dict[str, SpeedEvidence]:
         """Return what this host tells the others."""
         now = self._clock.monotonic()
