Sum observed speeds of targets with less CPU time

Cause: control processes sum the loads up to ten times a second; with 78 hosts that have observed 45 engines each, a sum took 3.1 ms.

Change: sums are kept in lists until the end.

Measured: 1.3 ms per sum on synthetic loads (0.14 ms without speeds). Tested: tests/directory/test_member.py, tests/costs, and the tests of picker, forwarder and daemon.

--- a/hornbeamline/costs/_speeds.py
+++ b/hornbeamline/costs/_speeds.py
@@ -44,12 +44,6 @@
     # Hundredths of the sum of the logarithms of the slowness.
     log_sum: int
 
-    def plus(self, other: SpeedEvidence) -> SpeedEvidence:
-        """Return the sum of two observations."""
-        return SpeedEvidence(
-            self.weight + other.weight, self.log_sum + other.log_sum
-        )
-
     def minus(self, other: SpeedEvidence) -> SpeedEvidence:
         """Return what is left without the other observations."""
         return SpeedEvidence(
--- a/hornbeamline/directory/_loads.py
+++ b/hornbeamline/directory/_loads.py
@@ -39,11 +39,11 @@
     so the longest wait and the lowest rate are used. With hundreds of
     hosts, the sum saves each host from reading the load of every other one.
     """
-    total = ProcessLoad({}, {}, {}, {}, {}, {})
-    for load in loads:
+    summed = list(loads)
+    total = ProcessLoad({}, {}, {}, {}, {}, _sum_speeds(summed))
+    for load in summed:
         _add_counts(total.in_flight_by_target, load.in_flight_by_target)
         _add_counts(total.work_by_target, load.work_by_target)
-        _add_speeds(total.speeds_by_target, load.speeds_by_target)
         for queue, wait_by_rank in load.waits_by_service.items():
             longest = total.waits_by_service.setdefault(queue, {})
             _raise_waits(longest, wait_by_rank)
@@ -110,12 +110,21 @@
     }
 
 
-def _add_speeds(
-    total: dict[str, SpeedEvidence], added: Mapping[str, SpeedEvidence]
-) -> None:
-    for target, evidence in added.items():
-        known = total.get(target)
-        total[target] = evidence if known is None else known.plus(evidence)
+def _sum_speeds(loads: Iterable[ProcessLoad]) -> dict[str, SpeedEvidence]:
+    """Add the observations of several processes.
+
+    Control processes sum some thousand of them ten times a second; a new
+    tuple for each addition took more than twice as long.
+    """
+    sums: dict[str, list[int]] = {}
+    for load in loads:
+        for target, (weight, log_sum) in load.speeds_by_target.items():
+            known = sums.setdefault(target, [0, 0])
+            known[0] += weight
+            known[1] += log_sum
+    return {
+        name: SpeedEvidence(total[0], total[1]) for name, total in sums.items()
+    }
 
 
 def _subtract_speeds(
