--- a/hornbeamline/costs/_speeds.py
+++ b/hornbeamline/costs/_speeds.py
@@ -47,12 +47,6 @@
     # Hundredths of the sum of the logarithms of the slowness.
     log_sum: int
 
-    def plus(self, other: SpeedEvidence) -> SpeedEvidence:
-        """Return the sum of two observations."""
-        return SpeedEvidence(
-            self.weight + other.weight, self.log_sum + other.log_sum
-        )
-
     def minus(self, other: SpeedEvidence) -> SpeedEvidence:
         """Return what is left without the other observations."""
         return SpeedEvidence(
@@ -167,13 +161,6 @@
             self._lasting_by_target[target] = known
         return known
 
-    def report_age_s(self, target: str) -> float | None:
-        """Return the age of the last report, or None."""
-        speed = self._speed_by_target.peek(target)
-        if speed is None or speed.reported_at == -math.inf:
-            return None
-        return self._clock.monotonic() - speed.reported_at
-
     def evidence_by_target(self) -> dict[str, SpeedEvidence]:
         """Return what this host tells the others."""
         now = self._clock.monotonic()
