--- a/hornbeamline/costs/_speeds.py
+++ b/hornbeamline/costs/_speeds.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
-from typing import Final, NamedTuple
+from collections.abc import Mapping, Sequence
+from typing import Final, NamedTuple, Protocol, TypeVar
 
 from hornbeamline.costs._bounded import RecentEntries
 from hornbeamline.costs.const import MAX_SLOWNESS, MAX_TARGETS, MIN_SLOWNESS
@@ -39,6 +39,15 @@
 _SCALE: Final = 100
 
 
+class _HasId(Protocol):
+    @property
+    def id(self) -> str:
+        """Return the id of a target."""
+
+
+_Identified = TypeVar('_Identified', bound=_HasId)
+
+
 class SpeedEvidence(NamedTuple):
     """Observed durations at a target; the sum of several is meaningful."""
 
@@ -136,12 +145,20 @@
             lasting += speed.present_log(now)
         return math.exp(_bounded(lasting))
 
-    def is_in_slow_spell(self, target: str) -> bool:
-        """Return whether a target is slower now than it usually is."""
-        speed = self._speed_by_target.peek(target)
-        if speed is None:
-            return False
-        return speed.present_log(self._clock.monotonic()) > _SPELL_LOG
+    def without_slow_spells(
+        self, targets: Sequence[_Identified]
+    ) -> Sequence[_Identified]:
+        """Return the targets that are not slower now than they usually are.
+
+        All of them if there is no other.
+        """
+        now = self._clock.monotonic()
+        calm = []
+        for target in targets:
+            speed = self._speed_by_target.peek(target.id)
+            if speed is None or speed.present_log(now) <= _SPELL_LOG:
+                calm.append(target)
+        return calm or targets
 
     def lasting_slowness_of(self, target: str) -> float:
         """Return the slowness without reports of the present moment.
--- a/hornbeamline/gateway/_picker.py
+++ b/hornbeamline/gateway/_picker.py
@@ -253,10 +253,7 @@
         kind: str,
     ) -> Target:
         """Return the target with the least expected completion time."""
-        in_spell = self.beliefs.speeds.is_in_slow_spell
-        targets = [
-            target for target in targets if not in_spell(target.id)
-        ] or targets
+        targets = self.beliefs.speeds.without_slow_spells(targets)
         engine_by_part: dict[str, str] = {}
         holders: set[str] = set()
         parts = criteria.request.shared_parts
