Tests of processes under untrusted clients

Cause: clients that send heads or trailers without end, or hold many bodies of legal size back just short of their end, make a process use memory and descriptors without bound.

--- /dev/null
+++ b/tests/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Tests against clients that send more than the process can hold."""
