Bound what clients may use of a process

Cause: the HTTP server kept heads, trailers and pipelined requests without bound, and had no bound over all connections.

Change: a component hornbeamline/clients. Without I/O: readers that find the ends of heads and chunked bodies and enforce limits while bytes arrive, and a budget of bytes, connections and time for all connections of a process. A protocol for all listeners passes whole heads and parts of one body to the parser, reserves room before it reads, refuses with a close that lets the client read the response, and starts a request only when it is whole. Listeners without a budget of the process (own entry and control programs) start requests at the head as before. The loop accepts 64 connections a turn; the kernel queue stays at 2,048.

--- a/hornbeamline/helpers/http_server.py
+++ b/hornbeamline/helpers/http_server.py
@@ -4,12 +4,22 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 from collections.abc import Iterator
 from typing import Any, Final
 
 import uvicorn
 
+from hornbeamline.clients import (
+    ClientBudget,
+    ClientProtocol,
+    HeadChecks,
+    ListenerTerms,
+    NoChecks,
+    ProcessLimits,
+)
+from hornbeamline.helpers.clock import SystemClock
 from hornbeamline.helpers.listeners import BACKLOG, take_listener
 
 # Longest time for which connections without a request stay open after a stop
@@ -17,6 +27,10 @@
 # later if a packet is lost.
 LINGER_S: Final = 0.3
 _LINGER_POLL_S: Final = 0.01
+# Connections that the loop accepts in one turn. They join the budget of the
+# process in the next one; until then they use descriptors that it has not
+# counted.
+_ACCEPTS_PER_TURN: Final = 64
 
 
 class _DrainingServer(uvicorn.Server):
@@ -46,6 +60,11 @@
         self.should_exit = True
         self._stopping.set()
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Accept connections; those that wait do so in the full backlog."""
+        await super().startup(sockets)
+        self._listener.listen(BACKLOG)
+
     async def main_loop(self) -> None:
         """Wait for a stop request, then drain the connections."""
         await self.on_tick(0)
@@ -107,28 +126,39 @@
         address: str,
         *,
         stop_timeout_s: float = 5,
+        budget: ClientBudget | None = None,
+        checks: HeadChecks | None = None,
     ) -> None:
         """Initialize with the application and the address as `ip:port`.
 
         `stop_timeout_s` bounds the wait for open responses at a stop; with
-        0, connections without a request are closed at once.
+        0, connections without a request are closed at once. `budget` is that
+        of the process; without one, the listener has its own, and the
+        application itself limits the size and the time of bodies. `checks`
+        decide about requests with large bodies before these are read.
         """
         self._app = app
         self._address = address
         self._stop_timeout_s = stop_timeout_s
+        self._terms = ListenerTerms(
+            budget or ClientBudget(ProcessLimits(), SystemClock()),
+            checks or NoChecks(),
+            reads_whole=budget is not None,
+        )
         self._server: _DrainingServer | None = None
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Bind and serve; raises `AddressInUseError`."""
         listener = take_listener(self._address)
+        protocol: Any = functools.partial(ClientProtocol, self._terms)
         config = uvicorn.Config(
             self._app,
+            http=protocol,
             access_log=False,
             log_level='critical',
             lifespan='off',
-            backlog=BACKLOG,
-            timeout_keep_alive=30,
+            backlog=_ACCEPTS_PER_TURN,
             timeout_graceful_shutdown=int(self._stop_timeout_s),
             server_header=False,
             # Answers that are passed on from targets have their own date.
