Apply one budget of clients per process

Cause: the listeners of the platform's processes had no bound on what all their clients hold.

Change: settings `[limits]` memory-mb and max-fds, and the table `limits` of a document, are read. All listeners of an entry or control process share one budget. Entry processes check route and credential before they read a large body or one of unknown length; deadlines still count from the head; a drain waits for bodies that arrive. read_body copies a whole body once less. The target of the crowd tests is started again if its port is taken between the search and the bind.

--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -15,6 +15,7 @@
     Piece,
     PieceResult,
 )
+from hornbeamline.clients import ClientBudget
 from hornbeamline.directory import DirectoryMember
 from hornbeamline.gateway import (
     GatewayApp,
@@ -137,11 +138,14 @@
         app: GatewayApp,
         batching: BatchingService,
         stop_timeout_s: float,
+        clients: ClientBudget | None = None,
     ) -> None:
         """Initialize with the services to drain.
 
-        `stop_timeout_s` is the time until the process is killed.
+        `stop_timeout_s` is the time until the process is killed; `clients`
+        knows the requests whose bodies are still arriving.
         """
+        self._clients = clients
         self._app = app
         self._batching = batching
         self._stop_timeout_s = stop_timeout_s
@@ -170,6 +174,7 @@
     def _has_work(self) -> bool:
         return bool(
             self._app.in_progress
+            or (self._clients is not None and self._clients.arriving)
             or self._batching.stages_in_progress_for_others,
         )
 
--- a/hornbeamline/daemons/document_control.py
+++ b/hornbeamline/daemons/document_control.py
@@ -14,6 +14,7 @@
     origin_service,
 )
 from hornbeamline.daemons._leader_watch import LeaderWatch
+from hornbeamline.daemons._listeners import Listeners, ProcessLimits
 from hornbeamline.daemons._memory import GarbageCollectorService
 from hornbeamline.daemons._settings_watch import SettingsWatch
 from hornbeamline.daemons._target_list import ListPoller, TargetListSource
@@ -24,7 +25,6 @@
 from hornbeamline.documents.service import DocumentService
 from hornbeamline.gateway import TargetDirectory, TargetHttp
 from hornbeamline.helpers.clock import BootClock, SystemClock
-from hornbeamline.helpers.http_server import HttpServer
 from hornbeamline.inventory import (
     ControlSettings,
     HostSettings,
@@ -63,6 +63,7 @@
     list_rate_per_s: float
     list_readers: int
     stop_timeout_s: float
+    limits: ProcessLimits = ProcessLimits()
 
 
 class DocumentControlDaemon:
@@ -142,10 +143,10 @@
             ),
         )
         self._watch_settings(read_controls, member)
-        self.kernel.register(
-            'metrics',
-            HttpServer(metrics_app, settings.metrics_address),
-        )
+        # The limits of the document do not apply: they are for callers, and
+        # could keep the operator from replacing the document.
+        self._listeners = Listeners(self.kernel, settings.limits, clock)
+        self._listeners.add('metrics', metrics_app, settings.metrics_address)
         self.kernel.register('collector', GarbageCollectorService())
         self._register_operator(
             operator_app(documents),
@@ -184,9 +185,8 @@
         self.kernel.register('leader_watch', watch)
         add_quarantine_routes(app, relay)
         self.kernel.register('quarantine', relay)
-        self.kernel.register(
-            'operator_api',
-            HttpServer(app, self._settings.operator_address),
+        self._listeners.add(
+            'operator_api', app, self._settings.operator_address
         )
 
 
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -22,6 +22,7 @@
 )
 from hornbeamline.daemons._granters import ServiceGranters
 from hornbeamline.daemons._hosts import OtherHosts
+from hornbeamline.daemons._listeners import Listeners, ProcessLimits
 from hornbeamline.daemons._memory import GarbageCollectorService
 from hornbeamline.daemons._settings_watch import SettingsWatch
 from hornbeamline.daemons._target_list import ListPoller, TargetListSource
@@ -33,6 +34,7 @@
     BudgetSettings,
     Forwarder,
     GatewayApp,
+    GatewayHeadChecks,
     GatewayServices,
     Placement,
     ResultReleaser,
@@ -50,7 +52,6 @@
     wait_by_service,
 )
 from hornbeamline.helpers.clock import BootClock, SystemClock
-from hornbeamline.helpers.http_server import HttpServer
 from hornbeamline.inventory import PeeringSettings
 from hornbeamline.limits import LimitService
 from hornbeamline.peering import PynngPeering
@@ -78,6 +79,7 @@
     list_rate_per_s: float
     stop_timeout_s: float
     budget: BudgetSettings
+    limits: ProcessLimits = ProcessLimits()
 
 
 class GatewayDaemon:
@@ -181,6 +183,8 @@
             self._clock,
             rng,
         )
+        self._listeners = Listeners(self.kernel, settings.limits, self._clock)
+        self._checks = GatewayHeadChecks(wire, lambda: self._app.table)
         watch = SettingsWatch(read_controls, self._member)
         self.kernel.on_reload(watch.reload)
         self._poller = ListPoller(
@@ -217,31 +221,27 @@
 
     def _register_listeners(self) -> None:
         settings = self._settings
+        listeners = self._listeners
         drain = GatewayDrain(
             self._app,
             self._batching,
             settings.stop_timeout_s,
+            listeners.budget,
         )
         self._drain = drain
-        self.kernel.register(
-            'metrics',
-            HttpServer(metrics_app, settings.metrics_address),
-        )
-        self.kernel.register(
+        listeners.add('metrics', metrics_app, settings.metrics_address)
+        listeners.add(
             'callers',
-            HttpServer(
-                self._app,
-                settings.caller_address,
-                stop_timeout_s=CALLERS_STOP_TIMEOUT_S,
-            ),
+            self._app,
+            settings.caller_address,
+            CALLERS_STOP_TIMEOUT_S,
+            self._checks,
         )
-        self.kernel.register(
+        listeners.add(
             'readiness',
-            HttpServer(
-                ReadinessApp(self._app, drain),
-                settings.readiness_address,
-                stop_timeout_s=0,
-            ),
+            ReadinessApp(self._app, drain),
+            settings.readiness_address,
+            stop_timeout_s=0,
         )
         self.kernel.register('drain', drain)
 
@@ -336,4 +336,5 @@
             if service.batch is not None
         }
         self._batching.update(self._limits_by_service)
+        self._listeners.budget.requests = table.limits
         self._app.update_table(table)
--- a/hornbeamline/gateway/__init__.py
+++ b/hornbeamline/gateway/__init__.py
@@ -5,6 +5,7 @@
 from hornbeamline.gateway._app import GatewayApp
 from hornbeamline.gateway._forwarder import Forwarder
 from hornbeamline.gateway._gate import TargetGate
+from hornbeamline.gateway._head_checks import GatewayHeadChecks
 from hornbeamline.gateway._http import TargetHttp
 from hornbeamline.gateway._picker import TargetPicker
 from hornbeamline.gateway._placement import Placement
@@ -49,6 +50,7 @@
     'EngineLimits',
     'Forwarder',
     'GatewayApp',
+    'GatewayHeadChecks',
     'GatewayServices',
     'Headers',
     'MayHaveRunError',
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -20,6 +20,7 @@
 )
 from hornbeamline.gateway._reply import Reply
 from hornbeamline.gateway._request_body import (
+    MAX_BODY_BYTES,
     CallerLeftError,
     Receive,
     read_body,
@@ -30,6 +31,7 @@
     account_of,
     choose_service,
     deadline_of,
+    head_received_at,
     rank_of,
 )
 from hornbeamline.gateway._services import GatewayServices
@@ -120,7 +122,7 @@
         """Serve one ASGI connection; other types than HTTP are ignored."""
         if scope['type'] != 'http':
             return
-        received_at = self._clock.monotonic()
+        received_at = head_received_at(scope, self._clock)
         reply = Reply(
             send,
             self._clock,
@@ -147,11 +149,23 @@
         self._table = table
         self._update_readiness()
 
+    @property
+    def table(self) -> RoutingTable | None:
+        """Return the configuration in force, if one is known."""
+        return self._table
+
     @property
     def is_ready(self) -> bool:
         """Return whether both configuration and target list are known."""
         return self._table is not None and self._targets.is_known
 
+    @property
+    def _max_body_bytes(self) -> int:
+        # The listener has enforced a lower limit of the document.
+        if self._table is None:
+            return MAX_BODY_BYTES
+        return max(MAX_BODY_BYTES, self._table.limits.max_body_bytes)
+
     def _update_readiness(self) -> None:
         if self.is_ready:
             self._ready.set()
@@ -166,7 +180,7 @@
         request: CallerRequest | None = None
         try:
             request = self._wire.read_request(scope, received_at)
-            body = await read_body(receive)
+            body = await read_body(receive, self._max_body_bytes)
             await self._answer_until_disconnect(request, body, receive, reply)
         except RefusedError as error:
             await self._refuse(request, error.refusal, reply)
--- a/hornbeamline/gateway/_request_body.py
+++ b/hornbeamline/gateway/_request_body.py
@@ -20,7 +20,7 @@
     """The caller closed its connection before the answer was complete."""
 
 
-async def read_body(receive: Receive) -> bytes:
+async def read_body(receive: Receive, max_bytes: int = MAX_BODY_BYTES) -> bytes:
     """Return a request body.
 
     Raises `CallerLeftError` if the caller disconnects and `RefusedError` if
@@ -31,9 +31,13 @@
         message = await receive()
         if message['type'] == 'http.disconnect':
             raise CallerLeftError
-        collected += message.get('body', b'')
-        if len(collected) > MAX_BODY_BYTES:
+        part: bytes = message.get('body', b'')
+        if len(collected) + len(part) > max_bytes:
             raise RefusedError(Refusal(_TOO_LARGE, REASON_BODY_TOO_LARGE))
+        if not collected and not message.get('more_body', False):
+            # The listener has read the whole body; it is not copied again.
+            return part
+        collected += part
         if not message.get('more_body', False):
             return bytes(collected)
 
--- a/hornbeamline/gateway/_request_terms.py
+++ b/hornbeamline/gateway/_request_terms.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import random
-from typing import Final
+from collections.abc import Mapping
+from typing import Any, Final
 
+from hornbeamline.clients import HEAD_AT
 from hornbeamline.gateway._table import RoutingTable
 from hornbeamline.gateway._types import (
     Account,
@@ -15,12 +17,22 @@
 )
 from hornbeamline.gateway.const import REASON_UNKNOWN_CREDENTIAL
 from hornbeamline.gateway.errors import RefusedError
+from hornbeamline.helpers.clock import Clock
 
 # Number of route ranks within one rank of client accounts.
 ROUTE_RANKS: Final = 3
 _UNAUTHORIZED: Final = 401
 
 
+def head_received_at(scope: Mapping[str, Any], clock: Clock) -> float:
+    """Return when the head of a request arrived.
+
+    The listener states it if the body took longer to arrive.
+    """
+    head_at: float | None = scope.get('state', {}).get(HEAD_AT)
+    return clock.monotonic() if head_at is None else head_at
+
+
 def account_of(
     table: RoutingTable,
     route: Route,
--- a/hornbeamline/gateway/_table.py
+++ b/hornbeamline/gateway/_table.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from hornbeamline.clients import RequestLimits
 from hornbeamline.gateway._types import Account, Route, Service
 
 
@@ -18,6 +19,7 @@
     services_by_name: Mapping[str, Service]
     # None when requests carry no credentials.
     accounts_by_credential: Mapping[str, Account] | None
+    limits: RequestLimits = RequestLimits()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix."""
--- a/hornbeamline/platform/_control.py
+++ b/hornbeamline/platform/_control.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Final
 
+from hornbeamline.clients import ProcessLimits
 from hornbeamline.daemons.document_control import (
     DocumentControlDaemon,
     DocumentControlSettings,
@@ -36,6 +37,8 @@
 # Number of control processes in the largest known fleets.
 _LIST_READERS: Final = 8
 _METRICS_PORT: Final = 9465
+# The entry process of the host needs more memory for its clients.
+_MEMORY_SHARE: Final = 0.15
 
 
 def control_daemon(path: Path) -> DocumentControlDaemon:
@@ -64,6 +67,9 @@
             list_rate_per_s=settings.list_rate_per_s,
             list_readers=_LIST_READERS,
             stop_timeout_s=settings.stop_timeout_s,
+            limits=ProcessLimits(
+                settings.memory_mb, settings.max_fds, _MEMORY_SHARE
+            ),
         ),
         read_document_number,
         operator_app,
--- a/hornbeamline/platform/_document.py
+++ b/hornbeamline/platform/_document.py
@@ -19,6 +19,7 @@
     Stage,
     group_by_host,
 )
+from hornbeamline.platform._request_limits import LimitsTable, read_limits
 
 _MS_PER_S: Final = 1000
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
@@ -97,6 +98,7 @@
     routes: list[_Route]
     services: list[_Service]
     tenants: list[_Tenant] | None = None
+    limits: LimitsTable = LimitsTable()
 
 
 _decoder = msgspec.json.Decoder(_Document)
@@ -130,6 +132,7 @@
             name: _read_service(service) for name, service in services.items()
         },
         accounts_by_credential=_read_accounts(document.tenants),
+        limits=read_limits(document.limits),
     )
 
 
--- a/hornbeamline/platform/_entry.py
+++ b/hornbeamline/platform/_entry.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Final
 
+from hornbeamline.clients import ProcessLimits
 from hornbeamline.daemons.gateway import GatewayDaemon, GatewaySettings
 from hornbeamline.gateway import BudgetSettings
 from hornbeamline.platform._document import read_routing_table
@@ -51,6 +52,7 @@
                 settings.retry_window_s,
                 settings.retry_slack,
             ),
+            limits=ProcessLimits(settings.memory_mb, settings.max_fds),
         ),
         PlatformWire(),
         lambda http: ServerList(http, settings.list_address),
--- a/hornbeamline/platform/_settings.py
+++ b/hornbeamline/platform/_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import tomllib
 from pathlib import Path
@@ -35,6 +36,11 @@
     retry_slack: float = 64
 
 
+class _Limits(_Table, frozen=True, kw_only=True):
+    memory_mb: float = 0
+    max_fds: int = 0
+
+
 class _CloudApi(_Table, frozen=True, kw_only=True):
     address: str
     rate_per_s: float = 40
@@ -51,6 +57,7 @@
     listen: _Listen
     fault_tolerance: _FaultTolerance = _FaultTolerance()
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     cloud_api: _CloudApi
 
 
@@ -81,6 +88,9 @@
     list_address: str
     # Rate limit of calls to the list, shared by all hosts.
     list_rate_per_s: float
+    # Limits of the host; 0 if they are not stated.
+    memory_mb: float
+    max_fds: int
 
 
 def settings_path() -> Path:
@@ -94,6 +104,10 @@
     return Path(name)
 
 
+def _usable(figure: float) -> float:
+    return figure if 0 < figure < math.inf else 0
+
+
 def read_settings(path: Path) -> ProcessSettings:
     """Read the settings file of the platform.
 
@@ -124,4 +138,6 @@
         retry_slack=table.bounds.retry_slack,
         list_address=table.cloud_api.address,
         list_rate_per_s=table.cloud_api.rate_per_s,
+        memory_mb=_usable(table.limits.memory_mb),
+        max_fds=max(table.limits.max_fds, 0),
     )
--- a/tests/clients/fleet.py
+++ b/tests/clients/fleet.py
@@ -38,6 +38,7 @@
 }
 _ANSWER_S: Final = 20.0
 _PAUSE_S: Final = 0.1
+_START_ATTEMPTS: Final = 3
 _TIMEOUT: Final = aiohttp.ClientTimeout(total=3)
 _KB_PER_MB: Final = 1024
 
@@ -47,7 +48,13 @@
 
     async def start_servers(self) -> None:
         """Start the target list and one target of the plain service."""
-        await self.add_server('desk')
+        for _ in range(_START_ATTEMPTS - 1):
+            # Another process may take the port that was found to be free.
+            with contextlib.suppress(OSError):
+                await self.add_server('desk')
+                break
+        else:
+            await self.add_server('desk')
         await self.listing.start()
 
     def address(self, name: str) -> tuple[str, int]:
