Count held-back requests and unread responses of clients

Cause: requests sent ahead of an answer were kept outside the budget, and small requests were let in while unread responses exceeded it. A head with a deadline of 400 digits raised OverflowError.

Change: bytes held back count, and without room the connection closes after its response; nothing is let in while the budget is exceeded; figures in heads of more than 18 digits count as absent. Fewer calls per request: a body that arrives with its head is parsed at once, and the number of connections is kept.

--- a/hornbeamline/clients/_bounded.py
+++ b/hornbeamline/clients/_bounded.py
@@ -9,6 +9,8 @@
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from hornbeamline.clients.errors import FramingError
+
 # Read at once from a connection; the default of asyncio is 256 KiB.
 _READ_BYTES: Final = 65_536
 # Unsent bytes of a response above which its source is paused.
@@ -100,13 +102,20 @@
         return len(fields)
 
     def _body_length(self) -> int:
-        """Return the length of the body, or a negative one if unknown."""
+        """Return the length of the body, or a negative one if unknown.
+
+        Raises `FramingError` if the parser takes the body for another
+        protocol.
+        """
         length = 0
         for name, text in self.scope['headers']:
             if name == b'content-length':
                 length = int(text)
             elif name == b'transfer-encoding':
-                return _NO_LENGTH
+                length = _NO_LENGTH
+                break
+        if length and self._is_message_complete:
+            raise FramingError('upgrade of a request with a body')
         return length
 
     def _forget_request(self) -> bool:
--- a/hornbeamline/clients/_budget.py
+++ b/hornbeamline/clients/_budget.py
@@ -108,6 +108,8 @@
         self.max_connections = limits.max_connections
         self.capacity = limits.client_bytes
         self.used = 0
+        # Number of open connections.
+        self.connections = 0
         self._clock = clock
         # Each in the order of `read_at`.
         self._shares_by_phase: dict[int, dict[Share, None]] = {
@@ -117,11 +119,6 @@
         self._connections_by_address: Counter[str] = Counter()
         self._held_by_client: Counter[str] = Counter()
 
-    @property
-    def connections(self) -> int:
-        """Return the number of open connections."""
-        return sum(len(shares) for shares in self._shares_by_phase.values())
-
     @property
     def arriving(self) -> int:
         """Return the number of requests whose body is arriving."""
@@ -142,7 +139,9 @@
         share.phase_at = share.read_at
         share.phase = Phase.IDLE if has_room else Phase.REFUSED
         self._shares_by_phase[share.phase][share] = None
-        self._connections_by_address[share.address] += 1
+        self.connections += 1
+        counts = self._connections_by_address
+        counts[share.address] = counts.get(share.address, 0) + 1
         return has_room
 
     def close(self, share: Share) -> None:
@@ -151,6 +150,7 @@
         if share not in shares:
             return
         del shares[share]
+        self.connections -= 1
         self.release(share)
         self.note_unread(share, 0)
         _subtract(self._connections_by_address, share.address, 1)
@@ -161,10 +161,11 @@
         if share not in shares:
             return
         del shares[share]
-        share.read_at = self._clock.monotonic()
+        now = self._clock.monotonic()
+        share.read_at = now
         if share.phase is not phase:
             share.phase = phase
-            share.phase_at = share.read_at
+            share.phase_at = now
         self._shares_by_phase[phase][share] = None
 
     def touch(self, share: Share) -> None:
@@ -173,9 +174,10 @@
 
     def identify(self, share: Share, client: str) -> None:
         """Note which client account the request of a connection is from."""
-        self._held_by_client[client] += share.held
-        _subtract(self._held_by_client, share.client, share.held)
+        held = share.held
+        self._add(share, -held)
         share.client = client
+        self._add(share, held)
 
     def reserve(self, share: Share, size: int) -> bool:
         """Raise what a connection holds to `size`; return whether it may.
@@ -307,6 +309,8 @@
         return None
 
     def _add(self, share: Share, size: int) -> None:
+        if not size:
+            return
         share.held += size
         self.used += size
         if size > 0:
@@ -320,6 +324,8 @@
 
 def _subtract(counter: Counter[str], key: str, size: int) -> None:
     """Subtract from a counter; a key that reaches 0 takes no memory."""
-    counter[key] -= size
-    if not counter[key]:
-        del counter[key]
+    left = counter.get(key, 0) - size
+    if left:
+        counter[key] = left
+    else:
+        counter.pop(key, None)
--- a/hornbeamline/clients/_protocol.py
+++ b/hornbeamline/clients/_protocol.py
@@ -95,10 +95,11 @@
         """Process bytes of the client, which arrive in any pieces."""
         phase = self._share.phase
         if phase is Phase.REFUSED:
-            self._discard(len(data))
+            self._discarded += len(data)
+            if self._discarded > _MAX_DISCARDED:
+                self.transport.abort()
         elif phase is Phase.RUNNING:
-            self.transport.pause_reading()
-            self._held_back += data
+            self._hold_back(data)
         elif not self.transport.is_closing():
             self._read(data)
 
@@ -124,6 +125,19 @@
         if self._share.phase is Phase.RUNNING and not self._share.unread:
             self._end_request()
 
+    def _hold_back(self, data: bytes) -> None:
+        """Keep what follows a request that has not been answered.
+
+        Without room, the connection closes after the response, as a server
+        may; the further requests have not run.
+        """
+        self.transport.pause_reading()
+        self._held_back += data
+        share = self._share
+        if not self._budget.reserve(share, share.held + len(data)):
+            self._held_back = b''
+            self.cycle.keep_alive = False
+
     def _end_request(self) -> None:
         self._budget.release(self._share)
         self._budget.enter(self._share, Phase.IDLE)
@@ -138,8 +152,7 @@
         try:
             while data and self._share.phase is not Phase.REFUSED:
                 if self._share.phase is Phase.RUNNING:
-                    self.transport.pause_reading()
-                    self._held_back = data
+                    self._hold_back(data)
                     return
                 data = self._advance(data)
         except FramingError as error:
@@ -155,8 +168,7 @@
         if whole is None:
             self._keep_head()
             return b''
-        self._begin(*whole)
-        return whole[1]
+        return self._begin(*whole)
 
     def _keep_head(self) -> None:
         if self._share.phase is Phase.IDLE and self._heads.has_begun:
@@ -164,21 +176,22 @@
         if not self._budget.reserve(self._share, self._heads.held_bytes):
             self._refuse(_UNAVAILABLE, DROP_CROWDED)
 
-    def _begin(self, head: bytes, rest: bytes) -> None:
-        """Begin the request of a whole head."""
+    def _begin(self, head: bytes, rest: bytes) -> bytes:
+        """Begin the request of a whole head; return what follows it."""
         self._is_message_complete = False
         self._feed(head)
         length = self._body_length()
-        if self._is_message_complete:
-            if length and self.parser.should_upgrade():
-                # The parser takes the body for another protocol.
-                raise FramingError('upgrade of a request with a body')
-            if self._reserve(0):
-                self._complete()
-        elif not 0 <= length <= len(rest):
+        if not 0 <= length <= len(rest):
             self._admit(length)
-        elif self._reserve(length):
-            self._body = SizedBody(length)
+            return rest
+        if self._reserve(length):
+            # The usual case: the whole request has arrived at once.
+            if length:
+                self._feed(rest[:length])
+            if not self._is_message_complete:
+                raise FramingError('the end of the body is ambiguous')
+            self._complete()
+        return rest[length:]
 
     def _admit(self, length: int) -> None:
         """Decide from the head whether to read the body."""
@@ -216,8 +229,13 @@
 
     def _reserve(self, body_bytes: int) -> bool:
         """Reserve what the request takes; refuse it without room."""
-        size = self._field_count() * _FIELD_BYTES + body_bytes * BODY_COPIES
-        if size < _UNCOUNTED_BYTES or self._budget.reserve(self._share, size):
+        size = (1 + self._field_count()) * _FIELD_BYTES
+        size += body_bytes * BODY_COPIES
+        budget = self._budget
+        # Unread responses may exceed the budget.
+        if size < _UNCOUNTED_BYTES and budget.used <= budget.capacity:
+            return True
+        if budget.reserve(self._share, size):
             return True
         self._refuse(_UNAVAILABLE, DROP_CROWDED)
         return False
@@ -262,11 +280,6 @@
         else:
             self._run()
 
-    def _discard(self, size: int) -> None:
-        self._discarded += size
-        if self._discarded > _MAX_DISCARDED:
-            self.transport.abort()
-
     def _dropped(self, reason: str) -> None:
         """End the connection, or the request that is not running."""
         status = _STATUS_BY_DROP.get(reason)
--- a/hornbeamline/platform/_wire.py
+++ b/hornbeamline/platform/_wire.py
@@ -76,6 +76,8 @@
     ),
 )
 _DROPPED_HEADERS: Final = _HOP_BY_HOP_HEADERS | _INTERNAL_HEADERS
+# Longer figures do not fit a float, and none is meant.
+_MAX_DIGITS: Final = 18
 # Servers accept priorities from 0 (most urgent) to 9 (least urgent).
 _LOWEST_PRIORITY: Final = 9
 
@@ -306,7 +308,7 @@
 
 
 def _parse_integer(text: str | None) -> int | None:
-    if text is None:
+    if text is None or len(text) > _MAX_DIGITS:
         return None
     try:
         return int(text)
--- a/tests/clients/test_protocol.py
+++ b/tests/clients/test_protocol.py
@@ -15,8 +15,10 @@
     NoChecks,
     ProcessLimits,
 )
+from hornbeamline.clients._budget import Share
 from hornbeamline.helpers.clock import SystemClock
 from hornbeamline.helpers.http_server import HttpServer
+from hornbeamline.platform._wire import PlatformWire
 from tests.common import free_address
 
 LENGTH = 4_194_304
@@ -169,3 +171,28 @@
     assert answer.startswith(b'HTTP/1.1 200 ')
     assert site.requests[0][1] == content
     assert not site.budget.used
+
+
+async def test_unread_responses_leave_no_room(site) -> None:
+    """Load: clients with small requests read nothing of large responses."""
+    slow = Share('10.0.0.1', lambda _: None, lambda: 0)
+    site.budget.open(slow)
+    site.budget.note_unread(slow, site.budget.capacity + 1)
+    answer = await site.exchange(POST + b'\r\n')
+    assert answer.startswith(b'HTTP/1.1 503 ')
+    assert not site.requests
+    site.budget.close(slow)
+    answer = await site.exchange(POST + b'Connection: close\r\n\r\n')
+    assert answer.startswith(b'HTTP/1.1 200 ')
+
+
+async def test_huge_figure_of_a_head_counts_as_absent() -> None:
+    """Failure: a deadline too large for a float ends the connection."""
+    headers = [(b'x-deadline-ms', b'9' * 400), (b'host', b'h')]
+    scope = {
+        'method': 'POST',
+        'headers': headers,
+        'raw_path': b'/',
+        'query_string': b'',
+    }
+    assert PlatformWire().read_request(scope, 0).caller_timeout_s is None
