Free what a lost connection of a client holds

Cause: a connection and its share in the budget referred to each other, so that a lost connection with a body that had not arrived in full stayed in memory until the collector found it.

Change: the references end with the connection, and an unfinished body is freed at once.

--- a/hornbeamline/clients/_bounded.py
+++ b/hornbeamline/clients/_bounded.py
@@ -32,6 +32,10 @@
         """Do nothing."""
 
 
+def _do_nothing() -> None:
+    """Ignore the end of a response."""
+
+
 class BoundedProtocol(HttpToolsProtocol):
     """Parses one request at a time and leaves its start to a subclass."""
 
@@ -129,4 +133,6 @@
         if not has_run:
             self.cycle.response_complete = True
             self.cycle.body = bytearray()
+            # Without this, the collector would have to free the connection.
+            self.cycle.on_response = _do_nothing
         return has_run
--- a/hornbeamline/clients/_budget.py
+++ b/hornbeamline/clients/_budget.py
@@ -55,6 +55,10 @@
     RUNNING = 4
 
 
+def _ignore(_reason: str) -> None:
+    """Drop nothing: the connection has ended."""
+
+
 class Share:
     """What one connection uses of the budget."""
 
@@ -98,6 +102,15 @@
         self.unread = 0
         self.unread_at: float = 0
 
+    def detach(self) -> None:
+        """Let go of the connection, which has ended.
+
+        The references in both directions would keep its memory until the
+        collector finds them.
+        """
+        self.drop = _ignore
+        self.measure = int
+
 
 class ClientBudget:
     """Budget of bytes and connections of one process."""
--- a/hornbeamline/clients/_protocol.py
+++ b/hornbeamline/clients/_protocol.py
@@ -86,10 +86,12 @@
             self._refuse(_UNAVAILABLE, DROP_CROWDED)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Leave the budget."""
+        """Leave the budget and free what the connection holds."""
         super().connection_lost(exc)
         self._budget.close(self._share)
+        self._share.detach()
         self._held_back = b''
+        self._forget_request()
 
     def data_received(self, data: bytes) -> None:
         """Process bytes of the client, which arrive in any pieces."""
--- a/tests/clients/test_protocol.py
+++ b/tests/clients/test_protocol.py
@@ -4,13 +4,15 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+import gc
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import pytest
 
 from hornbeamline.clients import (
     ClientBudget,
+    ClientProtocol,
     HeadRefusal,
     NoChecks,
     ProcessLimits,
@@ -68,6 +70,15 @@
         return answer
 
 
+async def until(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds, for 5 s at most."""
+    for _ in range(500):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError('the condition does not come true')
+
+
 @pytest.fixture
 async def site() -> AsyncIterator[Site]:
     """Yield a site that listens."""
@@ -196,3 +207,26 @@
         'query_string': b'',
     }
     assert PlatformWire().read_request(scope, 0).caller_timeout_s is None
+
+
+async def test_lost_connection_frees_its_body(site) -> None:
+    """Failure: bodies of lost connections stay until a full collection."""
+    gc.collect()
+    gc.disable()
+    try:
+        head = POST + b'Content-Length: %d\r\n\r\n' % LENGTH
+        host, _, port = site.address.rpartition(':')
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head + b'x' * 65_536)
+        await until(lambda: site.budget.arriving)
+        writer.transport.abort()
+        await until(lambda: not site.budget.connections)
+        await asyncio.sleep(0.01)
+        kept = [
+            found
+            for found in gc.get_objects()
+            if isinstance(found, ClientProtocol)
+        ]
+    finally:
+        gc.enable()
+    assert not kept
