--- a/hornbeamline/daemons/_control_operator.py
+++ b/hornbeamline/daemons/_control_operator.py
@@ -15,12 +15,11 @@
 from hornbeamline.gateway import TargetDirectory
 from hornbeamline.helpers.caller_watch import CallerWatchApp
 from hornbeamline.helpers.clock import BootClock
-from hornbeamline.helpers.http_server import HttpServer
 from hornbeamline.quarantine import QuarantineRelay
 from hornbeamline.quarantine.operator import add_quarantine_routes
 from hornbeamline.replog import RaftLog
 
-__all__ = ('EvacuationService', 'evacuation_service', 'operator_server')
+__all__ = ('EvacuationService', 'evacuation_service', 'operator_application')
 
 
 class DataCentres:
@@ -65,13 +64,10 @@
     )
 
 
-def operator_server(
-    app: Any,
-    relay: QuarantineRelay,
-    evacuations: EvacuationService,
-    address: str,
-) -> HttpServer:
-    """Return the server of the operator's routes, with those added here."""
+def operator_application(
+    app: Any, relay: QuarantineRelay, evacuations: EvacuationService
+) -> CallerWatchApp:
+    """Return the operator's application, with the routes added here."""
     add_quarantine_routes(app, relay)
     add_evacuation_routes(app, evacuations)
-    return HttpServer(CallerWatchApp(app), address)
+    return CallerWatchApp(app)
--- a/hornbeamline/daemons/document_control.py
+++ b/hornbeamline/daemons/document_control.py
@@ -11,7 +11,7 @@
 from hornbeamline.daemons._control_operator import (
     EvacuationService,
     evacuation_service,
-    operator_server,
+    operator_application,
 )
 from hornbeamline.daemons._control_origins import (
     LongestStream,
@@ -19,6 +19,7 @@
     origin_service,
 )
 from hornbeamline.daemons._leader_watch import LeaderWatch
+from hornbeamline.daemons._listeners import Listeners, ProcessLimits
 from hornbeamline.daemons._memory import GarbageCollectorService
 from hornbeamline.daemons._settings_watch import SettingsWatch
 from hornbeamline.daemons._target_list import ListPoller, TargetListSource
@@ -29,7 +30,6 @@
 from hornbeamline.documents.service import DocumentService
 from hornbeamline.gateway import TargetDirectory, TargetHttp
 from hornbeamline.helpers.clock import BootClock, SystemClock
-from hornbeamline.helpers.http_server import HttpServer
 from hornbeamline.inventory import (
     ControlSettings,
     HostSettings,
@@ -69,6 +69,7 @@
     list_rate_per_s: float
     list_readers: int
     stop_timeout_s: float
+    limits: ProcessLimits = ProcessLimits()
 
 
 class DocumentControlDaemon:
@@ -156,10 +157,10 @@
             ),
         )
         self._watch_settings(read_controls, member)
-        self.kernel.register(
-            'metrics',
-            HttpServer(metrics_app, settings.metrics_address),
-        )
+        # The limits of the document do not apply: they are for callers, and
+        # could keep the operator from replacing the document.
+        self._listeners = Listeners(self.kernel, settings.limits, clock)
+        self._listeners.add('metrics', metrics_app, settings.metrics_address)
         self.kernel.register('collector', GarbageCollectorService())
         self._register_operator(
             operator_app(documents, self._evacuations),
@@ -197,11 +198,10 @@
         """Register the quarantine, and the routes and logs for operators."""
         self.kernel.register('leader_watch', watch)
         self.kernel.register('quarantine', relay)
-        self.kernel.register(
+        self._listeners.add(
             'operator_api',
-            operator_server(
-                app, relay, self._evacuations, self._settings.operator_address
-            ),
+            operator_application(app, relay, self._evacuations),
+            self._settings.operator_address,
         )
 
 
--- a/hornbeamline/platform/_document.py
+++ b/hornbeamline/platform/_document.py
@@ -21,6 +21,7 @@
     group_by_host,
 )
 from hornbeamline.helpers.rates import MAX_RATE_PER_S
+from hornbeamline.platform._request_limits import LimitsTable, read_limits
 
 _MS_PER_S: Final = 1000
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
@@ -104,6 +105,7 @@
     routes: list[_Route]
     services: list[_Service]
     tenants: list[_Tenant] | None = None
+    limits: LimitsTable = LimitsTable()
 
 
 _decoder = msgspec.json.Decoder(_Document)
@@ -137,6 +139,7 @@
             name: _read_service(service) for name, service in services.items()
         },
         accounts_by_credential=_read_accounts(document.tenants),
+        limits=read_limits(document.limits),
     )
 
 
--- a/hornbeamline/platform/_entry.py
+++ b/hornbeamline/platform/_entry.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Final
 
+from hornbeamline.clients import ProcessLimits
 from hornbeamline.daemons.gateway import GatewayDaemon, GatewaySettings
 from hornbeamline.gateway import BudgetSettings
 from hornbeamline.platform._document import read_routing_table
@@ -54,6 +55,7 @@
                 settings.retry_slack,
             ),
             processor_cores=settings.processor_cores,
+            limits=ProcessLimits(settings.memory_mb, settings.max_fds),
         ),
         PlatformWire(),
         lambda http: ServerList(http, settings.list_address),
--- a/hornbeamline/platform/_settings.py
+++ b/hornbeamline/platform/_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import tomllib
 from pathlib import Path
@@ -31,6 +32,8 @@
 class _Limits(_Table, frozen=True, kw_only=True):
     cpu_share: Annotated[float, msgspec.Meta(ge=0)] = 0
     cores: Annotated[float, msgspec.Meta(ge=0)] = 1
+    memory_mb: float = 0
+    max_fds: int = 0
 
 
 class _Bounds(_Table, frozen=True, kw_only=True):
@@ -92,6 +95,9 @@
     list_address: str
     # Rate limit of calls to the list, shared by all hosts.
     list_rate_per_s: float
+    # Limits of the host; 0 if they are not stated.
+    memory_mb: float
+    max_fds: int
 
 
 def settings_path() -> Path:
@@ -105,6 +111,10 @@
     return Path(name)
 
 
+def _usable(figure: float) -> float:
+    return figure if 0 < figure < math.inf else 0
+
+
 def read_settings(path: Path) -> ProcessSettings:
     """Read the settings file of the platform.
 
@@ -137,4 +147,6 @@
         retry_slack=table.bounds.retry_slack,
         list_address=table.cloud_api.address,
         list_rate_per_s=table.cloud_api.rate_per_s,
+        memory_mb=_usable(table.limits.memory_mb),
+        max_fds=max(table.limits.max_fds, 0),
     )
