--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -31,12 +31,14 @@
 from hornbeamline.documents import InvalidDocumentError, StoredDocument
 from hornbeamline.gateway import (
     BatchLimits,
+    BudgetSettings,
     Forwarder,
     GatewayApp,
     GatewayHeadChecks,
     GatewayServices,
     Placement,
     ResultReleaser,
+    RetryBudget,
     RoutingTable,
     StageLoad,
     StageRunner,
@@ -47,10 +49,8 @@
     TargetPicker,
     Wire,
     rate_of,
-    service_lookup,
     wait_by_service,
 )
-from hornbeamline.helpers.budget import BudgetSettings, RetryBudget
 from hornbeamline.helpers.clock import BootClock, SystemClock
 from hornbeamline.inventory import PeeringSettings
 from hornbeamline.limits import LimitService
@@ -136,7 +136,9 @@
             BootClock(),
             self._targets.limits,
             self._granters,
-            service_lookup(self._targets),
+            lambda target: getattr(
+                self._targets.listed(target), 'service', None
+            ),
         )
         gate = TargetGate(self._targets, self._limits)
         self._hosts = OtherHosts(
--- a/hornbeamline/gateway/__init__.py
+++ b/hornbeamline/gateway/__init__.py
@@ -14,7 +14,7 @@
 from hornbeamline.gateway._stages import StageRunner
 from hornbeamline.gateway._stream_versions import StreamVersions
 from hornbeamline.gateway._table import RoutingTable, group_by_host
-from hornbeamline.gateway._targets import TargetDirectory, service_lookup
+from hornbeamline.gateway._targets import TargetDirectory
 from hornbeamline.gateway._types import (
     Account,
     AnswerHead,
@@ -81,7 +81,6 @@
     'WarmupLimits',
     'Wire',
     'rate_of',
-    'service_lookup',
     'wait_by_service',
     'group_by_host',
 )
--- a/hornbeamline/gateway/_targets.py
+++ b/hornbeamline/gateway/_targets.py
@@ -344,13 +344,3 @@
         target if target.is_cold else target[:-1] for target in sorted(targets)
     ]
     return hashlib.blake2b(encode(entries), digest_size=8).digest()
-
-
-def service_lookup(targets: TargetDirectory) -> Callable[[str], str | None]:
-    """Return a function from the id of a listed target to its service."""
-
-    def service_of(target_id: str) -> str | None:
-        target = targets.listed(target_id)
-        return None if target is None else target.service
-
-    return service_of
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -21,7 +21,6 @@
     TargetDirectory,
     TargetGate,
     TargetPicker,
-    service_lookup,
 )
 from hornbeamline.helpers.clock import Clock, SystemClock
 from hornbeamline.limits import LimitService
@@ -156,6 +155,16 @@
         return True
 
 
+def service_lookup(targets: TargetDirectory) -> Callable[[str], str | None]:
+    """Return a function from the id of a listed target to its service."""
+
+    def service_of(target_id: str) -> str | None:
+        target = targets.listed(target_id)
+        return None if target is None else target.service
+
+    return service_of
+
+
 def make_gate(targets: TargetDirectory) -> TargetGate:
     """Return the gate of the only host of a fleet."""
     peering = LocalNetwork(random.Random(1)).endpoint('host')
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -23,7 +23,6 @@
     TargetPicker,
     VersionBinding,
     WarmupLimits,
-    service_lookup,
 )
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._reply import Reply
@@ -38,6 +37,7 @@
     make_route,
     make_target,
     open_guard,
+    service_lookup,
 )
 from tests.gateway.test_forwarder import SIGNED, Caller, FakeHttp, Script
 from tests.local_network import LocalNetwork
