--- a/hornbeamline/costs/_beliefs.py
+++ b/hornbeamline/costs/_beliefs.py
@@ -19,6 +19,9 @@
 KIND_ENGINE: Final = 'engine'
 # Share of its cost that a request that a target reports has left on average.
 _REPORTED_SHARE: Final = 0.5
+# An engine with a free slot runs a request beside the others, which only make
+# its steps a little longer.
+_FREE_SLOT_DELAY: Final = 0.1
 # A response is not taken to have waited for more than this share of its time.
 _MAX_WAIT_SHARE: Final = 0.7
 # Gain of the mean cost of the requests of a service.
@@ -92,6 +95,7 @@
     def option(
         self,
         service: str,
+        kind: str,
         candidate: Candidate,
         parts: CostParts,
         view: OthersView,
@@ -104,11 +108,14 @@
         slowness = self.speeds.slowness_of(target)
         prompt_s = candidate.uncached_tokens * parts.prompt_token_s
         run_s = parts.call_s + parts.output_s + prompt_s
+        wait_s = self._wait_s(service, candidate, view)
+        if kind == KIND_ENGINE and candidate.running < candidate.slots:
+            wait_s *= _FREE_SLOT_DELAY
         # The prefill of a prompt stops the streams that run at the engine.
         delay_s = prompt_s * min(candidate.running, candidate.slots)
         return Option(
             target,
-            self._wait_s(service, candidate, view) * slowness,
+            wait_s * slowness,
             run_s * slowness,
             candidate.transfer_s + delay_s * slowness,
         )
@@ -146,7 +153,7 @@
         parts = self.model.parts(features._replace(uncached_tokens=0))
         view = self.view(service, candidates)
         options = [
-            self.option(service, candidate, parts, view)
+            self.option(service, kind, candidate, parts, view)
             for candidate in candidates
         ]
         CHOICES.labels(kind).inc()
--- a/hornbeamline/gateway/_app.py
+++ b/hornbeamline/gateway/_app.py
@@ -393,7 +393,7 @@
                     Refusal(
                         _UNAVAILABLE,
                         REASON_NO_TARGET,
-                        f'{service}: all targets are draining or paused',
+                        f'{service}: all draining, paused or evacuated',
                         _RETRY_AFTER_S if left_s is None else left_s,
                     ),
                 )
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -37,7 +37,7 @@
     RouteKind,
     Target,
 )
-from hornbeamline.gateway._warm_first import pick_target
+from hornbeamline.gateway._warm_first import permit_candidates, pick_target
 from hornbeamline.gateway._wire import TargetHeaders, Wire
 from hornbeamline.gateway.const import (
     REASON_TARGET_LOST,
@@ -211,11 +211,9 @@
 
         Return None if that takes too long.
         """
-        limited = [
-            target
-            for target in self._targets.accepting_targets(job.service)
-            if target.id not in attempts.tried and job.binding.allows(target)
-        ]
+        limited = permit_candidates(
+            job, self._targets, self._picker, attempts.tried
+        )
         if not limited:
             return None
         attempts.was_permit_denied = True
--- a/hornbeamline/gateway/_picker.py
+++ b/hornbeamline/gateway/_picker.py
@@ -242,6 +242,13 @@
             ),
         )
 
+    def is_ejected(self, target: Target) -> bool:
+        """Return whether a target gets requests only if no other is left."""
+        failures = self._failures_by_target.get(target.id)
+        if failures is None or failures.consecutive < EJECT_AFTER_FAILURES:
+            return False
+        return self._clock.monotonic() - failures.at < EJECT_S
+
     def load_per_slot(self, target: Target) -> float:
         """Return the expected number of requests per slot of a target."""
         return self._expected_load(target) / max(target.slots, 1)
@@ -380,15 +387,9 @@
         excluded: Collection[str],
     ) -> list[Target]:
         untried = [target for target in targets if target.id not in excluded]
-        healthy = [target for target in untried if not self._is_ejected(target)]
+        healthy = [target for target in untried if not self.is_ejected(target)]
         return healthy or untried
 
-    def _is_ejected(self, target: Target) -> bool:
-        failures = self._failures_by_target.get(target.id)
-        if failures is None or failures.consecutive < EJECT_AFTER_FAILURES:
-            return False
-        return self._clock.monotonic() - failures.at < EJECT_S
-
 
 def remote_bytes(
     bytes_by_data_centre: Mapping[str, int],
--- a/hornbeamline/gateway/_warm_first.py
+++ b/hornbeamline/gateway/_warm_first.py
@@ -32,10 +32,40 @@
         if job.route.kind is RouteKind.STREAM
         else picker.pick
     )
+    if not targets.limits.warmup.beliefs_by_id:
+        return pick(available, criteria)
     is_cold = targets.limits.is_cold
-    warm = [target for target in available if not is_cold(target.id)]
+    warm = [
+        target
+        for target in available
+        if not is_cold(target.id) and not picker.is_ejected(target)
+    ]
     if len(warm) < len(available):
         chosen = pick(warm, criteria)
         if chosen and picker.load_per_slot(chosen) < _FULL_LOAD:
             return chosen
     return pick(available, criteria)
+
+
+def permit_candidates(
+    job: Job,
+    targets: TargetDirectory,
+    picker: TargetPicker,
+    tried: Collection[str],
+) -> list[Target]:
+    """Return the targets of which a request may wait for a permit.
+
+    The best one that needs no permit, if there is such a target.
+    """
+    candidates = [
+        target
+        for target in targets.accepting_targets(job.service)
+        if target.id not in tried and job.binding.allows(target)
+    ]
+    limited = [
+        target.id
+        for target in candidates
+        if targets.limits.is_limited(target.id)
+    ]
+    unlimited = pick_target(job, targets, picker, [*tried, *limited])
+    return candidates if unlimited is None else [unlimited]
--- a/hornbeamline/limits/_known_limits.py
+++ b/hornbeamline/limits/_known_limits.py
@@ -102,6 +102,8 @@
         """Return whether a request with this permit may be sent now."""
         if permit == UNLIMITED:
             return not self.is_limited(target)
+        if self.is_cold(target) and not permit.is_cold:
+            return False
         return self._clock.monotonic() <= permit.expires_at
 
     def record_stated_limit(self, target: str, limit_per_s: float) -> None:
--- a/hornbeamline/limits/_permit.py
+++ b/hornbeamline/limits/_permit.py
@@ -25,6 +25,8 @@
     number: int
     # Expiry on the monotonic clock of this host.
     expires_at: float
+    # Whether it was issued at the rate of a cold target.
+    is_cold: bool = False
 
 
 # Permit for a target without a limit.
--- a/hornbeamline/limits/_service.py
+++ b/hornbeamline/limits/_service.py
@@ -159,7 +159,7 @@
             expires_at = began + reply.delay_s + WARMUP_PERMIT_TTL_S
         else:
             expires_at = now + reply.delay_s + PERMIT_TTL_S
-        return Permit(reply.number, expires_at)
+        return Permit(reply.number, expires_at, is_cold)
 
     def note_answer(
         self,
--- a/hornbeamline/limits/_warmup.py
+++ b/hornbeamline/limits/_warmup.py
@@ -81,7 +81,7 @@
         self._clock = clock
         self.warmups_by_service: Mapping[str, WarmupLimits] = {}
         self._entries_by_id: dict[str, _Entry] = {}
-        self._beliefs_by_id: dict[str, _Belief] = {}
+        self.beliefs_by_id: dict[str, _Belief] = {}
         # When the newest list was read.
         self._read_at = -math.inf
 
@@ -93,7 +93,7 @@
 
     def rate_of(self, target: str) -> float:
         """Return the requests per second of a target; infinite if warm."""
-        belief = self._beliefs_by_id.get(target)
+        belief = self.beliefs_by_id.get(target)
         if belief is None or belief.until <= self._clock.monotonic():
             return math.inf
         warmup = self._warmup_of(target)
@@ -101,14 +101,14 @@
 
     def cold_services(self) -> frozenset[str]:
         """Return the services with targets that are believed cold."""
-        return frozenset(map(self.service_of, self._beliefs_by_id))
+        return frozenset(map(self.service_of, self.beliefs_by_id))
 
     def observed_left_s(self, target: str) -> float:
         """Return how long calls show that a target stays cold; 0 if not.
 
         Excludes what other hosts know without being told.
         """
-        belief = self._beliefs_by_id.get(target)
+        belief = self.beliefs_by_id.get(target)
         if belief is None or self.rate_of(target) == math.inf:
             return 0
         return max(belief.observed_until - self._clock.monotonic(), 0)
@@ -118,11 +118,11 @@
 
         Drops the beliefs whose time is over, also without a list.
         """
-        if self._beliefs_by_id:
+        if self.beliefs_by_id:
             self._end_beliefs(-math.inf)
         left_by_target = {
             target: self.observed_left_s(target)
-            for target in self._beliefs_by_id
+            for target in self.beliefs_by_id
         }
         return {
             target: left_s
@@ -165,7 +165,7 @@
     def note_confirmed(self, read_at: float) -> None:
         """Apply that the list was unchanged when it was read at `read_at`."""
         self._read_at = max(self._read_at, read_at)
-        for target in tuple(self._beliefs_by_id):
+        for target in tuple(self.beliefs_by_id):
             entry = self._entries_by_id.get(target)
             if entry is not None and entry.is_cold:
                 self._note_listed_cold(target, read_at)
@@ -275,11 +275,11 @@
     ) -> bool:
         now = self._clock.monotonic()
         is_new = self._believe(target, source, left_s, list_valid_from)
-        belief = self._beliefs_by_id.get(target)
+        belief = self.beliefs_by_id.get(target)
         if belief is None:
             return False
         is_unobserved = belief.observed_until <= now
-        self._beliefs_by_id[target] = belief._replace(
+        self.beliefs_by_id[target] = belief._replace(
             observed_until=max(belief.observed_until, now + left_s),
         )
         return is_new or is_unobserved
@@ -301,13 +301,11 @@
             # A list that was read long ago, or evidence older than the list.
             return False
         until = self._clock.monotonic() + left_s
-        known = self._beliefs_by_id.get(target)
+        known = self.beliefs_by_id.get(target)
         if known is None or was_warm:
-            self._beliefs_by_id[target] = _Belief(
-                source, until, list_valid_from
-            )
+            self.beliefs_by_id[target] = _Belief(source, until, list_valid_from)
         else:
-            self._beliefs_by_id[target] = known._replace(
+            self.beliefs_by_id[target] = known._replace(
                 until=max(known.until, until),
                 list_valid_from=max(known.list_valid_from, list_valid_from),
             )
@@ -318,7 +316,7 @@
     def _end_beliefs(self, read_at: float) -> None:
         """End the beliefs that a list read at `read_at` or time ends."""
         now = self._clock.monotonic()
-        for target, belief in tuple(self._beliefs_by_id.items()):
+        for target, belief in tuple(self.beliefs_by_id.items()):
             entry = self._entries_by_id.get(target)
             if entry is None or self._warmup_of(target) is None:
                 self._end(target, 'unlisted')
@@ -328,7 +326,7 @@
                 self._end(target, 'list')
 
     def _end(self, target: str, source: str) -> None:
-        belief = self._beliefs_by_id.pop(target, None)
+        belief = self.beliefs_by_id.pop(target, None)
         if belief is not None:
             left_s = belief.until - self._clock.monotonic()
             self._log_change('warm', target, source, left_s)
@@ -344,7 +342,7 @@
             left_s=left_s,
         )
         COLD_CHANGES.labels(state, source).inc()
-        COLD.set(len(self._beliefs_by_id))
+        COLD.set(len(self.beliefs_by_id))
 
 
 def _list_valid_from(clock: Clock, left_s: float, longest_s: float) -> float:
--- a/hornbeamline/limits/_warmup_exchange.py
+++ b/hornbeamline/limits/_warmup_exchange.py
@@ -64,7 +64,7 @@
     ) -> None:
         """Record how long an answer says that a target stays cold."""
         is_new = self._beliefs.note_answer(
-            target.id, left_s, was_permitted=bool(permit.number)
+            target.id, left_s, was_permitted=permit.is_cold
         )
         if is_new:
             self._report(target)
@@ -78,7 +78,10 @@
         """Return whether this host is the granter; record since when."""
         granter = self._granters.granter_of(service)
         is_granter = granter == self._peering.name
-        self._tenures.note(service, is_granter=is_granter)
+        # A host that lost control may have been replaced meanwhile: its tenure
+        # begins again, so that permits of both do not add up.
+        is_confirmed = is_granter and self._granters.is_confirmed()
+        self._tenures.note(service, is_granter=is_confirmed)
         return is_granter
 
     def permits_from(self, service: str) -> float:
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 from hornbeamline.gateway import (
