--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -207,10 +207,7 @@
         job: Job,
         attempts: Attempts,
     ) -> PermittedTarget | None:
-        """Wait for the rate limited target that allows a request first.
-
-        Return None if that takes too long.
-        """
+        """Wait for the target that allows a request first, or return None."""
         limited = permit_candidates(
             job, self._targets, self._picker, attempts.tried
         )
