review: case 10 within the doses of `srv_grey`

Change: one server of seven fails two fifths of what it runs; 240 filings, four at a time. The check of the rule is the same.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -14,7 +14,11 @@
 
 import lab  # noqa: E402
 
-FILINGS = 40
+FILINGS = 240
+# The doses of `srv_grey`: one server of seven, and the share of its requests.
+SERVERS = 7
+FAILED_SHARE = 0.4
+AT_ONCE = 4
 PROMISES = (408, 421, 429, 503)
 # What the server in trouble answers, by turns.
 FAILURES = (503, 429, 408, 500)
@@ -27,6 +31,7 @@
         """Start with sound servers."""
         self.bad: lab.Server | None = None
         self.failures = 0
+        self.runs_of_bad = 0
         # The filings that servers have carried out, by body.
         self.filed: list[bytes] = []
 
@@ -43,12 +48,17 @@
         await asyncio.sleep(0.02)
         status = 200
         body = f'body of {request_id}'.encode()
-        if server is self.bad:
+        if server is self.bad and self._fails():
             status = FAILURES[self.failures % len(FAILURES)]
             self.failures += 1
             body = b'failed'
         writer.write(lab.answer(request, server, status, body))
 
+    def _fails(self) -> bool:
+        """Return whether the next run of the server in trouble fails."""
+        self.runs_of_bad += 1
+        return self.failures < FAILED_SHARE * self.runs_of_bad
+
 
 async def file_once(
     deployment: lab.Lab, case: Case, number: int
@@ -90,18 +100,22 @@
     deployment = lab.Lab(__file__)
     case = Case()
     try:
-        for _ in range(3):
+        for _ in range(SERVERS):
             await deployment.add_server('desk', case.work)
         await deployment.start(entries=1, controls=1)
         await deployment.configure(lab.configuration())
         if deployment.has_trouble:
             case.bad = deployment.servers[0]
-        false = 0
-        doubled = 0
-        for number in range(FILINGS):
-            is_false, is_doubled = await file_once(deployment, case, number)
-            false += is_false
-            doubled += is_doubled
+        results: list[tuple[bool, bool]] = []
+        numbers = iter(range(FILINGS))
+
+        async def client() -> None:
+            for number in numbers:
+                results.append(await file_once(deployment, case, number))
+
+        await asyncio.gather(*(client() for _ in range(AT_ONCE)))
+        false = sum(is_false for is_false, _ in results)
+        doubled = sum(is_doubled for _, is_doubled in results)
         summary = (
             f'{FILINGS} filings, {false} told "not run" after they had run, '
             f'{doubled} filed twice'
