Refusals of targets without proof are not passed on

Cause: the forwarder noticed that such an answer proves nothing and counted the attempt as one that may have run, but relayed the status of the target whatever it said. Statuses below 500 were even delivered as answers, without a try of another target for requests that may be repeated.

Change: 408, 421, 429 and 503 without proof are failures of the target. Their answers are not kept, so the caller gets 502 unless another target answers. This holds for all kinds of routes, since the promise does. A 421 still proves that another target has the address.

--- a/hornbeamline/gateway/_answer_checks.py
+++ b/hornbeamline/gateway/_answer_checks.py
@@ -17,6 +17,9 @@
 
 _FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
 _HTTP_CONFLICT: Final = 409
+_HTTP_ERROR: Final = 500
+# By these statuses callers learn that a request has not run and will not.
+_NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 
 
 def check_framing(target: Target, response: TargetResponse) -> None:
@@ -60,6 +63,20 @@
         )
 
 
+def is_unproven_refusal(head: AnswerHead) -> bool:
+    """Return whether a status says that a request did not run, without proof.
+
+    Assumes that `check_not_run` has passed. The target may have run the
+    request before it failed, so callers must not get this status.
+    """
+    return head.status in _NOT_RUN_STATUSES
+
+
+def is_failure(head: AnswerHead) -> bool:
+    """Return whether an answer is a failure of the target."""
+    return head.status >= _HTTP_ERROR or is_unproven_refusal(head)
+
+
 def media_type_of(head: AnswerHead) -> str:
     """Return the media type of an answer in lower case, '' without one."""
     for name, text in head.headers:
--- a/hornbeamline/gateway/_attempts.py
+++ b/hornbeamline/gateway/_attempts.py
@@ -56,7 +56,8 @@
         # that provably did not.
         self.may_have_run_count = 0
         self.not_run_count = 0
-        # The last complete response with a server error.
+        # The last complete response with a server error, unless its status
+        # falsely says that the request did not run.
         self.answer: BufferedAnswer | None = None
         # Streams: id of the last event that was sent to the caller.
         self.last_event_id: int | None = None
@@ -70,6 +71,8 @@
         # Seconds from receiving the request to sending the last attempt; None
         # if it was not sent.
         self.sent_s: float | None = None
+        # Status of the response to the last attempt; None if there was none.
+        self.status: int | None = None
         # Seconds from the start of the last attempt to the head of its
         # response and to its first event; None if there was none.
         self.head_s: float | None = None
@@ -87,6 +90,7 @@
         self.tried.append(target.id)
         self.is_budgeted = False
         self.sent_s = None
+        self.status = None
         self.head_s = None
         self.first_event_s = None
         self.begun_at = None
@@ -143,6 +147,7 @@
         outcome=outcome,
         progress=attempts.progress,
         attempt=len(attempts.tried),
+        status=attempts.status,
         since_received_s=now - job.request.received_at,
         sent_s=attempts.sent_s,
         head_s=attempts.head_s,
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -11,6 +11,8 @@
     check_framing,
     check_head,
     check_not_run,
+    is_failure,
+    is_unproven_refusal,
     media_type_of,
 )
 from hornbeamline.gateway._attempts import (
@@ -77,7 +79,6 @@
 
 _HTTP_OK: Final = 200
 _HTTP_BAD_REQUEST: Final = 400
-_HTTP_ERROR: Final = 500
 _HTTP_BAD_GATEWAY: Final = 502
 _HTTP_UNAVAILABLE: Final = 503
 
@@ -324,6 +325,7 @@
     ) -> None:
         target = chosen.target
         head = self._wire.read_answer(response.status, response.headers)
+        attempts.status = head.status
         if head.request_id == job.request.id:
             self._gate.process_response_signals(target, head, chosen.permit)
         if head.load is not None:
@@ -337,7 +339,7 @@
             )
             return
         answer = BufferedAnswer(head, await response.body())
-        if head.status < _HTTP_ERROR:
+        if not is_failure(head):
             job.guard.answer_begun()
             job.guard.answer_completed()
             is_served = head.status < _HTTP_BAD_REQUEST
@@ -346,7 +348,8 @@
             )
             await self._deliver(job, target, attempts, answer, reply)
             return
-        attempts.answer = answer
+        if not is_unproven_refusal(head):
+            attempts.answer = answer
         attempts.reason = f'{target.id}: failed with status {head.status}'
         self._picker.record_failure(target)
         self._log_attempt(job, target, attempts, OUTCOME_FAILED, None)
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -205,6 +205,7 @@
 RESUMABLE = {'kind': RouteKind.STREAM, 'can_resume': True}
 STREAM = {'kind': RouteKind.STREAM}
 SAFE = {'kind': RouteKind.IDEMPOTENT}
+ROUTES = {'unsafe': {}, 'safe': SAFE, 'stream': STREAM, 'resumable': RESUMABLE}
 EVENT_LIKE = ERROR_TEXT + b'\n\n'
 CONTINUATIONS = {
     'error': whole(500, ERROR_TEXT),
@@ -300,6 +301,64 @@
     assert received == Received(200, event(1) + event(2), is_complete=False)
 
 
+# Statuses by which callers are told that a request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+UNPROVEN_STATUSES = (408, 429, 503)
+
+
+# Failure: a 503, 429 or 408 of a target that may have run the request was
+# passed on, so that callers sent a filing again (REFUSED, review/10).
+@pytest.mark.parametrize('route', ROUTES)
+@pytest.mark.parametrize('status', UNPROVEN_STATUSES)
+async def test_unproven_refusal_is_not_passed_on(
+    gateway, route, status
+) -> None:
+    """Fault: targets refuse without the header that proves it."""
+    answer = whole(status, ERROR_TEXT, b'Retry-After: 1\r\n')
+    received = await gateway.call(answer, answer, answer, **ROUTES[route])
+    assert received.status == 502
+    assert ERROR_TEXT not in received.body
+    assert received.is_complete
+    if route in {'unsafe', 'stream'}:
+        assert gateway.received == 1
+
+
+@pytest.mark.parametrize('status', UNPROVEN_STATUSES)
+async def test_safe_request_is_repeated_after_an_unproven_refusal(
+    gateway, status
+) -> None:
+    """Another target can still run a request that may be repeated."""
+    received = await gateway.call(
+        whole(status, ERROR_TEXT), whole(200, b'body'), **SAFE
+    )
+    assert received == Received(200, b'body', is_complete=True)
+    assert gateway.received == 2
+
+
+@pytest.mark.parametrize('status', UNPROVEN_STATUSES)
+async def test_refusal_after_an_unproven_one_promises_nothing(
+    gateway, status
+) -> None:
+    """Fault: a target that may have run a request, then ones that refuse."""
+    refusal = whole(503, ERROR_TEXT, b'X-Not-Executed: 1\r\n')
+    received = await gateway.call(
+        whole(status, ERROR_TEXT), refusal, refusal, **SAFE
+    )
+    assert received.status == 502
+
+
+@pytest.mark.parametrize('route', ROUTES)
+@pytest.mark.parametrize('status', NOT_RUN_STATUSES)
+async def test_proven_refusals_are_answered_as_not_run(
+    gateway, route, status
+) -> None:
+    """Guards against hiding that a caller may send its request again."""
+    refusal = whole(status, ERROR_TEXT, b'X-Not-Executed: 1\r\n')
+    received = await gateway.call(refusal, refusal, refusal, **ROUTES[route])
+    assert received.status == 503
+    assert gateway.received == 3
+
+
 ANSWERS = {
     'length': whole(200, b'0123456789'),
     'chunks': head(200, CHUNKED) + chunk(b'0123456789') + chunk(b''),
@@ -310,7 +369,6 @@
     'stream': STREAM_HEAD + chunk(event(1)) + chunk(b''),
     'stream-unframed': head(200, EVENT_STREAM) + event(1),
 }
-ROUTES = {'unsafe': {}, 'safe': SAFE, 'stream': STREAM, 'resumable': RESUMABLE}
 
 
 # Reported by operators: a target stopped in the middle of the head of its
