Endless streams of targets are cut off and keep nobody waiting

Cause: each empty line was a complete event, sent to the caller on its own and counted by nobody, and all events of a read were handled in one turn of the event loop, so that even deadlines could not end the stream.

Change: the relay of streams moves from the forwarder to a module of its own and gets bounds: bytes without a new event (comments, empty lines, repeated events), and events beyond the output tokens that the caller allows. Runs of comments and empty lines are one event, and other tasks have a turn after 16 KiB or 32 events. Ids of more than 18 digits are no ids; they ended the attempt with an unhandled exception.

--- a/hornbeamline/gateway/_events.py
+++ b/hornbeamline/gateway/_events.py
@@ -7,24 +7,26 @@
 
 from hornbeamline.gateway.errors import MayHaveRunError
 
+# A run of comments and empty lines, or one event of lines that are not empty.
+# Possessive, so that the time is linear in the size.
+_NEXT: Final = re.compile(
+    rb'(?P<comments>(?:(?::[^\n]*+\n)*+\n)++)|(?:[^\n]++\n)++\n'
+)
 _END: Final = b'\n\n'
-_ID: Final = re.compile(rb'^id:[ ]?(\d+)[ \r]*$', re.MULTILINE)
+_ID: Final = re.compile(rb'^id:[ ]?(\d{1,18})[ \r]*$', re.MULTILINE)
 # Far above the size of any event of a token stream.
 MAX_EVENT_BYTES: Final = 1_048_576
 
 
 class StreamEvent(NamedTuple):
-    """One complete event, including its terminator."""
+    """One complete event, including its terminator.
+
+    Consecutive events without content, such as heartbeats, are one comment.
+    """
 
     raw: bytes
     id: int | None
-
-    @property
-    def is_comment(self) -> bool:
-        """Return whether the event has no content, as a heartbeat."""
-        return all(
-            line.startswith(b':') for line in self.raw.splitlines() if line
-        )
+    is_comment: bool
 
 
 class EventSplitter:
@@ -44,13 +46,23 @@
 
         Raises `MayHaveRunError` when an event exceeds `MAX_EVENT_BYTES`.
         """
-        parts = (self._rest + chunk).split(_END)
-        self._rest = parts.pop()
+        buffered = self._rest + chunk
+        events = []
+        position = 0
+        if not self._rest or buffered.find(_END, len(self._rest) - 1) >= 0:
+            while match := _NEXT.match(buffered, position):
+                position = match.end()
+                events.append(_event_of(match))
+        self._rest = buffered[position:]
         if len(self._rest) > MAX_EVENT_BYTES:
             raise MayHaveRunError('stream event exceeds the size limit')
-        return [StreamEvent(raw + _END, _id_of(raw)) for raw in parts]
+        return events
 
 
-def _id_of(raw: bytes) -> int | None:
-    match = _ID.search(raw)
-    return None if match is None else int(match.group(1))
+def _event_of(match: re.Match[bytes]) -> StreamEvent:
+    raw = match.group()
+    if match.lastgroup == 'comments':
+        return StreamEvent(raw, None, is_comment=True)
+    found = _ID.search(raw)
+    event_id = None if found is None else int(found.group(1))
+    return StreamEvent(raw, event_id, is_comment=False)
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -6,14 +6,10 @@
 from typing import Final
 
 from hornbeamline.gateway._answer_checks import (
-    check_continuation,
-    check_event,
-    check_framing,
     check_head,
     check_not_run,
     is_failure,
     is_unproven_refusal,
-    media_type_of,
 )
 from hornbeamline.gateway._attempts import (
     OUTCOME_ANSWERED,
@@ -26,15 +22,14 @@
     PermittedTarget,
     log_attempt,
 )
-from hornbeamline.gateway._events import EventSplitter, StreamEvent
 from hornbeamline.gateway._gate import TargetGate
 from hornbeamline.gateway._http import TargetHttp, TargetResponse
 from hornbeamline.gateway._job import Job
 from hornbeamline.gateway._picker import PickCriteria, TargetPicker
 from hornbeamline.gateway._reply import Reply
+from hornbeamline.gateway._stream_relay import RelayedAttempt, StreamRelay
 from hornbeamline.gateway._targets import TargetDirectory
 from hornbeamline.gateway._types import (
-    AnswerHead,
     Refusal,
     RouteKind,
     Target,
@@ -334,9 +329,10 @@
         check_head(job, target, head)
         is_stream = job.route.kind is RouteKind.STREAM
         if is_stream and head.status == _HTTP_OK:
-            await self._relay_stream(
-                job, target, attempts, reply, response, head
-            )
+            attempt = RelayedAttempt(job, target, attempts, reply)
+            relay = StreamRelay(attempt, self._picker, self._clock)
+            await relay.run(response, head)
+            self._log_attempt(job, target, attempts, OUTCOME_ANSWERED, None)
             return
         answer = BufferedAnswer(head, await response.body())
         if not is_failure(head):
@@ -372,77 +368,6 @@
         await reply.end(answer.body)
         self._log_attempt(job, target, attempts, OUTCOME_ANSWERED, None)
 
-    async def _relay_stream(
-        self,
-        job: Job,
-        target: Target,
-        attempts: Attempts,
-        reply: Reply,
-        response: TargetResponse,
-        head: AnswerHead,
-    ) -> None:
-        splitter = EventSplitter()
-        attempts.is_unproven_continuation = reply.has_begun
-        if reply.has_begun:
-            check_continuation(target, head, attempts.media_type)
-        else:
-            attempts.media_type = media_type_of(head)
-        started_at = self._clock.monotonic() - (attempts.head_s or 0)
-        async for chunk in response.chunks():
-            for event in splitter.feed(chunk):
-                check_event(
-                    event, is_unproven=attempts.is_unproven_continuation
-                )
-                if not reply.has_begun:
-                    await job.binding.bind(target)
-                    await reply.begin(head.status, head.headers)
-                if not event.is_comment:
-                    self._record_event(job, target, attempts, started_at)
-                await self._relay_event(attempts, reply, event)
-        if splitter.has_partial:
-            raise MayHaveRunError(f'{target.id}: stream ended within an event')
-        if attempts.first_event_s is None:
-            check_framing(target, response)
-        if not reply.has_begun:
-            await reply.begin(head.status, head.headers)
-        self._picker.record_success(target, attempts.work)
-        job.guard.answer_completed()
-        await reply.end()
-        self._log_attempt(job, target, attempts, OUTCOME_ANSWERED, None)
-
-    def _record_event(
-        self, job: Job, target: Target, attempts: Attempts, started_at: float
-    ) -> None:
-        """Record that an answer has begun; later ones show its progress."""
-        attempts.is_unproven_continuation = False
-        if attempts.work is not None:
-            self._picker.beliefs.progressed(attempts.work)
-        if attempts.first_event_s is not None:
-            return
-        attempts.begun_at = self._clock.monotonic()
-        attempts.first_event_s = attempts.begun_at - started_at
-        job.guard.answer_begun(attempts.timing_at(target.service))
-        job.on_inputs_fetched()
-        self._picker.record_prompt(target, job.request)
-
-    async def _relay_event(
-        self,
-        attempts: Attempts,
-        reply: Reply,
-        event: StreamEvent,
-    ) -> None:
-        last = attempts.last_event_id
-        if event.id is not None and last is not None:
-            if event.id <= last:
-                return
-            if event.id != last + 1:
-                raise MayHaveRunError(
-                    f'gap in the stream: event {event.id} follows {last}'
-                )
-        if event.id is not None:
-            attempts.last_event_id = event.id
-        await reply.add(event.raw)
-
     async def _send_failure(
         self,
         job: Job,
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -2,210 +2,27 @@
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
-import random
-from collections.abc import AsyncIterator
-from typing import Any, NamedTuple
-
 import pytest
 
-from hornbeamline.gateway import (
-    BudgetSettings,
-    Forwarder,
-    GatewayApp,
-    GatewayServices,
-    Placement,
-    RetryBudget,
-    RouteKind,
-    StageRunner,
-    StreamVersions,
-    TargetDirectory,
-    TargetHttp,
-    TargetPicker,
-)
-from hornbeamline.helpers.clock import SystemClock
-from hornbeamline.helpers.http_server import HttpServer
-from hornbeamline.platform._wire import PlatformWire
-from hornbeamline.quarantine import PartQuarantine, PartQuarantinedError
-from tests.common import free_address
-from tests.gateway.builders import (
-    KnownOrigins,
-    make_gate,
-    make_route,
-    make_table,
-    make_target,
+from hornbeamline.quarantine import PartQuarantinedError
+from tests.gateway.scripted import (
+    CHUNKED,
+    EVENT_STREAM,
+    RESUMABLE,
+    ROUTES,
+    SAFE,
+    STREAM,
+    Received,
+    chunk,
+    event,
+    head,
+    whole,
 )
 
-TARGETS = 3
-DEADLINE_S = 5.0
 ERROR_TEXT = b'engine error: out of memory'
-SIGNED = b'X-Request-Id: r1\r\nX-Server-Stamp: s\r\n'
-EVENT_STREAM = b'Content-Type: text/event-stream\r\n'
-CHUNKED = b'Transfer-Encoding: chunked\r\n'
-
-
-def head(status: int, *fields: bytes) -> bytes:
-    """Return the head of a signed answer."""
-    return b'HTTP/1.1 %d X\r\n%s%s\r\n' % (status, SIGNED, b''.join(fields))
-
-
-def chunk(content: bytes) -> bytes:
-    """Return a chunk; the empty one ends a body."""
-    return b'%x\r\n%s\r\n' % (len(content), content)
-
-
-def event(number: int) -> bytes:
-    """Return an event of a stream."""
-    return b'id: %d\ndata: x\n\n' % number
-
-
-def whole(status: int, body: bytes, *fields: bytes) -> bytes:
-    """Return a complete answer with a length."""
-    length = b'Content-Length: %d\r\n' % len(body)
-    return head(status, length, *fields) + body
-
-
 STREAM_HEAD = head(200, EVENT_STREAM, CHUNKED)
 BROKEN_STREAM = STREAM_HEAD + chunk(event(1)) + chunk(event(2)) + b'12\r\nid: 3'
 REST_OF_STREAM = STREAM_HEAD + chunk(event(3)) + chunk(b'')
-
-
-class Received(NamedTuple):
-    """What a caller has received."""
-
-    status: int
-    body: bytes
-    # The answer has ended as its framing says.
-    is_complete: bool
-
-
-def parse(raw: bytes) -> Received:
-    """Parse one answer of the gateway strictly."""
-    top, separator, rest = raw.partition(b'\r\n\r\n')
-    assert separator, raw
-    lines = top.split(b'\r\n')
-    status = int(lines[0].split(b' ')[1])
-    fields = dict(line.lower().split(b': ', 1) for line in lines[1:])
-    if b'content-length' in fields:
-        length = int(fields[b'content-length'])
-        return Received(status, rest, is_complete=len(rest) == length)
-    assert fields[b'transfer-encoding'] == b'chunked'
-    body = b''
-    while rest:
-        size_line, _, rest = rest.partition(b'\r\n')
-        size = int(size_line, 16)
-        if not size:
-            assert rest == b'\r\n'
-            return Received(status, body, is_complete=True)
-        body += rest[:size]
-        assert rest[size : size + 2] == b'\r\n'
-        rest = rest[size + 2 :]
-    return Received(status, body, is_complete=False)
-
-
-class Gateway:
-    """Gateway on a connection, in front of targets that follow a script."""
-
-    def __init__(self) -> None:
-        clock = SystemClock()
-        self.targets = TargetDirectory(clock)
-        self.http = TargetHttp()
-        rng = random.Random(1)
-        self._clock = clock
-        budget = RetryBudget(BudgetSettings(0.2, 10, 64), clock)
-        budget.note_hosts(1)
-        wire = PlatformWire()
-        picker = TargetPicker('dc-1', clock, rng)
-        forwarder = Forwarder(
-            self.http,
-            wire,
-            picker,
-            self.targets,
-            make_gate(self.targets),
-            budget,
-            clock,
-        )
-        # Routes without stages need no owner of a stage service.
-        batching: Any = None
-        self.quarantine = PartQuarantine('host', clock)
-        services = GatewayServices(
-            self.targets,
-            forwarder,
-            StageRunner(
-                batching,
-                lambda _rank: {},
-                Placement(wire, self.targets, picker),
-                clock,
-            ),
-            budget,
-            self.quarantine,
-            StreamVersions(KnownOrigins(), self.targets),
-        )
-        self.app = GatewayApp(wire, services, clock, rng)
-        self.address = free_address()
-        # Answers of the next connections to any target, in order.
-        self.script: list[bytes] = []
-        self.received = 0
-
-    async def serve_target(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Send the next answer of the script and close the connection."""
-        with contextlib.suppress(asyncio.IncompleteReadError):
-            await reader.readuntil(b'\r\n\r\n')
-            self.received += 1
-            writer.write(self.script.pop(0) if self.script else b'')
-            await writer.drain()
-        writer.close()
-
-    async def call(self, *script: bytes, **route: Any) -> Received:
-        """Send a request; the targets answer by the script."""
-        self.script = list(script)
-        self.received = 0
-        made = make_route(**{'max_attempts': 3, **route})
-        self.app.update_table(make_table(made))
-        host, _, port = self.address.rpartition(':')
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(
-            b'POST /p/1 HTTP/1.1\r\nHost: host.example\r\n'
-            b'X-Request-Id: r1\r\nX-Deadline-Ms: 5000\r\n'
-            b'X-Prompt-Prefix: shared:10,own:10\r\n'
-            b'Connection: close\r\nContent-Length: 2\r\n\r\n{}',
-        )
-        async with asyncio.timeout(DEADLINE_S):
-            raw = await reader.read()
-        writer.close()
-        return parse(raw)
-
-
-@pytest.fixture
-async def gateway() -> AsyncIterator[Gateway]:
-    made = Gateway()
-    await made.http.start()
-    listed = []
-    servers = []
-    for number in range(TARGETS):
-        server = await asyncio.start_server(made.serve_target, '127.0.0.1', 0)
-        servers.append(server)
-        host, port = server.sockets[0].getsockname()
-        listed.append(make_target(f't{number}', address=f'{host}:{port}'))
-    made.targets.replace_list(listed)
-    listener = HttpServer(made.app, made.address, stop_timeout_s=1)
-    await listener.start()
-    yield made
-    await listener.stop()
-    for server in servers:
-        server.close()
-    await made.http.stop()
-
-
-RESUMABLE = {'kind': RouteKind.STREAM, 'can_resume': True}
-STREAM = {'kind': RouteKind.STREAM}
-SAFE = {'kind': RouteKind.IDEMPOTENT}
-ROUTES = {'unsafe': {}, 'safe': SAFE, 'stream': STREAM, 'resumable': RESUMABLE}
 EVENT_LIKE = ERROR_TEXT + b'\n\n'
 CONTINUATIONS = {
     'error': whole(500, ERROR_TEXT),
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -26,6 +26,26 @@
     assert not splitter.has_partial
 
 
+@given(st.text('a:\r\n', max_size=40), st.sets(st.integers(1, 39)))
+def test_no_byte_is_lost_or_added(text, cuts) -> None:
+    """Comments and empty lines are grouped by how the bytes arrive."""
+    raw = text.encode()
+    splitter = EventSplitter()
+    places = [0, *sorted(cut for cut in cuts if cut < len(raw)), len(raw)]
+    events = [
+        event
+        for start, end in zip(places, places[1:], strict=False)
+        for event in splitter.feed(raw[start:end])
+    ]
+    returned = b''.join(event.raw for event in events)
+    assert raw.startswith(returned)
+    assert splitter.has_partial == (returned != raw)
+    whole = EventSplitter().feed(raw)
+    assert [
+        event.raw.strip(b'\n') for event in whole if not event.is_comment
+    ] == [event.raw.strip(b'\n') for event in events if not event.is_comment]
+
+
 def test_event_that_breaks_off_is_not_returned() -> None:
     """Guards against partial events in a complete response."""
     splitter = EventSplitter()
