Bound what targets send that is neither a head nor a body

Cause: a limit held for the size of a head only. The client of the product's own interface had none.

--- a/hornbeamline/gateway/_http.py
+++ b/hornbeamline/gateway/_http.py
@@ -4,13 +4,11 @@
 
 import asyncio
 import contextlib
-import functools
 from collections.abc import AsyncIterator, Callable, Sequence
-from typing import Any, Final
+from typing import Final
 
 import aiohttp
 import yarl
-from aiohttp.client_proto import ResponseHandler
 
 from hornbeamline.gateway.errors import (
     ConnectionDeniedError,
@@ -35,10 +33,6 @@
 # are abandoned: those of several targets could together exhaust the memory.
 MAX_BUFFERED_BYTES: Final = 33_554_432
 SMALL_ANSWER_BYTES: Final = 262_144
-# Maximum number of bytes received until the head of a response is complete,
-# including interim responses and the first part of the body. A head line alone
-# may take 8 KiB.
-MAX_HEAD_BYTES: Final = 1_048_576
 _SKIPPED_HEADERS: Final = (
     'User-Agent',
     'Accept',
@@ -47,36 +41,6 @@
 )
 
 
-class _GuardedHandler(ResponseHandler):
-    """Protocol that records connection errors and limits the head size.
-
-    aiohttp takes a reset for the end of a response without a length, and it
-    waits for the head for as long as interim responses arrive.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Create a protocol without a connection."""
-        super().__init__(loop)
-        self.lost_error: BaseException | None = None
-        self.has_head = False
-        self._head_bytes = 0
-
-    def data_received(self, data: bytes) -> None:
-        """Process bytes; abort the connection if the head is too large."""
-        if not self.has_head:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES and self.transport:
-                log_event('targets.endless_head', bytes=self._head_bytes)
-                self.transport.abort()
-                return
-        super().data_received(data)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Record the error that ended the connection, if any."""
-        self.lost_error = exc
-        super().connection_lost(exc)
-
-
 class _BufferedBytes:
     """Total size of the responses that are being buffered."""
 
@@ -105,8 +69,6 @@
         self._buffered = buffered
         connection = response.connection
         self._protocol = None if connection is None else connection.protocol
-        if isinstance(self._protocol, _GuardedHandler):
-            self._protocol.has_head = True
         self.status = response.status
         self.headers: Sequence[tuple[bytes, bytes]] = response.raw_headers
 
@@ -165,14 +127,8 @@
 
     async def start(self) -> None:
         """Open the client session."""
-        connector = GuardedConnector(limit=0, force_close=True)
-        handler: Any = functools.partial(
-            _GuardedHandler,
-            loop=asyncio.get_running_loop(),
-        )
-        connector._factory = handler
         self._session = aiohttp.ClientSession(
-            connector=connector,
+            connector=GuardedConnector(limit=0, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             middlewares=(forbid_resend,),
--- a/hornbeamline/membership/_sources.py
+++ b/hornbeamline/membership/_sources.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from hornbeamline.helpers.codec import CodecError, decode_json
+from hornbeamline.helpers.http_client import BoundedConnector
 from hornbeamline.inventory import MembershipSource
 from hornbeamline.membership._view import Report
 from hornbeamline.membership.const import MAX_LIST_BYTES
@@ -122,7 +123,7 @@
         reuse one that does not respond.
         """
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(connector=BoundedConnector())
         try:
             async with self._session.get(
                 self._url,
--- a/hornbeamline/orders/_client.py
+++ b/hornbeamline/orders/_client.py
@@ -10,7 +10,7 @@
 from aiohttp.payload import BytesPayload
 
 from hornbeamline.helpers.codec import CodecError, decode_json, encode_json
-from hornbeamline.helpers.http_client import forbid_resend
+from hornbeamline.helpers.http_client import BoundedConnector, forbid_resend
 from hornbeamline.inventory import Target
 from hornbeamline.orders._messages import EngineReport, OrderBody
 from hornbeamline.orders.const import MAX_REPORT_BYTES
@@ -136,7 +136,7 @@
         if self._session is None:
             # Connections are not reused: a stalled one must not delay an
             # order beyond its in-flight time.
-            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+            connector = BoundedConnector(limit=0, force_close=True)
             self._session = aiohttp.ClientSession(
                 connector=connector,
                 middlewares=(forbid_resend,),
--- a/hornbeamline/targets/_connections.py
+++ b/hornbeamline/targets/_connections.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from hornbeamline.helpers.http_client import forbid_resend
+from hornbeamline.helpers.http_client import BoundedConnector, forbid_resend
 from hornbeamline.targets._messages import BeforeSend
 from hornbeamline.telemetry import log_event
 
@@ -59,7 +59,7 @@
         current_progress.set(None)
 
 
-class GuardedConnector(aiohttp.TCPConnector):
+class GuardedConnector(BoundedConnector):
     """Connector that runs the hook of a call once it is connected.
 
     aiohttp writes the request right after `connect` returns, without an
--- a/tests/gateway/test_endless_streams.py
+++ b/tests/gateway/test_endless_streams.py
@@ -5,20 +5,20 @@
 import asyncio
 import contextlib
 import itertools
-import socket
-import threading
 import time
 from collections.abc import Callable, Iterator, Mapping
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import pytest
 
+from tests.endless_target import PART_BYTES, EndlessTarget, unframed
 from tests.gateway.builders import make_route, make_table, make_target
 from tests.gateway.scripted import (
     CHUNKED,
     EVENT_STREAM,
     RESUMABLE,
+    SAFE,
     STREAM,
     Gateway,
     chunk,
@@ -26,7 +26,6 @@
     head,
 )
 
-PART_BYTES: Final = 65_536
 # Time limit of the streams.
 LIMIT_S: Final = 3.0
 # Requests have to be answered this soon after their time limit.
@@ -50,53 +49,6 @@
         yield chunk(b''.join(event(start + step) for step in range(1000)))
 
 
-class EndlessTarget:
-    """Target in a thread, which sends until the connection is closed."""
-
-    def __init__(self, source: Callable[[], Iterator[bytes]]) -> None:
-        self._source = source
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self.sent = 0
-        # The connection has been closed by the gateway.
-        self.is_closed = threading.Event()
-
-    def __enter__(self) -> EndlessTarget:
-        """Start to accept connections."""
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        """Accept no further connections."""
-        self._listener.close()
-
-    @property
-    def address(self) -> str:
-        """Return host and port."""
-        host, port = self._listener.getsockname()
-        return f'{host}:{port}'
-
-    def _serve(self) -> None:
-        with contextlib.suppress(OSError):
-            connection, _ = self._listener.accept()
-            with connection:
-                connection.settimeout(2 * LIMIT_S)
-                connection.recv(PART_BYTES)
-                connection.sendall(STREAM_HEAD)
-                self._send(connection)
-
-    def _send(self, connection: socket.socket) -> None:
-        try:
-            for part in self._source():
-                connection.sendall(part)
-                self.sent += len(part)
-        except TimeoutError:
-            # The gateway keeps the connection, but reads no more.
-            return
-        except OSError:
-            self.is_closed.set()
-
-
 async def call(gateway: Gateway, target: EndlessTarget, **route: Any) -> bytes:
     """Send a request for a stream of a target; return what comes back."""
     gateway.targets.replace_list([make_target('e0', address=target.address)])
@@ -141,7 +93,7 @@
         'events-without-ids': repeated(b'data: x\n\n'),
         'short-events': repeated(b'a\n\n'),
         'long-ids': repeated(b'id: ' + b'9' * 5000 + b'\ndata: x\n\n'),
-        'tiny-chunks': lambda: itertools.repeat(chunk(b'\n') * 10_000),
+        'tiny-chunks': unframed(chunk(b'\n')),
     }
 )
 
@@ -156,7 +108,7 @@
     gateway, name, route
 ) -> None:
     """Fault: a target sends what is no answer, without a pause."""
-    with EndlessTarget(SOURCES[name]) as target:
+    with EndlessTarget(SOURCES[name], STREAM_HEAD) as target:
         lag = asyncio.ensure_future(longest_lag_s())
         await asyncio.sleep(0)
         async with asyncio.timeout(LIMIT_S + 2 * MAX_LAG_S):
@@ -168,3 +120,44 @@
         assert b' 200 ' in received[:20] or b' 502 ' in received[:20]
         assert await asyncio.to_thread(target.is_closed.wait, LIMIT_S)
         assert target.sent < MAX_SENT
+
+
+class Endless(NamedTuple):
+    """Beginning of an answer, and what is repeated after it."""
+
+    beginning: bytes
+    piece: bytes
+
+
+# What is neither a body nor the end of an answer.
+OVERHEAD: Final[Mapping[str, Endless]] = MappingProxyType(
+    {
+        'interim-heads': Endless(b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        'empty-lines': Endless(b'', b'\r\n'),
+        'fields': Endless(b'HTTP/1.1 200 OK\r\n', b'A:\r\n'),
+        'trailers': Endless(STREAM_HEAD + b'0\r\n', b'A: 1\r\n'),
+        'extensions': Endless(STREAM_HEAD + b'5;', b'a=b;'),
+        'chunk-size': Endless(STREAM_HEAD, b'0'),
+        'tiny-chunks': Endless(STREAM_HEAD, chunk(b'x')),
+    }
+)
+
+
+# Failure: chunk extensions without end took a whole processor until the time
+# limit; a megabyte of interim heads delayed all requests by a quarter second.
+@pytest.mark.parametrize('route', [SAFE, STREAM], ids=['safe', 'stream'])
+@pytest.mark.parametrize('name', OVERHEAD)
+async def test_endless_overhead_is_cut_off(gateway, name, route) -> None:
+    """Fault: what a target sends is no answer and has no end."""
+    beginning, piece = OVERHEAD[name]
+    with EndlessTarget(unframed(piece), beginning) as target:
+        lag = asyncio.ensure_future(longest_lag_s())
+        await asyncio.sleep(0)
+        async with asyncio.timeout(LIMIT_S + 2 * MAX_LAG_S):
+            received = await call(gateway, target, **route)
+        lag.cancel()
+        assert await lag < MAX_LAG_S
+        assert b' 502 ' in received[:20]
+        assert not received.endswith(b'\r\n0\r\n\r\n')
+        assert await asyncio.to_thread(target.is_closed.wait, LIMIT_S)
+        assert target.sent < MAX_SENT
