Heads that are none of HTTP are no answers of targets

What callers saw: for a target that answered with status 000 or another one outside of 200 to 599, or with a control character in a field, a connection that closed without an answer; 101 was passed on. Operators of similar systems had reported that their clients got the 000 as an answer.

Cause: the HTTP library takes any three digits, the gateway had upper bounds only, and the listener raised an error.

Change: check_form is the first check of an answer; such an answer is lost and proves nothing.

--- a/hornbeamline/gateway/_answer_checks.py
+++ b/hornbeamline/gateway/_answer_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final
 
 from hornbeamline.gateway._events import StreamEvent
@@ -16,6 +17,9 @@
 )
 
 _FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
+_FINAL_STATUSES: Final = range(200, 600)
+# Characters that no field may hold; they would end the caller's connection.
+_CONTROL_CHARACTER: Final = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 _HTTP_CONFLICT: Final = 409
 _HTTP_ERROR: Final = 500
 # By these statuses callers learn that a request has not run and will not.
@@ -32,6 +36,17 @@
         raise MayHaveRunError(f'{target.id}: connection ended without an event')
 
 
+def check_form(target: Target, head: AnswerHead) -> None:
+    """Raise `MayHaveRunError` if a head is no head of a final response."""
+    if head.status not in _FINAL_STATUSES:
+        raise MayHaveRunError(f'{target.id}: status {head.status} is not final')
+    for name, text in head.headers:
+        if _CONTROL_CHARACTER.search(text):
+            raise MayHaveRunError(
+                f'{target.id}: control character in the field {name!r}'
+            )
+
+
 def check_not_run(job: Job, target: Target, head: AnswerHead) -> None:
     """Raise `NotRunError` if the target proves that it did not run a request.
 
--- a/hornbeamline/gateway/_forwarder.py
+++ b/hornbeamline/gateway/_forwarder.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from hornbeamline.gateway._answer_checks import (
+    check_form,
     check_head,
     check_not_run,
     is_failure,
@@ -321,6 +322,7 @@
         target = chosen.target
         head = self._wire.read_answer(response.status, response.headers)
         attempts.status = head.status
+        check_form(target, head)
         if head.request_id == job.request.id:
             self._gate.process_response_signals(target, head, chosen.permit)
         if head.load is not None:
--- a/tests/gateway/scripted.py
+++ b/tests/gateway/scripted.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 import random
+import socket
+import struct
 from typing import Any, NamedTuple
 
 from hornbeamline.gateway import (
@@ -65,6 +67,14 @@
     return head(status, length, *fields) + body
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection at once."""
+    connection = writer.get_extra_info('socket')
+    linger = struct.pack('ii', 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class Received(NamedTuple):
     """What a caller has received."""
 
@@ -155,7 +165,9 @@
             await writer.drain()
         writer.close()
 
-    async def call(self, *script: bytes, **route: Any) -> Received:
+    async def call(
+        self, *script: bytes, body: bytes = b'{}', **route: Any
+    ) -> Received:
         """Send a request; the targets answer by the script."""
         self.script = list(script)
         self.received = 0
@@ -167,7 +179,8 @@
             b'POST /p/1 HTTP/1.1\r\nHost: host.example\r\n'
             b'X-Request-Id: r1\r\nX-Deadline-Ms: 5000\r\n'
             b'X-Prompt-Prefix: shared:10,own:10\r\n'
-            b'Connection: close\r\nContent-Length: 2\r\n\r\n{}',
+            b'Connection: close\r\nContent-Length: %d\r\n\r\n%b'
+            % (len(body), body),
         )
         async with asyncio.timeout(DEADLINE_S):
             raw = await reader.read()
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -2,23 +2,30 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from hornbeamline.quarantine import PartQuarantinedError
+from tests.gateway.builders import make_target
 from tests.gateway.scripted import (
     CHUNKED,
     EVENT_STREAM,
     RESUMABLE,
     ROUTES,
     SAFE,
+    SIGNED,
     STREAM,
     Received,
     chunk,
     event,
     head,
+    reset,
     whole,
 )
 
+# More than the buffers of a connection take.
+UPLOAD_BYTES = 3_000_000
 ERROR_TEXT = b'engine error: out of memory'
 STREAM_HEAD = head(200, EVENT_STREAM, CHUNKED)
 BROKEN_STREAM = STREAM_HEAD + chunk(event(1)) + chunk(event(2)) + b'12\r\nid: 3'
@@ -228,3 +235,57 @@
         received = await gateway.call(answer[:size], **route)
         is_whole = received.status == 200 and received.is_complete
         assert not is_whole, (size, received)
+
+
+# Statuses outside of the range of final ones, and what no target may name.
+BROKEN_HEADS = {
+    **{
+        f'status-{status}': b'HTTP/1.1 %b X\r\n%b' % (status.encode(), SIGNED)
+        for status in ('000', '099', '100', '101', '199', '600', '999')
+    },
+    'control-character': head(200, b'X-Note: a\x01b\r\n')[:-2],
+    'refusal-000': b'HTTP/1.1 000 X\r\nX-Not-Executed: 1\r\n' + SIGNED,
+}
+
+
+# Reported by operators: a status of 000 was passed on as an answer. Here the
+# caller's connection was closed without an answer, and 101 was passed on.
+@pytest.mark.parametrize('route', ROUTES)
+@pytest.mark.parametrize('name', BROKEN_HEADS)
+async def test_head_that_is_no_answer_is_not_passed_on(
+    gateway, name, route
+) -> None:
+    """Fault: the head of an answer is none of HTTP."""
+    answer = BROKEN_HEADS[name] + b'Content-Length: 4\r\n\r\nbody'
+    received = await gateway.call(answer, answer, answer, **ROUTES[route])
+    assert received.status == 502
+    assert received.is_complete
+    if route in {'unsafe', 'stream'}:
+        assert gateway.received == 1
+
+
+# Reported by operators: a target answered before it had read a long upload,
+# without a length, and reset the connection; callers took the part of the body
+# that had come for the whole.
+@pytest.mark.parametrize('route', ROUTES)
+@pytest.mark.parametrize('delay_s', [0, 0.001, 0.05])
+async def test_answer_reset_during_an_upload_is_not_whole(
+    gateway, delay_s, route
+) -> None:
+    """Fault: a target resets its answer while the request is being sent."""
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head(200, EVENT_STREAM) + event(1))
+        await asyncio.sleep(delay_s)
+        reset(writer)
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0, limit=1024)
+    host, port = server.sockets[0].getsockname()
+    target = make_target('t0', address=f'{host}:{port}')
+    gateway.targets.replace_list([target])
+    received = await gateway.call(body=b'x' * UPLOAD_BYTES, **ROUTES[route])
+    server.close()
+    assert received.status == 502 or not received.is_complete
