Hosts out of step do not resume streams at an outdated version

Cause: without an answer of a leader, a host took the only version in its lists of a minute or more, though streams of a version that joined since the newest list, or within its lag, may have begun at other hosts.

Change: that version counts only once a list was read after the resumption arrived, plus the lag of the list, which is read from the settings. The age of a list counts from the start of its read, also if a control process has read it.

Tests: both cases of test_outdated_sole_version_does_not_go_on_with_a_stream failed before and pass; tests/origins, gateway, platform, directory and process pass.

--- a/hornbeamline/daemons/_gateway_services.py
+++ b/hornbeamline/daemons/_gateway_services.py
@@ -58,7 +58,7 @@
         if targets.age_s > MAX_LIST_AGE_S:
             # A list that was read long ago shows nothing about the versions.
             return
-        origins.note_listed(targets.versions_by_service())
+        origins.note_listed(targets.versions_by_service(), targets.age_s)
 
     targets.on_list = note_list
     return origins
--- a/hornbeamline/daemons/_target_list.py
+++ b/hornbeamline/daemons/_target_list.py
@@ -132,6 +132,7 @@
             await asyncio.sleep(min(left_s, _AGE_CHECK_INTERVAL_S))
 
     async def _read(self) -> None:
+        read_at = self._targets.now()
         try:
             async with asyncio.timeout(_LIST_TIMEOUT_S):
                 targets = await self._source.read()
@@ -143,4 +144,4 @@
         if not self._last_read_succeeded:
             log_event('targets.list_regained', entries=len(targets))
         self._last_read_succeeded = True
-        self._targets.replace_list(targets)
+        self._targets.replace_list(targets, read_at)
--- a/hornbeamline/daemons/gateway.py
+++ b/hornbeamline/daemons/gateway.py
@@ -79,6 +79,8 @@
     list_max_age_s: float
     # Calls per second to the target list, summed over all hosts.
     list_rate_per_s: float
+    # Time after which a list that is read has each target that has joined.
+    list_lag_s: float
     stop_timeout_s: float
     budget: BudgetSettings
     # Processor capacity of this host in cores; 0 if unknown.
@@ -195,7 +197,9 @@
                 self._stages,
                 self._budget,
                 quarantine,
-                StreamVersions(self._origins, self._targets),
+                StreamVersions(
+                    self._origins, self._targets, settings.list_lag_s
+                ),
             ),
             self._clock,
             rng,
--- a/hornbeamline/gateway/_stream_versions.py
+++ b/hornbeamline/gateway/_stream_versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
 from typing import Final
 
@@ -37,6 +38,8 @@
 # Time that a list of targets may lag behind the restart of a target, and the
 # number of streams begun during it that are checked at most.
 LIST_LAG_S: Final = 3.0
+# Interval of checking for a list that was read after a resumption arrived.
+_LIST_CHECK_S: Final = 0.05
 _MAX_RECENT: Final = 4096
 # Version of a stream whose target was not the listed one.
 UNKNOWN_VERSION: Final = '\0'
@@ -48,11 +51,19 @@
     """Binds streams to the software versions of their targets."""
 
     def __init__(
-        self, records: OriginRecords, targets: TargetDirectory
+        self,
+        records: OriginRecords,
+        targets: TargetDirectory,
+        list_lag_s: float = LIST_LAG_S,
     ) -> None:
-        """Use these records and the listed targets."""
+        """Use these records and the listed targets.
+
+        `list_lag_s` is the time after which each target that has joined is in
+        a list that is read.
+        """
         self._records = records
         self._targets = targets
+        self._list_lag_s = list_lag_s
         # Streams that began a short time ago, with the time, oldest first.
         self._recent: deque[tuple[float, BegunStream]] = deque(
             maxlen=_MAX_RECENT
@@ -110,12 +121,10 @@
         left_s: float,
     ) -> str | None:
         """Return the version of a resumed stream; None if it is unknown."""
-        sole = self._records.sole_version(
-            stream.service, LIFETIME_RATIO * route.timeout_s
-        )
+        wait_until = self._targets.now() + left_s * FIND_SHARE
         if request.resumes is None:
             # The caller does not say which attempt began its stream.
-            return sole
+            return await self._sole_version(request, route, stream, wait_until)
         timeout_s = min(ORIGIN_TIMEOUT_S, left_s * FIND_SHARE)
         try:
             found = await self._records.find(stream, timeout_s)
@@ -126,9 +135,40 @@
                 resumes=request.resumes,
                 error=str(error),
             )
-            return sole
+            return await self._sole_version(request, route, stream, wait_until)
         return None if found == UNKNOWN_VERSION else found
 
+    async def _sole_version(
+        self,
+        request: CallerRequest,
+        route: Route,
+        stream: StreamKey,
+        wait_until: float,
+    ) -> str | None:
+        """Return the version if no other can have begun the stream.
+
+        Targets of another version may have joined while this host was cut off
+        or suspended. Only a list that is read after the resumption arrived,
+        plus its lag, has all that can have begun the stream.
+        """
+        for_s = LIFETIME_RATIO * route.timeout_s
+        read_after = request.received_at + self._list_lag_s
+        while True:
+            sole = self._records.sole_version(stream.service, for_s, read_after)
+            candidate = self._records.sole_version(stream.service, for_s)
+            now = self._targets.now()
+            if sole is not None or candidate is None or now >= wait_until:
+                log_event(
+                    'request.sole_version',
+                    request=request.id,
+                    resumes=request.resumes,
+                    version=sole,
+                    candidate=candidate,
+                    list_age_s=self._targets.age_s,
+                )
+                return sole
+            await asyncio.sleep(_LIST_CHECK_S)
+
     def _refusal(
         self,
         request: CallerRequest,
--- a/hornbeamline/gateway/_version_binding.py
+++ b/hornbeamline/gateway/_version_binding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol, Self
 
@@ -18,8 +19,13 @@
 class OriginRecords(Protocol):
     """Records of the versions that began streams."""
 
-    def sole_version(self, service: str, for_s: float) -> str | None:
-        """Return the version if no other was listed for `for_s` seconds."""
+    def sole_version(
+        self, service: str, for_s: float, read_after: float = -math.inf
+    ) -> str | None:
+        """Return the version if no other was listed for `for_s` seconds.
+
+        None unless a list was read after `read_after`.
+        """
 
     async def record(
         self, stream: StreamKey, version: str, timeout_s: float
--- a/hornbeamline/origins/_beliefs.py
+++ b/hornbeamline/origins/_beliefs.py
@@ -50,6 +50,8 @@
         self._by_service: dict[str, _Belief] = {}
         self._sole_by_service: dict[str, _SoleVersion] = {}
         self._listed_at = -math.inf
+        # Time at which the newest list was read.
+        self._read_at = -math.inf
 
     def version_of(self, service: str) -> str | None:
         """Return the believed default of a service, if any."""
@@ -97,8 +99,10 @@
         self,
         versions_by_service: Mapping[str, Collection[str]],
         now: float,
+        age_s: float = 0,
     ) -> None:
-        """Record the versions in a list of targets."""
+        """Record the versions in a list of targets that was read before."""
+        self._read_at = max(self._read_at, now - age_s)
         if now - self._listed_at > MAX_LIST_GAP_S:
             self._sole_by_service.clear()
         self._listed_at = now
@@ -116,15 +120,18 @@
         self._note_sole(versions_by_service, now)
 
     def sole_version(
-        self, service: str, for_s: float, now: float
+        self, service: str, for_s: float, now: float, read_after: float
     ) -> str | None:
         """Return the only version listed for `for_s` seconds, if any.
 
-        At least `SOLE_VERSION_S` seconds.
+        At least `SOLE_VERSION_S` seconds. None unless the newest list was
+        read after `read_after`.
         """
         sole = self._sole_by_service.get(service)
         if sole is None or now - self._listed_at > MAX_LIST_GAP_S:
             return None
+        if self._read_at < read_after:
+            return None
         is_long = now - sole.since >= max(for_s, SOLE_VERSION_S)
         return sole.version if is_long else None
 
--- a/hornbeamline/origins/_origins.py
+++ b/hornbeamline/origins/_origins.py
@@ -59,23 +59,32 @@
         """Do nothing: each call to the leader ends with its timeout."""
 
     def note_listed(
-        self, versions_by_service: Mapping[str, Collection[str]]
+        self,
+        versions_by_service: Mapping[str, Collection[str]],
+        age_s: float = 0,
     ) -> None:
         """Record the versions of all listed targets, also draining ones.
 
+        `age_s` is the time since the list was read, in seconds.
+
         Must be called for each list that is a few seconds old at most, also
         if it has not changed: after 20 s without one a default must be
         confirmed again.
         """
-        self._beliefs.note_listed(versions_by_service, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._beliefs.note_listed(versions_by_service, now, age_s)
 
-    def sole_version(self, service: str, for_s: float) -> str | None:
+    def sole_version(
+        self, service: str, for_s: float, read_after: float = -math.inf
+    ) -> str | None:
         """Return the version if no other was listed here for `for_s` seconds.
 
-        At least 60 s. For use when `find` gets no answer from a leader.
+        At least 60 s. For use when `find` gets no answer from a leader. A
+        stream may have begun at a version that was not listed here yet, so
+        that the newest list must have been read after `read_after`.
         """
         now = self._clock.monotonic()
-        return self._beliefs.sole_version(service, for_s, now)
+        return self._beliefs.sole_version(service, for_s, now, read_after)
 
     async def record(
         self,
--- a/hornbeamline/platform/_entry.py
+++ b/hornbeamline/platform/_entry.py
@@ -48,6 +48,7 @@
             list_interval_s=_LIST_INTERVAL_S,
             list_max_age_s=_LIST_MAX_AGE_S,
             list_rate_per_s=settings.list_rate_per_s,
+            list_lag_s=settings.list_lag_s,
             stop_timeout_s=settings.stop_timeout_s,
             budget=BudgetSettings(
                 settings.retry_ratio,
--- a/hornbeamline/platform/_settings.py
+++ b/hornbeamline/platform/_settings.py
@@ -12,6 +12,7 @@
 
 from hornbeamline.exceptions import InventoryError
 
+_MS_PER_S: Final = 1000
 SETTINGS_VARIABLE: Final = 'HORNBEAMLINE_SETTINGS'
 
 
@@ -46,6 +47,7 @@
 class _CloudApi(_Table, frozen=True, kw_only=True):
     address: str
     rate_per_s: float = 40
+    max_lag_ms: Annotated[float, msgspec.Meta(ge=0)] = 3000
 
 
 class _SettingsFile(_Table, frozen=True, kw_only=True):
@@ -95,6 +97,8 @@
     list_address: str
     # Rate limit of calls to the list, shared by all hosts.
     list_rate_per_s: float
+    # Longest time until a change shows in the list.
+    list_lag_s: float
     # Limits of the host; 0 if they are not stated.
     memory_mb: float
     max_fds: int
@@ -147,6 +151,7 @@
         retry_slack=table.bounds.retry_slack,
         list_address=table.cloud_api.address,
         list_rate_per_s=table.cloud_api.rate_per_s,
+        list_lag_s=table.cloud_api.max_lag_ms / _MS_PER_S,
         memory_mb=_usable(table.limits.memory_mb),
         max_fds=max(table.limits.max_fds, 0),
     )
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -104,7 +104,9 @@
         # No leader answers.
         self.is_lost = False
 
-    def sole_version(self, _service: str, _for_s: float) -> str | None:
+    def sole_version(
+        self, _service: str, _for_s: float, _read_after: float = 0
+    ) -> str | None:
         """Return the version that has been the only one for long."""
         return self.sole
 
--- a/tests/origins/test_cut_off_hosts.py
+++ b/tests/origins/test_cut_off_hosts.py
@@ -15,10 +15,12 @@
     RouteKind,
     StreamVersions,
     TargetDirectory,
+    VersionBinding,
 )
+from hornbeamline.gateway.const import REASON_ORIGIN_UNKNOWN
 from hornbeamline.origins import OriginUnavailableError, StreamKey
 from tests.gateway.builders import make_request, make_route, make_target
-from tests.origins.group import SERVICE, TIMEOUT_S
+from tests.origins.group import SERVICE, TIMEOUT_S, EntryHost
 from tests.replog.group import LoopClock
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
@@ -107,3 +109,55 @@
             Account('acme', None),
             50.0,
         )
+
+
+async def resume(host: EntryHost, stream: StreamKey) -> VersionBinding:
+    """Resume a stream at a host whose list of targets has v1 only."""
+    clock = LoopClock()
+    directory = TargetDirectory(clock)
+    directory.replace_list([make_target('t', service=SERVICE, version='v1')])
+    return await StreamVersions(host.origins, directory, 1.0).bind_request(
+        make_request(
+            resumes=stream.request_id,
+            last_event_id=1,
+            received_at=clock.monotonic(),
+        ),
+        make_route(kind=RouteKind.STREAM, can_resume=True),
+        SERVICE,
+        Account('acme', None),
+        15.0,
+    )
+
+
+# Reported by operators: during a release, a host that was cut off, or stood
+# still, went on with streams of the new version at the one that it took for
+# the only one (ORDER).
+@pytest.mark.parametrize('sees_list', [False, True], ids=['no-list', 'list'])
+async def test_outdated_sole_version_does_not_go_on_with_a_stream(
+    new_origins, sees_list
+) -> None:
+    """Fault: a host misses that targets of a new version join."""
+    group = await new_origins()
+    first, second = await group.entry('entry-1'), await group.entry('entry-2')
+    await asyncio.sleep(61)
+    group.network.isolate('entry-2')
+    second.sees_list = sees_list
+    await asyncio.sleep(1)
+    group.platform.serve('v1', 'v2')
+    stream = await first.begin('r', 'v2')
+    with pytest.raises(RefusedError) as caught:
+        await resume(second, stream)
+    assert caught.value.refusal.reason == REASON_ORIGIN_UNKNOWN
+
+
+async def test_sole_version_of_a_later_list_goes_on_with_a_stream(
+    new_origins,
+) -> None:
+    """Guards against refusals while a host without a leader reads lists."""
+    group = await new_origins()
+    first, second = await group.entry('entry-1'), await group.entry('entry-2')
+    await asyncio.sleep(61)
+    stream = await first.begin('r', 'v1')
+    group.network.isolate('entry-2')
+    binding = await resume(second, stream)
+    assert binding.version == 'v1'
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -44,6 +44,16 @@
     assert read_settings(path).region_by_data_centre == regions
 
 
+@pytest.mark.parametrize(
+    ('given', 'expected_s'), [({}, 3.0), ({'max-lag-ms': 800}, 0.8)]
+)
+def test_lag_of_the_list_is_read(tmp_path: Path, given, expected_s) -> None:
+    """Without a figure the lag is taken to be long."""
+    api = {**SETTINGS_TABLE['cloud-api'], **given}
+    path = write_toml(tmp_path / 's.toml', {**SETTINGS_TABLE, 'cloud-api': api})
+    assert read_settings(path).list_lag_s == expected_s
+
+
 @pytest.mark.parametrize(
     ('changes', 'key'),
     [
