Soak: failures without proof, and streams that go on with empty lines

The stand-in servers fail requests that they have executed with 500, 503, 429 and 408 by turns, engines too, and engines go on with empty lines without end while answers are garbled. The soak now counts a status that promises 'not run' after an execution as a violation on routes that may be repeated as well; it did so on the others only. Empty lines between events are no content.

--- a/tests/soak/platform/clients.py
+++ b/tests/soak/platform/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import re
 import time
 from typing import Final
 
@@ -34,6 +35,7 @@
 MAX_APPLY_S: Final = 2.0
 ACK_TIMEOUT_S: Final = 30.0
 _TIMEOUT: Final = aiohttp.ClientTimeout(total=DEADLINE_S + 2)
+_EMPTY_LINES: Final = re.compile(rb'\n{3,}')
 _CONNECTION_ERRORS: Final = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -160,6 +162,8 @@
     ) -> None:
         expected = expected_body(request_id, sent)
         if route in {'plan', 'ask'}:
+            # Empty lines between events are no content.
+            answer = _EMPTY_LINES.sub(b'\n\n', answer)
             version = answer.strip().rpartition(b' ')[2].decode('latin-1')
             expected = b''.join(
                 event_of(request_id, number, version)
--- a/tests/soak/platform/standins/engine.py
+++ b/tests/soak/platform/standins/engine.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
+
 from aiohttp import web
 
 from tests.soak.platform.standins.server import StandinServer
 from tests.soak.platform.world import event_count, event_of
 
 _EVENT_S = 0.01
+_EMPTY_LINES = b'\n' * 16_384
 
 
 class EngineServer(StandinServer):
@@ -25,6 +28,8 @@
                 return self.not_run(request, 409)
         if self.record_and_verify(request, body) is None:
             return web.Response(status=500)
+        if self.is_affected(self.faults.error):
+            return self.failure(request)
         response = web.StreamResponse(
             headers={
                 **self.answer_headers(request, 200),
@@ -36,6 +41,7 @@
             return self._end(request, response)
         first = int(request.headers.get('Last-Event-Id', '0')) + 1
         breaks = self.is_affected(self.faults.lose)
+        is_endless = self.is_affected(self.faults.garble)
         stream = self.world.stream_of(request_id)
         for number in range(first, event_count(stream) + 1):
             await self.simulate_work(_EVENT_S)
@@ -45,6 +51,9 @@
                 await response.write(event[:6])
                 request.transport.abort()
                 break
+            if is_endless and number > 2:
+                await _write_empty_lines(response)
+                break
             await response.write(event)
         return response
 
@@ -65,3 +74,10 @@
         if request.transport is not None:
             request.transport.abort()
         return response
+
+
+async def _write_empty_lines(response: web.StreamResponse) -> None:
+    """Write until the connection is closed."""
+    with contextlib.suppress(ConnectionError):
+        while True:
+            await response.write(_EMPTY_LINES)
--- a/tests/soak/platform/standins/server.py
+++ b/tests/soak/platform/standins/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import bisect
+import itertools
 import math
 import random
 import time
@@ -24,6 +25,11 @@
 MAX_COLD_ARRIVALS: Final = WARMUP_PER_S * 1.5 + 5
 
 
+# Statuses of failures, by turns. Without a header that proves it, none of them
+# shows that a request did not run.
+ERROR_STATUSES: Final = (500, 503, 429, 408)
+
+
 class ServerFaults(msgspec.Struct):
     """Share of the requests that each fault affects."""
 
@@ -31,9 +37,10 @@
     lose: float = 0
     # Refuses the request and reports that it was not executed.
     refuse: float = 0
-    # Executes the request, then answers with status 500.
+    # Executes the request, then answers with one of `ERROR_STATUSES`.
     error: float = 0
-    # Executes the request, then truncates the body of the answer.
+    # Executes the request, then truncates the body of the answer; a stream
+    # goes on with empty lines without end.
     garble: float = 0
     # Sends an unrelated answer after the right one.
     extra: float = 0
@@ -53,6 +60,7 @@
         # Version of the software, as the list tells it.
         self.version = 'v1'
         self.faults = ServerFaults()
+        self._error_statuses = itertools.cycle(ERROR_STATUSES)
         self.is_draining = False
         # Announces that it is leaving, which the list does not show.
         self.announces_leaving = False
@@ -198,6 +206,12 @@
         }
         return web.Response(status=status, headers=headers)
 
+    def failure(self, request: web.Request) -> web.Response:
+        """Fail a request that has been executed."""
+        status = next(self._error_statuses)
+        headers = self.answer_headers(request, status)
+        return web.Response(status=status, headers=headers)
+
     async def simulate_work(self, seconds: float) -> None:
         """Sleep for a processing time, longer while the server is slowed."""
         await asyncio.sleep(seconds * self.faults.slowness)
@@ -215,9 +229,7 @@
             transport.abort()
             return web.Response()
         if self.is_affected(self.faults.error):
-            return web.Response(
-                status=500, headers=self.answer_headers(request, 500)
-            )
+            return self.failure(request)
         if self.is_affected(self.faults.garble):
             headers = {
                 **self.answer_headers(request, 200),
--- a/tests/soak/platform/world.py
+++ b/tests/soak/platform/world.py
@@ -82,7 +82,6 @@
         `is_signed` says whether the answer carries a server's stamp, so that
         a server must have sent this status for this request.
         """
-        sent = self.sent_by_id[request_id]
         if is_signed and status not in self.statuses_by_id[request_id]:
             self.record_violation(f'MIXED {request_id}: signed {status}')
         if status in {401, 403, 404}:
@@ -90,7 +89,7 @@
         if status not in NOT_RUN_STATUSES:
             return
         self.refused_ids.add(request_id)
-        if self.executions_by_id[request_id] and not sent.may_repeat:
+        if self.executions_by_id[request_id]:
             self.record_violation(
                 f'REFUSED {request_id}: {status}, but was executed'
             )
