Review case 12: servers that start again under their ids are never used

Cause: what a server said of leaving is kept by its id until the list has left it out for more than 3 s; neither its start time nor the list ends that.

--- a/review/rig3.py
+++ b/review/rig3.py
@@ -273,7 +273,11 @@
             await read_head(reader)
             body = json.dumps(
                 {
-                    'instances': [each.entry() for each in self.servers],
+                    'instances': [
+                        each.entry()
+                        for each in self.servers
+                        if each.state != 'gone'
+                    ],
                     'next': None,
                 }
             ).encode()
@@ -587,8 +591,14 @@
         shutil.rmtree(folder, ignore_errors=True)
 
 
+def _end(number: int, frame: object) -> None:
+    # Unwinds the loop, so that all processes are ended.
+    raise SystemExit(UNUSABLE)
+
+
 def run(case: Callable[[], Awaitable[int]]) -> None:
-    """Run a case and exit with its code."""
+    """Run a case and exit with its code; SIGTERM ends it early."""
+    signal.signal(signal.SIGTERM, _end)
     try:
         code = asyncio.run(case())
     except (Unusable, OSError) as error:
